Set up the workspace and the types at the edges

Cause: matters are to be built side by side without touching each other's folders. Change: workspace, lints, newtypes, error kinds with their answers, plan, platform contract, events and actions of a pool, peer frames. Conclusion: the thin path can be wired over these types.

--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the bench.
+
+fn main() {}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,195 @@
+//! Decisions as pure state machines: time and seeds go in, actions come out.
+//!
+//! Nothing here reads a clock, a socket, a lock, a log or a thread-local generator, so every decision is
+//! replayed exactly from a trace and can be embedded without the daemon.
+
+pub mod pool;
+
+use std::time::Duration;
+
+use crate::{
+    error::ErrorKind,
+    plan::{Priority, RequestKind},
+    units::{CallId, InstanceId, MonoTime, TargetId},
+};
+
+/// Position of a target in its pool; valid until the plan changes the pool.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    derive_more::Display,
+    derive_more::From,
+    derive_more::Into,
+)]
+pub struct TargetIndex(pub usize);
+
+/// What is known of a call when it arrives at the instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// Number within this run of the instance.
+    pub id: CallId,
+    /// Identifies the route in this service's plan; calls of one route have like durations.
+    pub route: RouteKey,
+    /// Whether and how often it may be sent.
+    pub kind: RequestKind,
+    /// Who goes first at the crest.
+    pub priority: Priority,
+    /// Point by which an answer must begin.
+    pub deadline: MonoTime,
+    /// Sends before this one along the chain of calls, from the attempt mark; 0 for a first send.
+    pub prior_attempts: u32,
+}
+
+/// Identifies a route for learning: its position in the service's route list.
+///
+/// `RouteKey::UNLISTED` stands for all requests that no route of the plan matches.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RouteKey(pub u32);
+
+impl RouteKey {
+    /// Requests that no route of the plan matches.
+    pub const UNLISTED: Self = Self(u32::MAX);
+}
+
+/// Number of a send within one call, from 0.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    derive_more::Display,
+    derive_more::From,
+    derive_more::Into,
+)]
+pub struct Attempt(pub u32);
+
+/// How one send ended, as evidence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// A whole answer with a status below 500 was passed on or taken.
+    Answered,
+    /// A whole answer with a status of 500 or above.
+    Failed,
+    /// The target refused under a contract of the plan; nothing ran.
+    Refused,
+    /// The request was handed back unsent.
+    Unsent,
+    /// It may have been sent and the connection broke, went silent or was cut.
+    Lost,
+    /// The instance cancelled it, or the caller left.
+    Cancelled,
+}
+
+/// What a target says of itself on an answer or a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LoadReport {
+    /// Requests it holds, running and queued, if it says so.
+    pub in_flight: Option<u32>,
+    /// Whether it says that it is draining.
+    pub draining: bool,
+}
+
+/// One peer's count of its own requests at a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerLoad {
+    /// Target.
+    pub target: TargetId,
+    /// Requests the peer has in flight there.
+    pub in_flight: u32,
+    /// Time since the peer took the count.
+    pub age: Duration,
+}
+
+/// Something that happened to a pool.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A call wants to be sent.
+    Arrived(Call),
+    /// The head of an answer came for a send that goes on.
+    AnswerBegan {
+        /// Call.
+        call: CallId,
+        /// Which of its sends.
+        attempt: Attempt,
+        /// What the target said of itself.
+        report: LoadReport,
+    },
+    /// A send ended and its slot is free.
+    Ended {
+        /// Call.
+        call: CallId,
+        /// Which of its sends.
+        attempt: Attempt,
+        /// How.
+        end: AttemptEnd,
+    },
+    /// The caller left or its answer is complete; nothing more is wanted for the call.
+    Closed(CallId),
+    /// A peer's counts arrived.
+    PeerLoads {
+        /// Peer.
+        peer: InstanceId,
+        /// Its counts.
+        loads: Vec<PeerLoad>,
+    },
+    /// A peer is gone; its counts no longer apply.
+    PeerGone(InstanceId),
+    /// A sign of draining or returning from plan, list, answer or peer.
+    Draining {
+        /// Target.
+        target: TargetId,
+        /// True for draining, false for returned.
+        draining: bool,
+    },
+    /// A probe was answered, or failed when the report is absent.
+    Probed {
+        /// Target.
+        target: TargetIndex,
+        /// Report, if it answered.
+        report: Option<LoadReport>,
+    },
+    /// Time passed; sent at the latest at [`pool::Pool::next_wake`].
+    Tick,
+}
+
+/// What the edge must do now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send the call to a target.
+    Send {
+        /// Call.
+        call: CallId,
+        /// Which of its sends.
+        attempt: Attempt,
+        /// Target.
+        target: TargetIndex,
+    },
+    /// Answer the call with an error; nothing of it was sent, or all its sends ended.
+    Refuse {
+        /// Call.
+        call: CallId,
+        /// Why.
+        kind: ErrorKind,
+        /// When asking again can help.
+        retry_after: Option<Duration>,
+    },
+    /// Abandon a send whose answer is no longer needed.
+    Cancel {
+        /// Call.
+        call: CallId,
+        /// Which of its sends.
+        attempt: Attempt,
+    },
+    /// Probe a target.
+    Probe(TargetIndex),
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The arbutusshelf daemon and its command line.
+
+fn main() {}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,3 @@
+//! Links between instances: typed frames over h2 streams.
+
+pub mod frame;
