Wire the thin whole path

Change: sheet, accepting, plan in force, pools, proxy, claims, peer links, members, admin, report; stand-ins of platform and targets; tour; black-box tests. Conclusion: the path holds on loopback; a store that refuses for its rate made the first tour fail, so claims and accepting now try again within a bound.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,3 +1,99 @@
 //! Command line of the bench.
 
-fn main() {}
+use std::{net::SocketAddr, process::ExitCode};
+
+use arbutusshelf::error::{Error, ErrorKind, Result};
+use arbutusshelf_bench::{platform::PlatformStandIn, target::TargetStandIn, tour};
+use argh::FromArgs;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Stand-ins, load, trace replay and experiments for arbutusshelf.
+#[derive(Debug, FromArgs)]
+struct Cli {
+    /// what to do
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Tour(Tour),
+    Platform(Platform),
+    Target(Target),
+}
+
+/// Run the whole path on loopback and check the properties of the brief.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "tour")]
+struct Tour {}
+
+/// Run a stand-in of the platform's service.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct Platform {
+    /// where to listen, such as 127.0.0.1:9000
+    #[argh(option)]
+    listen: SocketAddr,
+    /// seed of the random faults
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// seconds after which it ends by itself
+    #[argh(option, default = "600")]
+    for_s: u64,
+}
+
+/// Run a stand-in of a target.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "target")]
+struct Target {
+    /// where to listen, such as 127.0.0.1:21000
+    #[argh(option)]
+    listen: SocketAddr,
+    /// requests it works on at once
+    #[argh(option, default = "3")]
+    slots: usize,
+    /// seconds after which it ends by itself
+    #[argh(option, default = "600")]
+    for_s: u64,
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("[arbutusshelf-bench error]: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main]
+async fn run() -> Result<ExitCode> {
+    match argh::from_env::<Cli>().command {
+        Command::Tour(Tour {}) => {
+            let findings = tour::run().await?;
+            Ok(if findings.broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
+        Command::Platform(args) => {
+            let stand_in =
+                PlatformStandIn::start(args.listen, args.seed).await.map_err(|e| unavailable(&e))?;
+            println!("platform stand-in at {}", stand_in.server.address);
+            tokio::time::sleep(std::time::Duration::from_secs(args.for_s)).await;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Target(args) => {
+            let stand_in =
+                TargetStandIn::start(args.listen, args.slots).await.map_err(|e| unavailable(&e))?;
+            println!("target stand-in at {}", stand_in.server.address);
+            tokio::time::sleep(std::time::Duration::from_secs(args.for_s)).await;
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn unavailable(e: &std::io::Error) -> Error {
+    Error::new(ErrorKind::AddressUnavailable, e.to_string())
+}
--- /dev/null
+++ b/bench/src/platform.rs
@@ -0,0 +1,301 @@
+//! Stand-in of the platform's service: table, object store and lagging instance list, with faults.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use arbutusshelf::platform::{
+    ListedInstance, ObjectCondition, RowChange, RowKey, RowWrite, WriteResult,
+    embedded::Store,
+    wire::{ConflictReply, TOOK_EFFECT, WireRow, WriteReply, WriteRequest},
+};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{
+    Method, Request, StatusCode,
+    body::Incoming,
+    header::{self, HeaderValue},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::time::Instant;
+
+use crate::http::{Answer, Cut, Server, decode, json, query, serve, whole};
+
+/// Faults in force; set by `POST /faults` or [`PlatformStandIn::set_faults`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every connection is closed without an answer and without effect.
+    pub down: bool,
+    /// Time added to every request, in milliseconds.
+    pub slow_ms: u64,
+    /// Share of writes whose reply is lost after they took effect, 0.0 to 1.0.
+    pub lose_write_replies: f64,
+    /// Share of writes that are refused with 503 and no effect, 0.0 to 1.0.
+    pub refuse_writes: f64,
+    /// The instance list no longer changes.
+    pub stale_list: bool,
+    /// Time by which the instance list lags, in milliseconds.
+    pub list_lag_ms: u64,
+    /// Writes taken in any second.
+    pub max_writes_per_s: usize,
+    /// Reads taken in any second.
+    pub max_reads_per_s: usize,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            down: false,
+            slow_ms: 0,
+            lose_write_replies: 0.0,
+            refuse_writes: 0.0,
+            stale_list: false,
+            list_lag_ms: 0,
+            max_writes_per_s: 400,
+            max_reads_per_s: 2_000,
+        }
+    }
+}
+
+/// Requests seen since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Writes that arrived.
+    pub writes: u64,
+    /// Reads that arrived.
+    pub reads: u64,
+    /// Requests answered 429.
+    pub throttled: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    store: Store,
+    faults: Faults,
+    counts: Counts,
+    rng: SmallRng,
+    recent_writes: VecDeque<Instant>,
+    recent_reads: VecDeque<Instant>,
+    /// Past instance lists with the time each came up, oldest first.
+    lists: VecDeque<(Instant, Vec<ListedInstance>)>,
+}
+
+/// A running stand-in of the platform.
+#[derive(Debug)]
+pub struct PlatformStandIn {
+    /// Its server.
+    pub server: Server,
+    state: Arc<Mutex<State>>,
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl PlatformStandIn {
+    /// Starts a stand-in whose random faults follow `seed`.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error of binding.
+    pub async fn start(address: SocketAddr, seed: u64) -> std::io::Result<Self> {
+        let state = State {
+            store: Store::default(),
+            faults: Faults::default(),
+            counts: Counts::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            recent_writes: VecDeque::new(),
+            recent_reads: VecDeque::new(),
+            lists: VecDeque::new(),
+        };
+        let state = Arc::new(Mutex::new(state));
+        let shared = Arc::clone(&state);
+        let server = serve(address, move |request| handle(Arc::clone(&shared), request)).await?;
+        Ok(Self { server, state })
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: Faults) {
+        lock(&self.state).faults = faults;
+    }
+
+    /// Returns the requests seen.
+    pub fn counts(&self) -> Counts {
+        lock(&self.state).counts
+    }
+
+    /// Runs `work` on the content of the store.
+    pub fn inspect<T>(&self, work: impl FnOnce(&mut Store) -> T) -> T {
+        work(&mut lock(&self.state).store)
+    }
+}
+
+async fn handle(state: Arc<Mutex<State>>, request: Request<Incoming>) -> Result<Answer, Cut> {
+    if request.uri().path() == "/faults" {
+        return set_faults(&state, request).await;
+    }
+    let faults = lock(&state).faults.clone();
+    if faults.down {
+        return Err(Cut);
+    }
+    if faults.slow_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+    }
+    let is_write = request.method() != Method::GET;
+    if !admit(&state, is_write) {
+        return Ok(no_effect(StatusCode::TOO_MANY_REQUESTS));
+    }
+    let chance = |share: f64| share > 0.0 && lock(&state).rng.random_bool(share);
+    if is_write && chance(faults.refuse_writes) {
+        return Ok(no_effect(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    let lose = is_write && chance(faults.lose_write_replies);
+    let answer = route(&state, request).await?;
+    if lose { Err(Cut) } else { Ok(answer) }
+}
+
+async fn set_faults(state: &Mutex<State>, request: Request<Incoming>) -> Result<Answer, Cut> {
+    let faults = read_json::<Faults>(request).await?;
+    lock(state).faults = faults;
+    Ok(whole(StatusCode::OK, ""))
+}
+
+fn admit(state: &Mutex<State>, is_write: bool) -> bool {
+    let mut state = lock(state);
+    let State { faults, counts, recent_writes, recent_reads, .. } = &mut *state;
+    let (recent, limit, count) = if is_write {
+        (recent_writes, faults.max_writes_per_s, &mut counts.writes)
+    } else {
+        (recent_reads, faults.max_reads_per_s, &mut counts.reads)
+    };
+    *count += 1;
+    let now = Instant::now();
+    while recent.front().is_some_and(|at| now - *at >= Duration::from_secs(1)) {
+        recent.pop_front();
+    }
+    if recent.len() >= limit {
+        counts.throttled += 1;
+        return false;
+    }
+    recent.push_back(now);
+    true
+}
+
+fn no_effect(status: StatusCode) -> Answer {
+    let mut answer = whole(status, "");
+    answer.headers_mut().insert(TOOK_EFFECT, HeaderValue::from_static("no"));
+    answer
+}
+
+async fn read_json<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, Cut> {
+    let body = request.into_body().collect().await.map_err(|_cut| Cut)?.to_bytes();
+    serde_json::from_slice(&body).map_err(|_malformed| Cut)
+}
+
+async fn route(state: &Mutex<State>, request: Request<Incoming>) -> Result<Answer, Cut> {
+    let path = request.uri().path().to_owned();
+    match (request.method().clone(), path.as_str()) {
+        (Method::GET, "/table/row") => Ok(get_row(state, &request)),
+        (Method::GET, "/table/scan") => {
+            let rows = lock(state).store.scan(&query(&request, "prefix").unwrap_or_default());
+            let rows = rows.into_iter().map(|r| wire_row(r.key, &r.value, r.version)).collect::<Vec<_>>();
+            Ok(json(StatusCode::OK, &rows))
+        }
+        (Method::POST, "/table/write") => write_rows(state, request).await,
+        (Method::GET, "/objects") => {
+            let names = lock(state).store.list_objects(&query(&request, "prefix").unwrap_or_default());
+            Ok(json(StatusCode::OK, &names))
+        }
+        (Method::GET, "/instances") => Ok(json(StatusCode::OK, &listed(state))),
+        (Method::PUT, "/instances") => {
+            let line = read_json::<ListedInstance>(request).await?;
+            register(state, line);
+            Ok(whole(StatusCode::OK, ""))
+        }
+        (method, path) => match path.strip_prefix("/objects/").map(decode) {
+            Some(name) if method == Method::GET => Ok(get_object(state, &name)),
+            Some(name) if method == Method::PUT => put_object(state, &name, request).await,
+            _ => Ok(whole(StatusCode::NOT_FOUND, "")),
+        },
+    }
+}
+
+fn wire_row(key: RowKey, value: &Bytes, version: u64) -> WireRow {
+    WireRow { key, value: String::from_utf8_lossy(value).into_owned(), version }
+}
+
+fn get_row(state: &Mutex<State>, request: &Request<Incoming>) -> Answer {
+    let key = RowKey(query(request, "key").unwrap_or_default());
+    match lock(state).store.get(&key) {
+        Some(row) => json(StatusCode::OK, &wire_row(row.key, &row.value, row.version)),
+        None => whole(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+async fn write_rows(state: &Mutex<State>, request: Request<Incoming>) -> Result<Answer, Cut> {
+    let request = read_json::<WriteRequest>(request).await?;
+    let row_write = |w: arbutusshelf::platform::wire::WireWrite| RowWrite {
+        key: w.key,
+        condition: w.condition,
+        change: w.value.map_or(RowChange::Delete, |v| RowChange::Put(Bytes::from(v))),
+    };
+    let writes = request.writes.into_iter().map(row_write).collect::<Vec<_>>();
+    Ok(match lock(state).store.write(&writes) {
+        WriteResult::TookEffect(versions) => json(StatusCode::OK, &WriteReply { versions }),
+        WriteResult::Conflict(conflicts) => json(StatusCode::CONFLICT, &ConflictReply { conflicts }),
+        WriteResult::Refused | WriteResult::Unknown => no_effect(StatusCode::SERVICE_UNAVAILABLE),
+    })
+}
+
+fn get_object(state: &Mutex<State>, name: &str) -> Answer {
+    let Some(object) = lock(state).store.get_object(name) else {
+        return whole(StatusCode::NOT_FOUND, "");
+    };
+    let mut answer = whole(StatusCode::OK, object.content);
+    if let Ok(etag) = HeaderValue::from_str(&object.etag) {
+        answer.headers_mut().insert(header::ETAG, etag);
+    }
+    answer
+}
+
+async fn put_object(state: &Mutex<State>, name: &str, request: Request<Incoming>) -> Result<Answer, Cut> {
+    let text = |n| request.headers().get(n).and_then(|v| v.to_str().ok()).map(str::to_owned);
+    let condition = match (text(header::IF_MATCH), text(header::IF_NONE_MATCH)) {
+        (Some(etag), _) => ObjectCondition::Match(etag),
+        (None, Some(_)) => ObjectCondition::Absent,
+        (None, None) => ObjectCondition::Any,
+    };
+    let content = request.into_body().collect().await.map_err(|_cut| Cut)?.to_bytes();
+    Ok(match lock(state).store.put_object(name, content, &condition) {
+        WriteResult::TookEffect(_) => whole(StatusCode::OK, ""),
+        _ => whole(StatusCode::PRECONDITION_FAILED, ""),
+    })
+}
+
+fn register(state: &Mutex<State>, line: ListedInstance) {
+    let mut state = lock(state);
+    let unchanged = state.store.instances().contains(&line);
+    state.store.register(line);
+    if !unchanged {
+        let list = state.store.instances();
+        state.lists.push_back((Instant::now(), list));
+    }
+}
+
+/// Returns the newest list that is old enough to be seen.
+fn listed(state: &Mutex<State>) -> Vec<ListedInstance> {
+    let mut state = lock(state);
+    let lag = Duration::from_millis(state.faults.list_lag_ms);
+    if !state.faults.stale_list {
+        while state.lists.len() > 1 && state.lists[1].0.elapsed() >= lag {
+            state.lists.pop_front();
+        }
+    }
+    let seen = state.lists.front().filter(|(at, _)| at.elapsed() >= lag);
+    seen.map(|(_, list)| list.clone()).unwrap_or_default()
+}
--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,206 @@
+//! Operators' HTTP: health, plan, targets, peers and the report.
+
+pub mod client;
+pub mod submit;
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{self, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::{
+    error::{Error, ErrorKind, Result},
+    kernel::Kernel,
+    membership::MemberView,
+    observe::report,
+    units::{PlanVersion, TargetId},
+};
+
+/// Largest sheet taken, in bytes.
+const MAX_SHEET_BYTES: usize = 16 << 20;
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time an operator's client may take to send a request head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answer of `GET /plan/status`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PlanStatus {
+    /// Version in force here.
+    pub version: PlanVersion,
+    /// Change that made it.
+    pub change_id: Option<String>,
+    /// Other instances as seen from here.
+    pub members: Vec<MemberView>,
+}
+
+/// One line of `GET /targets`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TargetView {
+    /// Target.
+    pub target: TargetId,
+    /// Requests of this instance in flight there.
+    pub in_flight: u32,
+    /// Slots.
+    pub slots: u32,
+}
+
+/// An error as told to operators.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ErrorReply {
+    /// Kind.
+    pub kind: String,
+    /// What happened.
+    pub message: String,
+}
+
+/// Takes connections from operators; runs until dropped.
+pub async fn listen(kernel: Arc<Kernel>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _address)) => {
+                tokio::spawn(serve_connection(Arc::clone(&kernel), stream));
+            }
+            Err(e) => {
+                log::warn!("event=admin-accept-failed error={:?}", e.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(kernel: Arc<Kernel>, stream: TcpStream) {
+    let service = service_fn(move |request| {
+        let kernel = Arc::clone(&kernel);
+        async move { Ok::<_, std::convert::Infallible>(handle(&kernel, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
+    if let Err(e) = builder.serve_connection(TokioIo::new(stream), service).await {
+        log::debug!("event=admin-connection-ended error={:?}", e.to_string());
+    }
+}
+
+async fn handle(kernel: &Kernel, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let result = match authorize(kernel, &request) {
+        Ok(()) => route(kernel, request).await,
+        Err(e) => Err(e),
+    };
+    result.unwrap_or_else(|e| error_reply(&e))
+}
+
+fn authorize(kernel: &Kernel, request: &Request<Incoming>) -> Result<()> {
+    let Some(token) = &kernel.config.admin_token else {
+        return Ok(());
+    };
+    let given = request.headers().get(header::AUTHORIZATION).map(HeaderValue::as_bytes);
+    let expected = format!("Bearer {token}");
+    if given.is_some_and(|given| equal_in_constant_time(given, expected.as_bytes())) {
+        return Ok(());
+    }
+    Err(Error::new(ErrorKind::Unauthorized, "the request needs the bearer token of the settings"))
+}
+
+/// Compares without telling by the time taken where the first difference is.
+fn equal_in_constant_time(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |diff, (x, y)| diff | (x ^ y)) == 0
+}
+
+async fn route(kernel: &Kernel, request: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/health") => Ok(text_reply(StatusCode::OK, "live\n".to_owned())),
+        (&Method::GET, "/ready") => Ok(ready_reply(kernel)),
+        (&Method::GET, "/plan") => json_reply(&*kernel.plan.current()),
+        (&Method::GET, "/plan/status") => json_reply(&plan_status(kernel)),
+        (&Method::GET, "/targets") => json_reply(&targets(kernel)),
+        (&Method::GET, "/members") => json_reply(&kernel.members.view(kernel.clock.now())),
+        (&Method::GET, "/report") => {
+            let report = report::make(&kernel.config.instance, &kernel.plan.current(), &kernel.tally);
+            json_reply(&report)
+        }
+        (&Method::POST, "/plan/submit") => submit_plan(kernel, request).await,
+        (&Method::POST, "/leave") => {
+            kernel.leave();
+            Ok(text_reply(StatusCode::ACCEPTED, "leaving\n".to_owned()))
+        }
+        _ => Ok(text_reply(StatusCode::NOT_FOUND, format!("no such page: {path}\n"))),
+    }
+}
+
+fn plan_status(kernel: &Kernel) -> PlanStatus {
+    let plan = kernel.plan.current();
+    PlanStatus {
+        version: plan.version,
+        change_id: plan.change_id.as_ref().map(ToString::to_string),
+        members: kernel.members.view(kernel.clock.now()),
+    }
+}
+
+fn targets(kernel: &Kernel) -> Vec<TargetView> {
+    let of_pool = |pool: &crate::decide::pool::Pool| {
+        let specs = pool.spec().targets.iter();
+        specs
+            .zip(pool.own_in_flight())
+            .map(|(spec, in_flight)| TargetView { target: spec.id.clone(), in_flight, slots: spec.slots })
+            .collect::<Vec<_>>()
+    };
+    kernel.pools.all().iter().flat_map(|(_, cell)| cell.inspect(of_pool)).collect()
+}
+
+async fn submit_plan(kernel: &Kernel, request: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
+    let query = request.uri().query().unwrap_or_default();
+    let change_id = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("change-id="))
+        .ok_or_else(|| Error::new(ErrorKind::BadRequest, "change-id: required in the query"))?
+        .parse()
+        .map_err(|e| Error::new(ErrorKind::BadRequest, format!("change-id: {e}")))?;
+    let sheet = Limited::new(request.into_body(), MAX_SHEET_BYTES)
+        .collect()
+        .await
+        .map_err(|e| Error::new(ErrorKind::BadRequest, format!("sheet: {e}")))?
+        .to_bytes();
+    json_reply(&submit::submit(kernel, &sheet, change_id).await?)
+}
+
+fn ready_reply(kernel: &Kernel) -> Response<Full<Bytes>> {
+    match kernel.ready() {
+        Ok(()) => text_reply(StatusCode::OK, "ready\n".to_owned()),
+        Err(kind) => text_reply(StatusCode::SERVICE_UNAVAILABLE, format!("{kind}\n")),
+    }
+}
+
+fn text_reply(status: StatusCode, text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
+
+fn json_reply(value: &impl Serialize) -> Result<Response<Full<Bytes>>> {
+    let json = serde_json::to_vec(value).map_err(|e| Error::new(ErrorKind::File, format!("reply: {e}")))?;
+    let mut response = Response::new(Full::new(Bytes::from(json)));
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    Ok(response)
+}
+
+fn error_reply(e: &Error) -> Response<Full<Bytes>> {
+    let reply = ErrorReply { kind: e.kind.to_string(), message: e.message.clone() };
+    let text = serde_json::to_string(&reply).unwrap_or_default();
+    let status = StatusCode::from_u16(e.kind.answer().status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = text_reply(status, text);
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -78,7 +78,7 @@
 pub enum AttemptEnd {
     /// A whole answer with a status below 500 was passed on or taken.
     Answered,
-    /// A whole answer with a status of 500 or above.
+    /// An answer with a status of 500 or above; the edge holds it until it is told what to do.
     Failed,
     /// The target refused under a contract of the plan; nothing ran.
     Refused,
@@ -86,6 +86,8 @@
     Unsent,
     /// It may have been sent and the connection broke, went silent or was cut.
     Lost,
+    /// It was sent and no answer began before the deadline.
+    TimedOut,
     /// The instance cancelled it, or the caller left.
     Cancelled,
 }
@@ -174,7 +176,16 @@
         /// Target.
         target: TargetIndex,
     },
+    /// Pass on the answer that a failed send left with the edge.
+    Deliver {
+        /// Call.
+        call: CallId,
+        /// Which of its sends.
+        attempt: Attempt,
+    },
     /// Answer the call with an error; nothing of it was sent, or all its sends ended.
+    ///
+    /// An edge that holds the answer of a failed send passes that on instead.
     Refuse {
         /// Call.
         call: CallId,
--- a/src/decide/pool.rs
+++ b/src/decide/pool.rs
@@ -54,11 +54,7 @@
 impl Pool {
     /// Creates a pool with nothing in flight.
     pub fn new(spec: &ServiceSpec, settings: &PoolSettings) -> Self {
-        let targets = spec.targets.iter().map(|t| Target {
-            slots: t.slots,
-            in_flight: 0,
-            draining: false,
-        });
+        let targets = spec.targets.iter().map(|t| Target { slots: t.slots, in_flight: 0, draining: false });
         Self {
             targets: targets.collect(),
             spec: spec.clone(),
@@ -80,11 +76,7 @@
 
     /// Returns when [`Event::Tick`] is due at the latest, if ever.
     pub fn next_wake(&self) -> Option<MonoTime> {
-        self.queue
-            .iter()
-            .filter_map(|id| self.calls.get(id))
-            .map(|a| a.call.deadline)
-            .min()
+        self.queue.iter().filter_map(|id| self.calls.get(id)).map(|a| a.call.deadline).min()
     }
 
     /// Takes one event and adds the actions that follow from it.
@@ -110,13 +102,7 @@
             actions.push(refuse(id, ErrorKind::Overloaded));
             return;
         }
-        self.calls.insert(
-            id,
-            Active {
-                call,
-                sends: Vec::new(),
-            },
-        );
+        self.calls.insert(id, Active { call, sends: Vec::new() });
         self.queue.push_back(id);
     }
 
@@ -129,7 +115,7 @@
         let may_repeat = match end {
             AttemptEnd::Unsent | AttemptEnd::Refused => true,
             AttemptEnd::Failed | AttemptEnd::Lost => active.call.kind == RequestKind::Idempotent,
-            AttemptEnd::Answered | AttemptEnd::Cancelled => false,
+            AttemptEnd::Answered | AttemptEnd::TimedOut | AttemptEnd::Cancelled => false,
         };
         if may_repeat && active.sends.len() < 2 {
             self.queue.push_front(id);
@@ -137,7 +123,12 @@
         }
         self.calls.remove(&id);
         let kind = match end {
-            AttemptEnd::Answered | AttemptEnd::Failed | AttemptEnd::Cancelled => return,
+            AttemptEnd::Answered | AttemptEnd::Cancelled => return,
+            AttemptEnd::Failed => {
+                actions.push(Action::Deliver { call: id, attempt });
+                return;
+            }
+            AttemptEnd::TimedOut => ErrorKind::AnswerTimeout,
             AttemptEnd::Refused => ErrorKind::TargetRefused,
             AttemptEnd::Unsent => ErrorKind::Unsent,
             AttemptEnd::Lost => ErrorKind::ConnectionLost,
@@ -178,41 +169,24 @@
             let attempt = Attempt(active.sends.len() as u32);
             active.sends.push(target);
             self.targets[target.0].in_flight += 1;
-            actions.push(Action::Send {
-                call: id,
-                attempt,
-                target,
-            });
+            actions.push(Action::Send { call: id, attempt, target });
         }
     }
 
     fn choose(&mut self) -> Option<TargetIndex> {
         let free = |t: &Target| !t.draining && t.in_flight < t.slots;
-        let open = (0..self.targets.len())
-            .filter(|&i| free(&self.targets[i]))
-            .collect::<Vec<_>>();
+        let open = (0..self.targets.len()).filter(|&i| free(&self.targets[i])).collect::<Vec<_>>();
         if open.is_empty() {
             return None;
         }
         let first = open[self.rng.random_range(0..open.len())];
         let second = open[self.rng.random_range(0..open.len())];
         let load = |i: usize| f64::from(self.targets[i].in_flight) / f64::from(self.targets[i].slots);
-        Some(TargetIndex(if load(second) < load(first) {
-            second
-        } else {
-            first
-        }))
+        Some(TargetIndex(if load(second) < load(first) { second } else { first }))
     }
 }
 
 fn refuse(call: CallId, kind: ErrorKind) -> Action {
-    let retry_after = kind
-        .answer()
-        .retry_after_s
-        .map(|s| Duration::from_secs(u64::from(s)));
-    Action::Refuse {
-        call,
-        kind,
-        retry_after,
-    }
+    let retry_after = kind.answer().retry_after_s.map(|s| Duration::from_secs(u64::from(s)));
+    Action::Refuse { call, kind, retry_after }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -94,11 +94,7 @@
 }
 
 const fn answer(status: u16, outcome: Outcome, retry_after_s: Option<u32>) -> Answer {
-    Answer {
-        status,
-        outcome,
-        retry_after_s,
-    }
+    Answer { status, outcome, retry_after_s }
 }
 
 impl ErrorKind {
@@ -161,12 +157,9 @@
 impl Error {
     /// Creates an error of `kind`.
     pub fn new(kind: ErrorKind, message: impl Into<String>) -> Self {
-        Self {
-            kind,
-            message: message.into(),
-        }
+        Self { kind, message: message.into() }
     }
 }
 
 /// Result with the project's error.
-pub type Result<T> = std::result::Result<T, Error>;
+pub type Result<T, E = Error> = std::result::Result<T, E>;
--- /dev/null
+++ b/src/kernel/pools.rs
@@ -0,0 +1,231 @@
+//! The table of pools: runs the decisions of each service and hands actions to the calls they concern.
+//!
+//! Lock order: the table of services, then one cell. No lock is held across an await or while a second cell
+//! is locked.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    time::Duration,
+};
+
+use tokio::sync::{Notify, mpsc};
+
+use super::clock::Clock;
+use crate::{
+    collections::HashMap,
+    decide::{
+        Action, Attempt, Call, Event, TargetIndex,
+        pool::{Pool, PoolSettings},
+    },
+    error::ErrorKind,
+    plan::{Plan, ServiceSpec, TargetSpec},
+    units::{CallId, DataCentre, ServiceName, TargetId},
+};
+
+/// What one call must do next.
+#[derive(Debug, Clone)]
+pub enum Directive {
+    /// Send the request to a target.
+    Send {
+        /// Which of the call's sends.
+        attempt: Attempt,
+        /// Where.
+        target: TargetSpec,
+    },
+    /// Pass on the answer of a failed send.
+    Deliver {
+        /// Which of the call's sends.
+        attempt: Attempt,
+    },
+    /// Answer with an error.
+    Refuse {
+        /// Why.
+        kind: ErrorKind,
+        /// When asking again can help.
+        retry_after: Option<Duration>,
+    },
+    /// Abandon a send.
+    Cancel {
+        /// Which of the call's sends.
+        attempt: Attempt,
+    },
+}
+
+#[derive(Debug)]
+struct CellState {
+    pool: Pool,
+    /// Calls that wait for directives; a call that closed is absent.
+    calls: HashMap<CallId, mpsc::UnboundedSender<Directive>>,
+    /// Reused between events to spare allocations; empty between two events.
+    actions: Vec<Action>,
+}
+
+/// One service's pool with the calls it decides on.
+#[derive(Debug)]
+pub struct PoolCell {
+    clock: Clock,
+    state: Mutex<CellState>,
+    /// Notified when the pool's next wake may have moved.
+    rewake: Notify,
+}
+
+impl PoolCell {
+    fn new(clock: Clock, pool: Pool) -> Self {
+        let state = CellState { pool, calls: HashMap::default(), actions: Vec::new() };
+        Self { clock, state: Mutex::new(state), rewake: Notify::new() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, CellState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Brings a call in and returns where its directives arrive.
+    pub fn begin(&self, call: Call) -> mpsc::UnboundedReceiver<Directive> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let mut state = self.lock();
+        state.calls.insert(call.id, sender);
+        self.step(&mut state, Event::Arrived(call));
+        receiver
+    }
+
+    /// Takes an event and carries its actions to the calls.
+    pub fn handle(&self, event: Event) {
+        self.step(&mut self.lock(), event);
+    }
+
+    /// Ends a call: no more directives reach it.
+    pub fn close(&self, call: CallId) {
+        let mut state = self.lock();
+        state.calls.remove(&call);
+        self.step(&mut state, Event::Closed(call));
+    }
+
+    /// Runs `read` on the pool under the cell's lock.
+    pub fn inspect<T>(&self, read: impl FnOnce(&Pool) -> T) -> T {
+        read(&self.lock().pool)
+    }
+
+    fn step(&self, state: &mut CellState, event: Event) {
+        let CellState { pool, calls, actions } = state;
+        let wake_before = pool.next_wake();
+        pool.handle(self.clock.now(), event, actions);
+        for action in actions.drain(..) {
+            deliver(pool.spec(), calls, &action);
+        }
+        if pool.next_wake() != wake_before {
+            self.rewake.notify_one();
+        }
+    }
+
+    /// Sends ticks when they are due; runs until dropped.
+    pub async fn run_timer(&self) {
+        loop {
+            let wake = self.inspect(Pool::next_wake);
+            let due = async {
+                match wake {
+                    Some(at) => tokio::time::sleep_until(self.clock.instant(at)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = due => self.handle(Event::Tick),
+                () = self.rewake.notified() => {}
+            }
+        }
+    }
+}
+
+fn deliver(spec: &ServiceSpec, calls: &HashMap<CallId, mpsc::UnboundedSender<Directive>>, action: &Action) {
+    let target = |index: TargetIndex| spec.targets[index.0].clone();
+    let (call, directive) = match *action {
+        Action::Send { call, attempt, target: index } => {
+            (call, Directive::Send { attempt, target: target(index) })
+        }
+        Action::Deliver { call, attempt } => (call, Directive::Deliver { attempt }),
+        Action::Refuse { call, kind, retry_after } => (call, Directive::Refuse { kind, retry_after }),
+        Action::Cancel { call, attempt } => (call, Directive::Cancel { attempt }),
+        Action::Probe(_) => return,
+    };
+    if let Some(sender) = calls.get(&call) {
+        // A call that has just ended no longer listens; its close event follows.
+        let _closing = sender.send(directive);
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    cell: Arc<PoolCell>,
+    timer: tokio::task::AbortHandle,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.timer.abort();
+    }
+}
+
+/// All pools of the plan in force.
+#[derive(Debug)]
+pub struct PoolTable {
+    clock: Clock,
+    data_centre: DataCentre,
+    seed: u64,
+    entries: RwLock<HashMap<ServiceName, Entry>>,
+}
+
+impl PoolTable {
+    /// Creates an empty table.
+    pub fn new(clock: Clock, data_centre: DataCentre, seed: u64) -> Self {
+        Self { clock, data_centre, seed, entries: RwLock::default() }
+    }
+
+    /// Finds the pool of a service.
+    pub fn find(&self, service: &ServiceName) -> Option<Arc<PoolCell>> {
+        let entries = self.entries.read().unwrap_or_else(PoisonError::into_inner);
+        entries.get(service).map(|e| Arc::clone(&e.cell))
+    }
+
+    /// Returns all pools with their services.
+    pub fn all(&self) -> Vec<(ServiceName, Arc<PoolCell>)> {
+        let entries = self.entries.read().unwrap_or_else(PoisonError::into_inner);
+        entries.iter().map(|(name, e)| (name.clone(), Arc::clone(&e.cell))).collect()
+    }
+
+    /// Carries a sign of draining to the pool that has the target.
+    pub fn set_draining(&self, target: &TargetId, draining: bool) {
+        for (_, cell) in self.all() {
+            let has_target = cell.inspect(|p| p.spec().targets.iter().any(|t| t.id == *target));
+            if has_target {
+                cell.handle(Event::Draining { target: target.clone(), draining });
+            }
+        }
+    }
+
+    /// Follows a plan: unchanged services keep their pools, calls in progress end on the pool they began on.
+    ///
+    /// Must be called inside the runtime.
+    pub fn apply(&self, plan: &Plan) {
+        let mut entries = self.entries.write().unwrap_or_else(PoisonError::into_inner);
+        entries.retain(|name, _| plan.service(name.as_str()).is_some());
+        for service in &plan.services {
+            let unchanged =
+                entries.get(&service.name).is_some_and(|e| e.cell.inspect(|pool| pool.spec() == service));
+            if !unchanged {
+                entries.insert(service.name.clone(), self.open(plan, service));
+            }
+        }
+    }
+
+    fn open(&self, plan: &Plan, service: &ServiceSpec) -> Entry {
+        let settings = PoolSettings {
+            data_centre: self.data_centre.clone(),
+            share: 1.0 / f64::from(plan.budgets.max_instances),
+            probes_per_target_per_s: plan.budgets.probes_per_target_per_s,
+            seed: self.seed,
+        };
+        let cell = Arc::new(PoolCell::new(self.clock, Pool::new(service, &settings)));
+        let own = Arc::clone(&cell);
+        let timer = tokio::spawn(async move { own.run_timer().await }).abort_handle();
+        Entry { cell, timer }
+    }
+}
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bytes::{Buf, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 
 use crate::units::{DataCentre, InstanceId, PlanVersion, RunId, TargetId};
@@ -68,3 +69,71 @@
     /// Requests the sender has in flight there.
     pub in_flight: u32,
 }
+
+/// Largest frame taken from a peer, in bytes.
+pub const MAX_FRAME_BYTES: usize = 16 << 20;
+
+/// Length of the prefix that gives a frame's size.
+const PREFIX_BYTES: usize = 4;
+
+/// Why a link must be closed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum FrameError {
+    /// The prefix states more than [`MAX_FRAME_BYTES`].
+    #[error("frame of {0} bytes exceeds {MAX_FRAME_BYTES}")]
+    TooLarge(usize),
+    /// The content is not a frame.
+    #[error("malformed frame: {0}")]
+    Malformed(String),
+}
+
+/// Encodes a frame with its length prefix.
+pub fn encode(frame: &Frame) -> Bytes {
+    let mut bytes = vec![0; PREFIX_BYTES];
+    // Writing into a vector fails only for types that serde can't represent; frames have none.
+    let content = bincode::serde::encode_to_vec(frame, bincode::config::standard()).unwrap_or_default();
+    bytes.extend_from_slice(&content);
+    let length = u32::try_from(content.len()).unwrap_or(u32::MAX);
+    bytes[..PREFIX_BYTES].copy_from_slice(&length.to_be_bytes());
+    Bytes::from(bytes)
+}
+
+/// Turns received bytes into frames.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    /// Received and not yet decoded; at most one frame and one chunk long.
+    buffer: BytesMut,
+}
+
+impl Decoder {
+    /// Takes received bytes.
+    pub fn push(&mut self, chunk: &[u8]) {
+        self.buffer.extend_from_slice(chunk);
+    }
+
+    /// Returns the next whole frame, or `None` when more bytes are needed.
+    ///
+    /// # Errors
+    ///
+    /// [`FrameError`] when the link must be closed.
+    pub fn next_frame(&mut self) -> Result<Option<Frame>, FrameError> {
+        let Some(prefix) = self.buffer.first_chunk::<PREFIX_BYTES>() else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        if length > MAX_FRAME_BYTES {
+            return Err(FrameError::TooLarge(length));
+        }
+        if self.buffer.len() < PREFIX_BYTES + length {
+            return Ok(None);
+        }
+        self.buffer.advance(PREFIX_BYTES);
+        let content = self.buffer.split_to(length);
+        let config = bincode::config::standard().with_limit::<MAX_FRAME_BYTES>();
+        match bincode::serde::decode_from_slice::<Frame, _>(&content, config) {
+            Ok((frame, read)) if read == length => Ok(Some(frame)),
+            Ok((_, read)) => Err(FrameError::Malformed(format!("{} bytes too many", length - read))),
+            Err(e) => Err(FrameError::Malformed(e.to_string())),
+        }
+    }
+}
--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -10,6 +10,12 @@
 
 use crate::units::{ChangeId, DataCentre, InstanceId, PlanVersion, ServiceName, TargetId};
 
+pub mod accept;
+pub mod clock;
+pub mod difference;
+pub mod keeper;
+pub mod sheet;
+
 /// Everything operators state: instances, services, pools, request kinds, budgets and intentions.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
 #[serde(deny_unknown_fields)]
@@ -31,10 +37,7 @@
 impl Plan {
     /// Finds a service by name.
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
-        let index = self
-            .services
-            .binary_search_by(|s| s.name.as_str().cmp(name))
-            .ok()?;
+        let index = self.services.binary_search_by(|s| s.name.as_str().cmp(name)).ok()?;
         self.services.get(index)
     }
 
@@ -131,11 +134,7 @@
 
 impl Default for Objective {
     fn default() -> Self {
-        Self {
-            useful_share: 0.999,
-            latency_ms: 100,
-            window_days: 28,
-        }
+        Self { useful_share: 0.999, latency_ms: 100, window_days: 28 }
     }
 }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,6 +11,8 @@
 
 use crate::units::{DataCentre, InstanceId, RunId};
 
+pub mod embedded;
+pub mod http;
 pub mod wire;
 
 /// Key of a row in the table service.
@@ -148,8 +150,6 @@
 
 impl fmt::Debug for Platform {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Platform")
-            .field("name", &self.name)
-            .finish_non_exhaustive()
+        f.debug_struct("Platform").field("name", &self.name).finish_non_exhaustive()
     }
 }
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,187 @@
+//! Runs one instance: listens, follows the plan, and leaves cleanly.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    net::TcpListener,
+    signal::unix::{Signal, SignalKind, signal},
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+use crate::{
+    admin,
+    error::{Error, ErrorKind, Result},
+    kernel::Kernel,
+    logging, peer,
+    plan::accept,
+    platform::ListedInstance,
+    proxy,
+    settings::Config,
+    units::MonoTime,
+};
+
+/// Time between two reads of the plan and the instance list.
+const POLL_PERIOD: Duration = Duration::from_millis(500);
+
+/// Sockets of one instance, bound.
+#[derive(Debug)]
+pub struct Listeners {
+    callers: TcpListener,
+    admin: TcpListener,
+    peers: TcpListener,
+}
+
+impl Listeners {
+    /// Binds the three addresses and writes the bound ones back, for port 0.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::AddressUnavailable`] naming the field and address.
+    pub async fn bind(config: &mut Config) -> Result<Self> {
+        let callers = bind("callers_address", &mut config.callers_address).await?;
+        let admin = bind("admin_address", &mut config.admin_address).await?;
+        let peers = bind("peers_address", &mut config.peers_address).await?;
+        Ok(Self { callers, admin, peers })
+    }
+}
+
+async fn bind(field: &str, address: &mut SocketAddr) -> Result<TcpListener> {
+    let unavailable =
+        |e: std::io::Error| Error::new(ErrorKind::AddressUnavailable, format!("{field} {address}: {e}"));
+    let listener = TcpListener::bind(*address).await.map_err(unavailable)?;
+    *address = listener.local_addr().map_err(unavailable)?;
+    Ok(listener)
+}
+
+/// Runs an instance until it has left.
+///
+/// # Errors
+///
+/// [`ErrorKind::AddressUnavailable`] and [`ErrorKind::Settings`].
+pub async fn serve(mut config: Config) -> Result<()> {
+    logging::start(&config)?;
+    let listeners = Listeners::bind(&mut config).await?;
+    let kernel = Kernel::open(config)?;
+    let signals = tokio::spawn(leave_on_signal(Arc::clone(&kernel)));
+    run(kernel, listeners).await;
+    signals.abort();
+    Ok(())
+}
+
+/// Runs an instance on bound sockets until it has left.
+pub async fn run(kernel: Arc<Kernel>, listeners: Listeners) {
+    log_start(&kernel);
+    let admin = tokio::spawn(admin::listen(Arc::clone(&kernel), listeners.admin));
+    let peers = tokio::spawn(peer::link::listen(Arc::clone(&kernel), listeners.peers));
+    let links = tokio::spawn(peer::link::connect_all(Arc::clone(&kernel)));
+    let polls = tokio::spawn(poll_platform(Arc::clone(&kernel)));
+    let callers = tokio::spawn(proxy::listen(Arc::clone(&kernel), listeners.callers));
+    kernel.wait_leaving().await;
+    sleep(Duration::from_millis(kernel.config.balancer_lag_ms)).await;
+    kernel.refuse_new();
+    log::info!("event=refusing-new in_progress={}", kernel.in_progress());
+    kernel.wait_idle().await;
+    callers.abort();
+    for task in [admin, peers, links, polls] {
+        task.abort();
+    }
+    log::info!("event=left run={}", kernel.run_id);
+}
+
+fn log_start(kernel: &Kernel) {
+    let config = &kernel.config;
+    log::info!(
+        "event=started instance={} run={} data_centre={} callers={} admin={} peers={} platform={}",
+        config.instance,
+        kernel.run_id,
+        config.data_centre,
+        config.callers_address,
+        config.admin_address,
+        config.peers_address,
+        kernel.platform.name
+    );
+}
+
+async fn leave_on_signal(kernel: Arc<Kernel>) {
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        log::error!("event=signals-unavailable");
+        return;
+    };
+    next(&mut terminate, &mut interrupt).await;
+    kernel.leave();
+    next(&mut terminate, &mut interrupt).await;
+    log::warn!(
+        "event=second-signal in_progress={} hint=\"a third signal cuts them off\"",
+        kernel.in_progress()
+    );
+    next(&mut terminate, &mut interrupt).await;
+    log::error!("event=cut-off in_progress={}", kernel.in_progress());
+    std::process::exit(1);
+}
+
+async fn next(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// Reads plan and list, registers this instance, and judges whether the plan is known to be current.
+async fn poll_platform(kernel: Arc<Kernel>) {
+    let mut period = interval(POLL_PERIOD);
+    period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut confirmed_at = None;
+    loop {
+        period.tick().await;
+        register(&kernel).await;
+        if let Ok(list) = (kernel.platform.list_instances)(()).await {
+            kernel.members.listed(&kernel.config.instance, &list);
+        }
+        if read_plan(&kernel).await {
+            confirmed_at = Some(kernel.clock.now());
+        }
+        judge_current(&kernel, confirmed_at);
+        kernel.apply_intentions(u64::try_from(logging::unix_ms() / 1_000).unwrap_or(u64::MAX));
+    }
+}
+
+/// A plan is current while the store confirmed it, or a live peer could have told of a newer one.
+fn judge_current(kernel: &Kernel, confirmed_at: Option<MonoTime>) {
+    let now = kernel.clock.now();
+    let limit = Duration::from_millis(kernel.config.cut_off_after_ms);
+    let confirmed = confirmed_at.is_some_and(|at| now.since(at) < limit);
+    kernel.set_plan_current(confirmed || kernel.members.any_live(now));
+}
+
+async fn read_plan(kernel: &Kernel) -> bool {
+    match (kernel.platform.get)(accept::plan_row_key()).await {
+        Ok(Some(row)) => match accept::decode(&row) {
+            Ok(plan) => {
+                kernel.offer_plan(plan);
+                true
+            }
+            Err(e) => {
+                log::error!("event=plan-unreadable error={:?}", e.message);
+                false
+            }
+        },
+        Ok(None) => true,
+        Err(_) => false,
+    }
+}
+
+async fn register(kernel: &Kernel) {
+    let line = ListedInstance {
+        id: kernel.config.instance.clone(),
+        run_id: kernel.run_id,
+        data_centre: kernel.config.data_centre.clone(),
+        peer_address: kernel.config.peers_address,
+        caller_address: kernel.config.callers_address,
+        leaving: kernel.is_leaving(),
+    };
+    if let Err(e) = (kernel.platform.register)(line).await {
+        log::debug!("event=register-failed error={:?}", e.to_string());
+    }
+}
--- a/src/units.rs
+++ b/src/units.rs
@@ -25,9 +25,7 @@
     let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b"-_.".contains(&b);
     let valid = (1..=MAX_NAME_BYTES).contains(&text.len()) && text.bytes().all(allowed);
     if !valid {
-        return Err(NameError {
-            text: text.chars().take(MAX_NAME_BYTES).collect(),
-        });
+        return Err(NameError { text: text.chars().take(MAX_NAME_BYTES).collect() });
     }
     Ok(Arc::from(text))
 }
@@ -201,10 +199,7 @@
     type Output = Self;
 
     fn add(self, span: Duration) -> Self {
-        Self(
-            self.0
-                .saturating_add(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)),
-        )
+        Self(self.0.saturating_add(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
     }
 }
 
--- /dev/null
+++ b/tests/testenv/mod.rs
@@ -0,0 +1,151 @@
+//! Runs the real binary in a directory of its own; waits for conditions, not for time.
+
+#![allow(dead_code, clippy::allow_attributes, reason = "each test file uses its own part of the environment")]
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, ChildStderr, Command, Output, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+};
+
+/// Longest wait for any condition.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+static LAST_DIRECTORY: AtomicU32 = AtomicU32::new(0);
+
+/// A directory of its own and the binary under test.
+#[derive(Debug)]
+pub struct TestEnv {
+    directory: PathBuf,
+}
+
+impl TestEnv {
+    /// Creates an empty directory.
+    pub fn new() -> Self {
+        let number = LAST_DIRECTORY.fetch_add(1, Ordering::Relaxed);
+        let name = format!("arbutusshelf-test-{}-{number}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        fs::create_dir_all(&directory).expect("a temporary directory can be created");
+        Self { directory }
+    }
+
+    /// Writes a file and returns its path as text.
+    pub fn write(&self, name: &str, content: &str) -> String {
+        let path = self.directory.join(name);
+        fs::write(&path, content).expect("a temporary file can be written");
+        path.to_str().expect("temporary paths are UTF-8").to_owned()
+    }
+
+    /// Runs the binary to its end.
+    pub fn run(&self, args: &[&str]) -> Output {
+        self.command(args).output().expect("the binary starts")
+    }
+
+    fn command(&self, args: &[&str]) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_arbutusshelf"));
+        command.current_dir(&self.directory).args(args);
+        command
+    }
+
+    /// Starts an instance on ports that the system chooses; `extra` is added to its settings.
+    pub fn serve(&self, instance: &str, extra: &serde_json::Value) -> Instance {
+        let mut settings = serde_json::json!({
+            "instance": instance,
+            "data_centre": "ost-a",
+            "callers_address": "127.0.0.1:0",
+            "admin_address": "127.0.0.1:0",
+            "peers_address": "127.0.0.1:0",
+            "balancer_lag_ms": 200,
+        });
+        let extra = extra.as_object().cloned().unwrap_or_default();
+        settings.as_object_mut().expect("settings are an object").extend(extra);
+        let path = self.write(&format!("{instance}.json"), &settings.to_string());
+        let mut command = self.command(&["serve", "--settings", &path]);
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("the binary starts");
+        let log = BufReader::new(child.stderr.take().expect("stderr is piped"));
+        Instance::started(child, log)
+    }
+}
+
+impl Drop for TestEnv {
+    fn drop(&mut self) {
+        let _best_effort = fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// One running instance; killed when dropped.
+#[derive(Debug)]
+pub struct Instance {
+    child: Child,
+    log: BufReader<ChildStderr>,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+}
+
+impl Instance {
+    fn started(child: Child, mut log: BufReader<ChildStderr>) -> Self {
+        let mut line = String::new();
+        while !line.contains("event=started") {
+            line.clear();
+            let read = log.read_line(&mut line).expect("the log is text");
+            assert!(read > 0, "the instance ended before it started");
+        }
+        let address = |name: &str| {
+            let value = line.split_whitespace().find_map(|pair| pair.strip_prefix(name));
+            value.expect("the start line has the address").parse().expect("it is an address")
+        };
+        let (callers, admin) = (address("callers="), address("admin="));
+        Self { child, log, callers, admin }
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Reads the log up to a line that contains `text`.
+    pub fn wait_log(&mut self, text: &str) -> String {
+        let mut line = String::new();
+        while !line.contains(text) {
+            line.clear();
+            let read = self.log.read_line(&mut line).expect("the log is text");
+            assert!(read > 0, "the log ended before {text:?}");
+        }
+        line
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait_end(&mut self) -> Option<i32> {
+        let started = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the process can be waited for") {
+                return status.code();
+            }
+            assert!(started.elapsed() < PATIENCE, "the instance did not end");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let _ended_before = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+}
+
+/// Returns the text that a command printed on stderr.
+pub fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// Returns the text that a command printed on stdout.
+pub fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
