--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -4,17 +4,22 @@
 //! await.
 
 pub mod clock;
+pub mod in_progress;
 pub mod pools;
 pub mod registry;
 
 use std::sync::{
     Arc,
-    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
-use self::{clock::Clock, pools::PoolTable};
+use self::{
+    clock::Clock,
+    in_progress::{CallerConnection, InProgress, InProgressTable, NamedRequest, RequestInProgress},
+    pools::PoolTable,
+};
 use crate::{
     claims::Claims,
     error::{Error, ErrorKind, Result},
@@ -22,11 +27,22 @@
     observe::tally::Tally,
     plan::{IntendedAction, Plan, keeper::PlanInForce},
     platform::Platform,
-    proxy::connection::Connections,
+    proxy::{connection::Connections, silence::HeadTimes},
     settings::Config,
     units::{CallId, RunId},
 };
 
+/// How far an instance has come on its way out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It takes requests and is ready.
+    Serving,
+    /// It takes requests and is not ready.
+    Leaving,
+    /// It answers new requests with not-run.
+    Refusing,
+}
+
 /// Everything that the workers of one instance share.
 #[derive(Debug)]
 pub struct Kernel {
@@ -46,18 +62,17 @@
     pub pools: PoolTable,
     /// Connections to targets.
     pub connections: Connections,
+    /// Usual times to the head of an answer.
+    pub head_times: HeadTimes,
     /// Claims of at-most-once requests.
     pub claims: Claims,
     /// Counts for the report.
     pub tally: Tally,
     /// Whether the platform or a peer confirmed the plan recently enough to serve on.
     plan_current: AtomicBool,
-    leaving: AtomicBool,
-    /// True once new requests are refused; never false again.
-    refusing: watch::Sender<bool>,
-    left: Notify,
-    in_progress: AtomicUsize,
-    idle: Notify,
+    /// Only rises.
+    phase: watch::Sender<Phase>,
+    in_progress: Arc<InProgressTable>,
     last_call: AtomicU64,
 }
 
@@ -83,14 +98,12 @@
             members: Members::default(),
             pools: PoolTable::new(clock, config.data_centre.clone(), run_id.into()),
             connections: Connections::default(),
+            head_times: HeadTimes::default(),
             claims: Claims::new(platform.clone(), run_id),
             tally: Tally::default(),
             plan_current: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
-            refusing: watch::Sender::new(false),
-            left: Notify::new(),
-            in_progress: AtomicUsize::new(0),
-            idle: Notify::new(),
+            phase: watch::Sender::new(Phase::Serving),
+            in_progress: Arc::default(),
             last_call: AtomicU64::new(0),
             platform,
             config,
@@ -108,7 +121,7 @@
     ///
     /// [`ErrorKind::Leaving`], [`ErrorKind::NoPlan`] or [`ErrorKind::CutOff`].
     pub fn admit(&self) -> Result<(), ErrorKind> {
-        if *self.refusing.borrow() {
+        if *self.phase.borrow() == Phase::Refusing {
             return Err(ErrorKind::Leaving);
         }
         if self.plan.version() == 0.into() {
@@ -161,63 +174,77 @@
 
     /// Starts leaving; later calls change nothing.
     pub fn leave(&self) {
-        if !self.leaving.swap(true, Ordering::AcqRel) {
+        if self.advance(Phase::Leaving) {
             log::info!("event=leaving run={}", self.run_id);
-            self.left.notify_one();
         }
     }
 
     /// Returns whether this instance is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        *self.phase.borrow() >= Phase::Leaving
     }
 
-    /// Waits until this instance is leaving; for one waiter.
+    /// Waits until this instance is leaving.
     pub async fn wait_leaving(&self) {
-        self.left.notified().await;
+        self.wait_phase(Phase::Leaving).await;
     }
 
     /// Refuses new requests from now on.
     pub fn refuse_new(&self) {
-        self.refusing.send_replace(true);
+        self.advance(Phase::Refusing);
     }
 
     /// Waits until new requests are refused.
     pub async fn wait_refusing(&self) {
+        self.wait_phase(Phase::Refusing).await;
+    }
+
+    fn advance(&self, to: Phase) -> bool {
+        self.phase.send_if_modified(|phase| {
+            let rises = *phase < to;
+            *phase = to.max(*phase);
+            rises
+        })
+    }
+
+    async fn wait_phase(&self, least: Phase) {
+        let mut phase = self.phase.subscribe();
         // The sender lives as long as the kernel, so waiting can't fail.
-        let mut refusing = self.refusing.subscribe();
-        let _closed = refusing.wait_for(|refusing| *refusing).await;
+        let _closed = phase.wait_for(|phase| *phase >= least).await;
     }
 
     /// Counts a request in progress until the guard is dropped.
-    pub fn enter(self: &Arc<Self>) -> InProgress {
-        self.in_progress.fetch_add(1, Ordering::AcqRel);
-        InProgress { kernel: Arc::clone(self) }
+    pub fn enter(&self) -> InProgress {
+        self.in_progress.enter()
+    }
+
+    /// Counts a caller's connection until the guard is dropped.
+    pub fn connect(&self) -> CallerConnection {
+        self.in_progress.connect()
+    }
+
+    /// Names a request in progress until the last clone of the guard is dropped.
+    pub fn name_request(&self, request: RequestInProgress) -> NamedRequest {
+        self.in_progress.name(request)
     }
 
     /// Returns the number of requests in progress.
     pub fn in_progress(&self) -> usize {
-        self.in_progress.load(Ordering::Acquire)
+        self.in_progress.requests()
     }
 
-    /// Waits until no request is in progress; for one waiter.
-    pub async fn wait_idle(&self) {
-        while self.in_progress() > 0 {
-            self.idle.notified().await;
-        }
+    /// Returns the number of callers' connections.
+    pub fn caller_connections(&self) -> usize {
+        self.in_progress.connections()
     }
-}
 
-/// One request in progress.
-#[derive(Debug)]
-pub struct InProgress {
-    kernel: Arc<Kernel>,
-}
+    /// Returns the requests in progress by name, the oldest first.
+    pub fn requests_in_progress(&self) -> Vec<RequestInProgress> {
+        self.in_progress.named()
+    }
 
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        if self.kernel.in_progress.fetch_sub(1, Ordering::AcqRel) == 1 {
-            self.kernel.idle.notify_one();
-        }
+    /// Waits until no request is in progress and no caller is connected; for one waiter.
+    pub async fn wait_idle(&self) {
+        self.in_progress.wait_idle().await;
     }
 }
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -1,17 +1,18 @@
-//! Answers that this instance makes itself.
+//! Answers to callers: each has exactly one outcome.
 
-use std::time::Duration;
+use std::{convert::Infallible, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::{
     Response, StatusCode,
     header::{self, HeaderValue},
+    http::response::Parts,
 };
 
 use super::{
     body::BodyError,
-    headers::{CAUSE, STORED, set_outcome},
+    headers::{self, CAUSE, STORED, set_outcome},
 };
 use crate::{
     claims::StoredAnswer,
@@ -21,20 +22,58 @@
 /// Body of an answer to a caller.
 pub type AnswerBody = BoxBody<Bytes, BodyError>;
 
+/// An answer to a caller.
+///
+/// It can be made only from a target's answer ([`Answer::ran`]), from an [`ErrorKind`] ([`refusal`]) or from a
+/// stored answer ([`stored`]), so none leaves without one of the three outcomes.
+#[derive(Debug)]
+pub struct Answer {
+    outcome: Outcome,
+    /// Invariant: carries the header of `outcome`, and no outcome that a target set.
+    response: Response<AnswerBody>,
+}
+
+impl Answer {
+    /// Passes on a target's answer.
+    pub fn ran(mut head: Parts, body: AnswerBody) -> Self {
+        headers::strip(&mut head.headers);
+        Self::new(Outcome::Ran, Response::from_parts(head, body))
+    }
+
+    fn new(outcome: Outcome, mut response: Response<AnswerBody>) -> Self {
+        set_outcome(response.headers_mut(), outcome);
+        Self { outcome, response }
+    }
+
+    /// Returns what the caller is told about its request.
+    pub fn outcome(&self) -> Outcome {
+        self.outcome
+    }
+
+    /// Splits the answer into head and body.
+    pub fn into_parts(self) -> (Parts, AnswerBody) {
+        self.response.into_parts()
+    }
+
+    /// Returns the answer as it is sent.
+    pub fn into_response(self) -> Response<AnswerBody> {
+        self.response
+    }
+}
+
 /// Wraps bytes as an answer's body.
 pub fn whole(bytes: Bytes) -> AnswerBody {
-    Full::new(bytes).map_err(|never| match never {}).boxed()
+    Full::new(bytes).map_err(|never: Infallible| match never {}).boxed()
 }
 
 /// Makes the answer for an error kind; `retry_after` replaces the kind's own.
-pub fn refusal(kind: ErrorKind, retry_after: Option<Duration>) -> Response<AnswerBody> {
+pub fn refusal(kind: ErrorKind, retry_after: Option<Duration>) -> Answer {
     let answer = kind.answer();
     let text = format!("{{\"outcome\":\"{}\",\"cause\":\"{kind}\"}}\n", answer.outcome);
     let mut response = Response::new(whole(Bytes::from(text)));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    set_outcome(headers, answer.outcome);
     if let Ok(cause) = HeaderValue::from_str(&kind.to_string()) {
         headers.insert(CAUSE, cause);
     }
@@ -42,15 +81,14 @@
     if let Some(retry_after_s) = answer.retry_after_s.map(|own| stated_s.unwrap_or(own).max(1)) {
         headers.insert(header::RETRY_AFTER, HeaderValue::from(retry_after_s));
     }
-    response
+    Answer::new(answer.outcome, response)
 }
 
 /// Makes the answer that was stored when the request first ran.
-pub fn stored(answer: StoredAnswer, repeated: bool) -> Response<AnswerBody> {
+pub fn stored(answer: StoredAnswer, repeated: bool) -> Answer {
     let mut response = Response::new(whole(Bytes::from(answer.body)));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
-    set_outcome(headers, Outcome::Ran);
     let content_type = answer.content_type.and_then(|t| HeaderValue::from_str(&t).ok());
     if let Some(content_type) = content_type {
         headers.insert(header::CONTENT_TYPE, content_type);
@@ -58,5 +96,5 @@
     if repeated {
         headers.insert(STORED, HeaderValue::from_static("1"));
     }
-    response
+    Answer::new(Outcome::Ran, response)
 }
--- a/src/proxy/body.rs
+++ b/src/proxy/body.rs
@@ -1,4 +1,4 @@
-//! A target's answer on its way to the caller.
+//! A short answer of a target on its way to the caller.
 
 use std::{
     pin::Pin,
@@ -8,48 +8,68 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::time::{Instant, Sleep, sleep};
+use tokio::time::{Sleep, sleep};
 
-use super::call::SendGuard;
+use super::{context::AnswerCount, send::SendGuard};
 use crate::decide::AttemptEnd;
 
-/// Why an answer's body ended early; the caller's connection is reset.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+/// Why a body ended early; the message it belongs to ends as an error.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum BodyError {
-    /// The target's connection broke.
-    #[error("the target's answer was cut")]
+    /// The connection that it came on broke.
+    #[error("the body was cut")]
     Cut,
-    /// The target sent nothing for the progress timeout.
-    #[error("the target's answer stalled")]
+    /// Nothing of it came for the progress timeout.
+    #[error("the body stalled")]
     Stalled,
+    /// It exceeds the limit in the settings.
+    #[error("the body is too large")]
+    TooLarge,
+    /// The caller took nothing of it for the progress timeout.
+    #[error("the caller stalled")]
+    CallerStalled,
 }
 
-/// Passes a body on and reports how it ended.
+/// Passes a body on as the caller takes it and reports how it ended.
 #[derive(Debug)]
 pub struct TargetBody {
     inner: Incoming,
     /// Present until the end was reported.
-    guard: Option<SendGuard>,
+    open: Option<(SendGuard, AnswerCount)>,
     progress_timeout: Duration,
-    stalled: Pin<Box<Sleep>>,
+    /// Present while the body is waited for.
+    stalled: Option<Pin<Box<Sleep>>>,
 }
 
 impl TargetBody {
     /// Wraps the body of a send's answer.
-    pub fn new(inner: Incoming, guard: SendGuard, progress_timeout: Duration) -> Self {
-        let stalled = Box::pin(sleep(progress_timeout));
-        let mut body = Self { inner, guard: Some(guard), progress_timeout, stalled };
+    pub fn new(inner: Incoming, guard: SendGuard, count: AnswerCount, progress_timeout: Duration) -> Self {
+        let mut body = Self { inner, open: Some((guard, count)), progress_timeout, stalled: None };
         if body.inner.is_end_stream() {
-            body.end(AttemptEnd::Answered);
+            body.end_whole();
         }
         body
     }
 
-    fn end(&mut self, end: AttemptEnd) {
-        if let Some(guard) = self.guard.take() {
-            guard.end(end);
+    fn end_whole(&mut self) {
+        if let Some((guard, count)) = self.open.take() {
+            guard.end(AttemptEnd::Answered);
+            count.whole();
         }
     }
+
+    fn end_cut(&mut self, error: BodyError) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some((guard, count)) = self.open.take() {
+            guard.end(AttemptEnd::Lost);
+            count.cut();
+        }
+        Poll::Ready(Some(Err(error)))
+    }
+
+    fn poll_stalled(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let timeout = self.progress_timeout;
+        self.stalled.get_or_insert_with(|| Box::pin(sleep(timeout))).as_mut().poll(cx)
+    }
 }
 
 impl Body for TargetBody {
@@ -61,33 +81,27 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let Poll::Ready(frame) = Pin::new(&mut self.inner).poll_frame(cx) else {
-            ready!(self.stalled.as_mut().poll(cx));
-            self.end(AttemptEnd::Lost);
-            return Poll::Ready(Some(Err(BodyError::Stalled)));
+            ready!(self.poll_stalled(cx));
+            return self.end_cut(BodyError::Stalled);
         };
-        let next = match frame {
+        self.stalled = None;
+        match frame {
             Some(Ok(frame)) => {
-                let deadline = Instant::now() + self.progress_timeout;
-                self.stalled.as_mut().reset(deadline);
                 if self.inner.is_end_stream() {
-                    self.end(AttemptEnd::Answered);
+                    self.end_whole();
                 }
-                Some(Ok(frame))
-            }
-            Some(Err(_)) => {
-                self.end(AttemptEnd::Lost);
-                Some(Err(BodyError::Cut))
+                Poll::Ready(Some(Ok(frame)))
             }
+            Some(Err(_)) => self.end_cut(BodyError::Cut),
             None => {
-                self.end(AttemptEnd::Answered);
-                None
+                self.end_whole();
+                Poll::Ready(None)
             }
-        };
-        Poll::Ready(next)
+        }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+        self.open.is_none() && self.inner.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- /dev/null
+++ b/src/proxy/caller.rs
@@ -0,0 +1,150 @@
+//! One caller's connection: limits, idle time, and its end when the instance leaves.
+
+use std::{
+    convert::Infallible,
+    pin::pin,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use hyper::{Request, Version, body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::conn::auto,
+};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep, sleep_until},
+};
+
+use super::{connection::READ_BUFFER_BYTES, handle};
+use crate::kernel::Kernel;
+
+/// Time for which kept-alive connections are still served with not-run once new requests are refused.
+///
+/// A request that crosses the end of its connection gets no answer, so connections end late and unhurried.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Requests that one HTTP/2 connection may have in progress.
+const MAX_STREAMS: u32 = 256;
+
+/// Time between two looks at whether the other end of an HTTP/2 connection is there.
+const PING_PERIOD: Duration = Duration::from_secs(20);
+
+/// What a connection is doing.
+#[derive(Debug)]
+struct Activity {
+    in_progress: AtomicUsize,
+    /// When the last request ended, or the connection began.
+    idle_since: Mutex<Instant>,
+    is_http2: AtomicBool,
+}
+
+impl Activity {
+    fn new() -> Self {
+        let idle_since = Mutex::new(Instant::now());
+        Self { in_progress: AtomicUsize::new(0), idle_since, is_http2: AtomicBool::new(false) }
+    }
+
+    fn begin(self: &Arc<Self>, version: Version) -> Active {
+        self.in_progress.fetch_add(1, Ordering::AcqRel);
+        self.is_http2.store(version == Version::HTTP_2, Ordering::Release);
+        Active(Arc::clone(self))
+    }
+
+    fn idle_since(&self) -> Instant {
+        *self.idle_since.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until nothing was in progress for `limit`.
+    async fn wait_idle(&self, limit: Duration) {
+        loop {
+            let idle_until = self.idle_since() + limit;
+            let busy = self.in_progress.load(Ordering::Acquire) > 0;
+            if !busy && idle_until <= Instant::now() {
+                return;
+            }
+            let look = if busy { Instant::now() + limit } else { idle_until };
+            sleep_until(look).await;
+        }
+    }
+}
+
+/// One request of a connection until its answer's head is ready.
+#[derive(Debug)]
+struct Active(Arc<Activity>);
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        *self.0.idle_since.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+        self.0.in_progress.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn builder(kernel: &Kernel) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(kernel.config.head_timeout_ms))
+        .max_buf_size(kernel.config.max_head_bytes);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_PERIOD)
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_send_buf_size(READ_BUFFER_BYTES)
+        .max_header_list_size(u32::try_from(kernel.config.max_head_bytes).unwrap_or(u32::MAX));
+    builder
+}
+
+/// Serves a caller's connection until either side ends it.
+pub async fn serve(kernel: Arc<Kernel>, stream: TcpStream) {
+    let _connected = kernel.connect();
+    let _best_effort = stream.set_nodelay(true);
+    let activity = Arc::new(Activity::new());
+    let (of_requests, shared) = (Arc::clone(&activity), Arc::clone(&kernel));
+    let service = service_fn(move |request: Request<Incoming>| {
+        let active = of_requests.begin(request.version());
+        let kernel = Arc::clone(&shared);
+        async move {
+            let response = handle(kernel, request).await;
+            drop(active);
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let builder = builder(&kernel);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = wait_end(&kernel, &activity) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = result {
+        log::debug!("event=caller-connection-ended error={:?}", e.to_string());
+    }
+}
+
+/// Waits until the connection should take no more requests.
+async fn wait_end(kernel: &Kernel, activity: &Activity) {
+    let idle_limit = Duration::from_millis(kernel.config.head_timeout_ms);
+    tokio::select! {
+        () = activity.wait_idle(idle_limit) => {}
+        () = wait_left(kernel, activity) => {}
+    }
+}
+
+/// HTTP/2 tells callers at once which requests it still takes; HTTP/1.1 can only close, so it does that late.
+async fn wait_left(kernel: &Kernel, activity: &Activity) {
+    kernel.wait_leaving().await;
+    if activity.is_http2.load(Ordering::Acquire) {
+        return;
+    }
+    kernel.wait_refusing().await;
+    sleep(LINGER).await;
+}
--- a/src/proxy/connection.rs
+++ b/src/proxy/connection.rs
@@ -1,8 +1,13 @@
-//! Connections to targets: one request at a time each, reused while they are proven alive.
+//! Connections to targets: one request at a time each, within an allowance for each target.
+//!
+//! Lock order: the table of targets, then one target's idle list. No lock is held across an await.
 
 use std::{
     net::SocketAddr,
-    sync::{Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -12,38 +17,109 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::{
     net::TcpStream,
-    time::{Instant, timeout},
+    sync::Notify,
+    task::AbortHandle,
+    time::{Instant, timeout, timeout_at},
 };
 
-use super::WholeBody;
+use super::upload::RequestBody;
 use crate::collections::HashMap;
 
 /// Time after its last answer for which an idle connection may be used again.
 const IDLE_LIMIT: Duration = Duration::from_secs(5);
 
-/// Time after its last answer for which a connection may carry an at-most-once request.
+/// Time after its last answer for which a connection may carry a request that is sent only once.
 const PROVEN_LIMIT: Duration = Duration::from_millis(50);
 
 /// Time to open a connection.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Idle connections kept to one target.
-const MAX_IDLE: usize = 16;
+/// Time to wait for a connection once the target's allowance is used up.
+const ALLOWANCE_WAIT: Duration = Duration::from_millis(100);
 
-/// A connection that carries no request.
+/// Time after which the system ends a connection whose bytes the other end does not acknowledge.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
+
+/// Most bytes that one connection buffers; also the largest piece of an answer's body.
+pub const READ_BUFFER_BYTES: usize = 64 << 10;
+
+/// Returns one instance's share of the connections that a target accepts.
+pub fn allowance(max_connections: u32, max_instances: u32) -> usize {
+    (max_connections / max_instances.max(1)).max(1) as usize
+}
+
+/// Which connections will do for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// Any that answered within the idle limit.
+    Reused,
+    /// One that answered a moment ago, or a new one.
+    Proven,
+    /// A new one.
+    New,
+}
+
+impl Freshness {
+    fn idle_limit(self) -> Duration {
+        match self {
+            Self::Reused => IDLE_LIMIT,
+            Self::Proven => PROVEN_LIMIT,
+            Self::New => Duration::ZERO,
+        }
+    }
+}
+
+/// Open connections to one target, counted.
+#[derive(Debug, Default)]
+struct Allowance {
+    open: AtomicUsize,
+    /// Notified when a connection is closed or becomes idle.
+    freed: Notify,
+}
+
+impl Allowance {
+    fn take(self: &Arc<Self>, limit: usize) -> Option<Opened> {
+        let take = |open: usize| (open < limit).then_some(open + 1);
+        self.open.fetch_update(Ordering::AcqRel, Ordering::Acquire, take).ok()?;
+        Some(Opened { allowance: Arc::clone(self) })
+    }
+}
+
+/// One place within a target's allowance; free again when dropped.
 #[derive(Debug)]
-struct Idle {
-    sender: SendRequest<WholeBody>,
-    answered_at: Instant,
+struct Opened {
+    allowance: Arc<Allowance>,
 }
 
-/// One connection that carries one request.
+impl Drop for Opened {
+    fn drop(&mut self) {
+        self.allowance.open.fetch_sub(1, Ordering::AcqRel);
+        self.allowance.freed.notify_one();
+    }
+}
+
+/// Ends the task that drives a connection, and with it the connection.
+#[derive(Debug)]
+struct Driver(AbortHandle);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// One connection that carries at most one request; closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
-    address: SocketAddr,
-    sender: SendRequest<WholeBody>,
+    sender: SendRequest<RequestBody>,
+    target: Arc<TargetConnections>,
+    /// When its last answer was complete; `None` for a new one.
+    answered_at: Option<Instant>,
+    _driver: Driver,
+    _opened: Opened,
 }
 
 /// How a send went, as evidence.
@@ -52,74 +128,149 @@
     /// The head of an answer came.
     Answered(Response<Incoming>),
     /// The request was handed back; none of it was sent.
-    Unsent,
+    Unsent(Request<RequestBody>),
     /// The request may have been sent.
     Lost,
 }
 
 impl Connection {
+    /// Returns whether it carried a request before.
+    pub fn is_reused(&self) -> bool {
+        self.answered_at.is_some()
+    }
+
     /// Sends the connection's one request.
-    pub async fn send(&mut self, request: Request<WholeBody>) -> Sent {
+    pub async fn send(&mut self, request: Request<RequestBody>) -> Sent {
         match self.sender.try_send_request(request).await {
             Ok(response) => Sent::Answered(response),
-            Err(mut e) => {
-                if e.take_message().is_some() {
-                    Sent::Unsent
-                } else {
-                    Sent::Lost
-                }
-            }
+            Err(mut e) => e.take_message().map_or(Sent::Lost, Sent::Unsent),
         }
     }
+
+    /// Keeps the connection for another request; its answer must be complete.
+    pub fn give_back(mut self) {
+        if self.sender.is_closed() {
+            return;
+        }
+        self.answered_at = Some(Instant::now());
+        let target = Arc::clone(&self.target);
+        target.lock().push(self);
+        target.allowance.freed.notify_one();
+    }
+
+    /// Only a connection that has read its whole answer, and nothing after it, takes another request.
+    fn is_ready(&self) -> bool {
+        !self.sender.is_closed() && self.sender.is_ready()
+    }
+
+    fn answered_within(&self, limit: Duration) -> bool {
+        self.answered_at.is_some_and(|at| at.elapsed() < limit)
+    }
+}
+
+/// Connections to one target.
+#[derive(Debug)]
+struct TargetConnections {
+    allowance: Arc<Allowance>,
+    /// Connections without a request, the last used one last.
+    idle: Mutex<Vec<Connection>>,
 }
 
-/// Idle connections to all targets.
+impl TargetConnections {
+    fn lock(&self) -> MutexGuard<'_, Vec<Connection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn pop(&self, limit: Duration) -> Option<Connection> {
+        let mut idle = self.lock();
+        let index = idle.iter().rposition(|c| c.answered_within(limit) && c.is_ready())?;
+        Some(idle.remove(index))
+    }
+
+    /// Closes the connection that has been idle longest.
+    fn retire_oldest(&self) {
+        let oldest = {
+            let mut idle = self.lock();
+            (!idle.is_empty()).then(|| idle.remove(0))
+        };
+        drop(oldest);
+    }
+
+    /// Closes connections that no request may use any more.
+    fn sweep(&self) {
+        let usable = |c: &Connection| c.answered_within(IDLE_LIMIT) && !c.sender.is_closed();
+        let retired = self.lock().extract_if(.., |c| !usable(c)).collect::<Vec<_>>();
+        drop(retired);
+    }
+}
+
+/// Connections to all targets.
 #[derive(Debug, Default)]
 pub struct Connections {
-    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    targets: RwLock<HashMap<SocketAddr, Arc<TargetConnections>>>,
 }
 
 impl Connections {
-    /// Returns a connection that may carry a request; `once` asks for one proven alive.
-    pub async fn checkout(&self, address: SocketAddr, once: bool) -> Option<Connection> {
-        let limit = if once { PROVEN_LIMIT } else { IDLE_LIMIT };
-        while let Some(idle) = self.pop(address) {
-            let fresh = idle.answered_at.elapsed() < limit;
-            let mut sender = idle.sender;
-            if fresh && !sender.is_closed() && sender.ready().await.is_ok() {
-                return Some(Connection { address, sender });
+    /// Returns a connection that may carry a request, or `None` when none could be had in time.
+    ///
+    /// `limit` is the most connections this instance may have open to the target.
+    pub async fn checkout(
+        &self,
+        address: SocketAddr,
+        limit: usize,
+        freshness: Freshness,
+    ) -> Option<Connection> {
+        let target = self.target(address);
+        let until = Instant::now() + ALLOWANCE_WAIT;
+        loop {
+            if let Some(connection) = target.pop(freshness.idle_limit()) {
+                return Some(connection);
+            }
+            let mut opened = target.allowance.take(limit);
+            if opened.is_none() {
+                target.retire_oldest();
+                opened = target.allowance.take(limit);
             }
+            if let Some(opened) = opened {
+                return timeout(OPEN_TIMEOUT, open(address, target, opened)).await.ok()?;
+            }
+            timeout_at(until, target.allowance.freed.notified()).await.ok()?;
         }
-        let opened = timeout(OPEN_TIMEOUT, open(address)).await.ok()??;
-        Some(Connection { address, sender: opened })
     }
 
-    fn pop(&self, address: SocketAddr) -> Option<Idle> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.get_mut(&address)?.pop()
+    /// Returns the number of connections open to a target.
+    pub fn open_to(&self, address: SocketAddr) -> usize {
+        self.target(address).allowance.open.load(Ordering::Acquire)
     }
 
-    /// Takes back a connection whose answer is complete.
-    pub fn give_back(&self, connection: Connection) {
-        if connection.sender.is_closed() {
-            return;
-        }
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let of_target = idle.entry(connection.address).or_default();
-        if of_target.len() < MAX_IDLE {
-            of_target.push(Idle { sender: connection.sender, answered_at: Instant::now() });
-        }
+    /// Closes idle connections that no request may use any more; called about once a second.
+    pub fn sweep(&self) {
+        let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
+        targets.values().for_each(|t| t.sweep());
+    }
+
+    fn target(&self, address: SocketAddr) -> Arc<TargetConnections> {
+        let known = self.targets.read().unwrap_or_else(PoisonError::into_inner).get(&address).map(Arc::clone);
+        known.unwrap_or_else(|| {
+            let mut targets = self.targets.write().unwrap_or_else(PoisonError::into_inner);
+            let new = || Arc::new(TargetConnections { allowance: Arc::default(), idle: Mutex::default() });
+            Arc::clone(targets.entry(address).or_insert_with(new))
+        })
     }
 }
 
-async fn open(address: SocketAddr) -> Option<SendRequest<WholeBody>> {
+async fn open(address: SocketAddr, target: Arc<TargetConnections>, opened: Opened) -> Option<Connection> {
     let stream = TcpStream::connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(async move {
+    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT)).ok()?;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(READ_BUFFER_BYTES);
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+    let task = tokio::spawn(async move {
         if let Err(e) = connection.await {
             log::debug!("event=target-connection-ended target={address} error={:?}", e.to_string());
         }
     });
-    Some(sender)
+    let driver = Driver(task.abort_handle());
+    Some(Connection { sender, target, answered_at: None, _driver: driver, _opened: opened })
 }
--- /dev/null
+++ b/src/proxy/context.rs
@@ -0,0 +1,200 @@
+//! What is known of one call, and the counting of its end.
+
+use std::{sync::Arc, time::Duration};
+
+use hyper::http::request::Parts;
+
+use super::{
+    answer::{Answer, refusal},
+    headers,
+};
+use crate::{
+    decide::{Call, RouteKey},
+    error::{ErrorKind, Outcome},
+    kernel::{
+        Kernel,
+        in_progress::{NamedRequest, RequestInProgress},
+        pools::PoolCell,
+    },
+    observe::tally::CallEnd,
+    plan::{Priority, RequestKind, ServiceSpec},
+    units::{MonoTime, ServiceName},
+};
+
+/// What is known of a call before it is decided on.
+#[derive(Debug)]
+pub struct CallContext {
+    /// Shared state of the instance.
+    pub kernel: Arc<Kernel>,
+    /// Service.
+    pub service: ServiceName,
+    /// Whether and how often the request may be sent.
+    pub kind: RequestKind,
+    /// Pool of the service.
+    pub cell: Arc<PoolCell>,
+    /// When the request's head arrived.
+    pub arrived: MonoTime,
+    /// Point by which an answer must begin.
+    pub deadline: MonoTime,
+    pub(super) call: Call,
+    pub(super) refusal_means_not_run: bool,
+    /// Time a call of this service may take when the caller states none.
+    service_deadline: Duration,
+    /// Time within which an answer must begin to count as useful.
+    useful_within: Duration,
+    /// Names the request while it is in progress.
+    named: NamedRequest,
+}
+
+impl CallContext {
+    /// Finds the route and deadline of a request.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadRequest`] for malformed headers, [`ErrorKind::UnknownService`] when the pool has just
+    /// been removed.
+    pub fn new(
+        kernel: &Arc<Kernel>,
+        service: &ServiceSpec,
+        arrived: MonoTime,
+        head: &Parts,
+    ) -> Result<Self, ErrorKind> {
+        let path = head.uri.path();
+        let route = service.route(head.method.as_str(), path);
+        let position = route.and_then(|r| service.routes.iter().position(|other| other == r));
+        let kind = route.map_or(RequestKind::Unstated, |r| r.kind);
+        let deadline = arrived + super::deadline(service, head)?;
+        let id = kernel.next_call();
+        let call = Call {
+            id,
+            route: position.map_or(RouteKey::UNLISTED, |p| RouteKey(p as u32)),
+            kind,
+            priority: route.map_or(Priority::Normal, |r| r.priority),
+            deadline,
+            prior_attempts: headers::prior_attempts(&head.headers)?,
+        };
+        let service_name = service.name.clone();
+        let named = RequestInProgress { call: id, service: service_name.clone(), kind, arrived };
+        Ok(Self {
+            named: kernel.name_request(named),
+            kernel: Arc::clone(kernel),
+            cell: kernel.pools.find(&service_name).ok_or(ErrorKind::UnknownService)?,
+            service: service_name,
+            kind,
+            arrived,
+            deadline,
+            call,
+            refusal_means_not_run: service.refusal_means_not_run,
+            service_deadline: Duration::from_millis(service.deadline_ms),
+            useful_within: Duration::from_millis(service.objective.latency_ms),
+        })
+    }
+
+    /// Returns a call that continues this one's answer on another target.
+    pub(super) fn continued(&self) -> Self {
+        let arrived = self.kernel.clock.now();
+        let deadline = arrived + self.service_deadline;
+        let id = self.kernel.next_call();
+        let prior_attempts = self.call.prior_attempts.saturating_add(1);
+        Self {
+            kernel: Arc::clone(&self.kernel),
+            service: self.service.clone(),
+            kind: self.kind,
+            cell: Arc::clone(&self.cell),
+            arrived,
+            deadline,
+            call: Call { id, deadline, prior_attempts, ..self.call.clone() },
+            refusal_means_not_run: self.refusal_means_not_run,
+            service_deadline: self.service_deadline,
+            useful_within: self.useful_within,
+            named: self.named.clone(),
+        }
+    }
+
+    /// Marks the request as one that can't be sent a second time, because its body isn't kept.
+    pub(super) fn send_once(&mut self) {
+        if self.call.kind == RequestKind::Idempotent {
+            self.call.kind = RequestKind::Unstated;
+        }
+    }
+
+    /// Returns the identifier that follows the call to the target and through the logs.
+    pub fn request_id(&self) -> String {
+        format!("{}-{}", self.kernel.run_id, self.call.id)
+    }
+
+    /// Returns the time until the deadline.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.since(self.kernel.clock.now())
+    }
+
+    /// Returns the time a transfer may go without progress.
+    pub fn progress_timeout(&self) -> Duration {
+        Duration::from_millis(self.kernel.config.progress_timeout_ms)
+    }
+
+    /// Counts the end of the call and makes an answer for `kind`.
+    pub fn refuse(&self, kind: ErrorKind, retry_after: Option<Duration>) -> Answer {
+        self.count(kind.answer().outcome, Some(kind), false);
+        refusal(kind, retry_after)
+    }
+
+    /// Counts the end of the call.
+    pub fn count(&self, outcome: Outcome, cause: Option<ErrorKind>, answered_well: bool) {
+        self.answer_count(answered_well).record(outcome, cause);
+    }
+
+    /// Starts the count of an answer that begins now.
+    pub(super) fn answer_count(&self, answered_well: bool) -> AnswerCount {
+        let latency = self.kernel.clock.now().since(self.arrived);
+        AnswerCount {
+            kernel: Arc::clone(&self.kernel),
+            service: self.service.clone(),
+            latency,
+            useful: answered_well && latency <= self.useful_within,
+            recorded: false,
+        }
+    }
+}
+
+/// Counts one call when the end of its answer is known; a caller that leaves early counts as ran.
+#[derive(Debug)]
+pub struct AnswerCount {
+    kernel: Arc<Kernel>,
+    service: ServiceName,
+    latency: Duration,
+    useful: bool,
+    recorded: bool,
+}
+
+impl AnswerCount {
+    /// Counts a whole answer.
+    pub fn whole(self) {
+        self.record(Outcome::Ran, None);
+    }
+
+    /// Counts an answer whose end the caller did not get.
+    pub fn cut(mut self) {
+        self.useful = false;
+        self.record(Outcome::Unknown, Some(ErrorKind::BodyCut));
+    }
+
+    fn record(mut self, outcome: Outcome, cause: Option<ErrorKind>) {
+        self.push(outcome, cause);
+    }
+
+    fn push(&mut self, outcome: Outcome, cause: Option<ErrorKind>) {
+        self.recorded = true;
+        let service = self.service.clone();
+        let (useful, latency) = (self.useful, self.latency);
+        self.kernel.tally.record(CallEnd { service, outcome, cause, useful, latency });
+    }
+}
+
+impl Drop for AnswerCount {
+    fn drop(&mut self) {
+        if !self.recorded {
+            self.push(Outcome::Ran, None);
+        }
+    }
+}
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -1,8 +1,9 @@
 //! Headers of the project's own, and those that must not be passed on.
 
 use hyper::{
-    HeaderMap, Response, Version,
+    HeaderMap, Method, Response, Version,
     header::{self, HeaderName, HeaderValue},
+    http::request::Parts,
 };
 
 use crate::error::{ErrorKind, Outcome};
@@ -35,8 +36,10 @@
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// Headers that concern one connection only.
-const HOP_BY_HOP: [HeaderName; 7] = [
+const HOP_BY_HOP: [HeaderName; 9] = [
     header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
     header::TE,
@@ -57,7 +60,6 @@
     for name in HOP_BY_HOP.iter().chain(&listed) {
         headers.remove(name);
     }
-    headers.remove("keep-alive");
     for name in [OUTCOME, CAUSE, STORED, LOAD, TARGET_STATE] {
         headers.remove(name);
     }
@@ -95,6 +97,21 @@
     parsed.map(Some).ok_or(ErrorKind::BadRequest)
 }
 
+/// Refuses requests whose head two readers could read differently.
+///
+/// # Errors
+///
+/// [`ErrorKind::BadRequest`] for two ways to tell the body's length, several `Host` headers, or none on HTTP/1.1.
+pub fn check_unambiguous(head: &Parts) -> Result<(), ErrorKind> {
+    let fields = &head.headers;
+    let two_lengths =
+        fields.contains_key(header::CONTENT_LENGTH) && fields.contains_key(header::TRANSFER_ENCODING);
+    let hosts = fields.get_all(header::HOST).iter().count();
+    let no_host = head.version == Version::HTTP_11 && hosts == 0;
+    let tunnel = head.method == Method::CONNECT;
+    if two_lengths || hosts > 1 || no_host || tunnel { Err(ErrorKind::BadRequest) } else { Ok(()) }
+}
+
 /// Sets the outcome of an answer.
 pub fn set_outcome(headers: &mut HeaderMap, outcome: Outcome) {
     let text = match outcome {
--- /dev/null
+++ b/src/proxy/intake.rs
@@ -0,0 +1,99 @@
+//! Checks a request and takes as much of its body as is kept.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::{
+    Request,
+    body::{Body, Incoming},
+};
+use tokio::time::timeout;
+
+use super::{
+    call::{CallContext, RequestParts},
+    headers,
+    upload::Upload,
+};
+use crate::{error::ErrorKind, kernel::Kernel, plan::RequestKind};
+
+/// Largest body of an at-most-once request; it is read whole, for its fingerprint.
+const MAX_ONCE_BODY_BYTES: u64 = 1 << 20;
+
+/// Largest body of an idempotent request that is kept so that it can be sent again.
+const MAX_REPEATABLE_BODY_BYTES: u64 = 256 << 10;
+
+/// Bytes of other bodies that are taken before the send begins, so that slow callers hold no slot for them.
+const FIRST_BYTES: u64 = 64 << 10;
+
+/// Checks a request and takes its body; nothing is sent before this is done.
+///
+/// # Errors
+///
+/// Why the request is refused; nothing ran.
+pub async fn prepare(
+    kernel: &Arc<Kernel>,
+    request: Request<Incoming>,
+) -> Result<(CallContext, RequestParts), ErrorKind> {
+    let mut arrived = kernel.clock.now();
+    kernel.admit()?;
+    let (head, mut body) = request.into_parts();
+    headers::check_unambiguous(&head)?;
+    let plan = kernel.plan.current();
+    let service = plan.service_for_path(head.uri.path()).ok_or(ErrorKind::UnknownService)?;
+    let mut taken = Bytes::new();
+    if !body.is_end_stream() {
+        let route = service.route(head.method.as_str(), head.uri.path());
+        let kind = route.map_or(RequestKind::Unstated, |r| r.kind);
+        taken = take(kernel, &mut body, kind).await?;
+        if !head.headers.contains_key(headers::DEADLINE_MS) {
+            arrived = kernel.clock.now();
+        }
+    }
+    let mut context = CallContext::new(kernel, service, arrived, &head)?;
+    if body.is_end_stream() {
+        return Ok((context, RequestParts { head, body: taken, upload: None }));
+    }
+    context.send_once();
+    let limit = kernel.config.max_body_bytes as u64;
+    let upload = Upload::new(taken, body, limit, context.progress_timeout());
+    let upload = Some(std::sync::Mutex::new(Some(Box::new(upload))));
+    Ok((context, RequestParts { head, body: Bytes::new(), upload }))
+}
+
+/// Takes the start of a body: all of it, or as much as is kept for its kind.
+async fn take(kernel: &Kernel, body: &mut Incoming, kind: RequestKind) -> Result<Bytes, ErrorKind> {
+    let limit = kernel.config.max_body_bytes as u64;
+    let whole_only = kind == RequestKind::AtMostOnce;
+    let limit = if whole_only { limit.min(MAX_ONCE_BODY_BYTES) } else { limit };
+    if body.size_hint().lower() > limit {
+        return Err(ErrorKind::BodyTooLarge);
+    }
+    let enough = match kind {
+        RequestKind::AtMostOnce => u64::MAX,
+        RequestKind::Idempotent => MAX_REPEATABLE_BODY_BYTES,
+        RequestKind::Unstated => FIRST_BYTES,
+    };
+    let progress_timeout = Duration::from_millis(kernel.config.progress_timeout_ms);
+    let mut taken = Bytes::new();
+    while !body.is_end_stream() && (taken.len() as u64) < enough {
+        let frame = timeout(progress_timeout, body.frame()).await;
+        let frame = frame.map_err(|_elapsed| ErrorKind::BodyIncomplete)?;
+        let Some(frame) = frame else { break };
+        let Ok(data) = frame.map_err(|_cut| ErrorKind::BodyIncomplete)?.into_data() else { continue };
+        if taken.len() as u64 + data.len() as u64 > limit {
+            return Err(ErrorKind::BodyTooLarge);
+        }
+        taken = join(taken, data);
+    }
+    Ok(taken)
+}
+
+fn join(taken: Bytes, data: Bytes) -> Bytes {
+    if taken.is_empty() {
+        return data;
+    }
+    let mut joined = taken.try_into_mut().unwrap_or_else(|shared| BytesMut::from(&shared[..]));
+    joined.extend_from_slice(&data);
+    joined.freeze()
+}
--- a/src/proxy/once.rs
+++ b/src/proxy/once.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::{Response, header};
+use hyper::header;
 use sha2::{Digest, Sha256};
 
 use super::{
-    answer::{AnswerBody, refusal, stored},
+    answer::{Answer, refusal, stored},
     call::{CallContext, CallResult, RequestParts, follow},
     headers::IDEMPOTENCY_KEY,
 };
@@ -21,12 +21,12 @@
 const MAX_KEY_BYTES: usize = 255;
 
 /// Runs an at-most-once request; goes on when the caller leaves, so that the answer is recorded.
-pub async fn run(context: CallContext, parts: RequestParts) -> Response<AnswerBody> {
+pub async fn run(context: CallContext, parts: RequestParts) -> Answer {
     let task = tokio::spawn(run_to_end(context, parts));
     task.await.unwrap_or_else(|_panicked| refusal(ErrorKind::ConnectionLost, None))
 }
 
-async fn run_to_end(context: CallContext, parts: RequestParts) -> Response<AnswerBody> {
+async fn run_to_end(context: CallContext, parts: RequestParts) -> Answer {
     let Some(key) = key(&parts) else {
         return context.refuse(ErrorKind::KeyMissing, None);
     };
@@ -56,7 +56,7 @@
     hex(&digest.finalize())
 }
 
-async fn send_held(context: CallContext, parts: RequestParts, held: Held) -> Response<AnswerBody> {
+async fn send_held(context: CallContext, parts: RequestParts, held: Held) -> Answer {
     match follow(&context, &parts).await {
         CallResult::Answer(response) => record(&context, response, held).await,
         CallResult::Refused(kind, retry_after) => {
@@ -68,7 +68,7 @@
     }
 }
 
-async fn record(context: &CallContext, response: Response<AnswerBody>, held: Held) -> Response<AnswerBody> {
+async fn record(context: &CallContext, response: Answer, held: Held) -> Answer {
     let (parts, body) = response.into_parts();
     let Ok(body) = body.collect().await else {
         return refusal(ErrorKind::BodyCut, None);
--- /dev/null
+++ b/src/proxy/send.rs
@@ -0,0 +1,334 @@
+//! One send of a call to a target: connection, request, and the head of the answer.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::{
+    Request, Response, StatusCode, Uri, Version,
+    body::{Body, Incoming},
+    header::{self, HeaderValue},
+    http::response,
+};
+use tokio::time::{Instant, sleep_until, timeout};
+
+use super::{
+    connection::{Connection, Freshness, Sent, allowance},
+    context::CallContext,
+    headers, silence,
+    upload::{RequestBody, RequestParts, UploadProgress, UploadState},
+};
+use crate::{
+    decide::{Attempt, AttemptEnd, Event, LoadReport},
+    kernel::{in_progress::InProgress, pools::PoolCell},
+    plan::{RequestKind, TargetSpec},
+    units::CallId,
+};
+
+/// Largest body of a failed answer that is kept until the pool has decided what becomes of it.
+const MAX_FAILED_BODY_BYTES: usize = 64 << 10;
+
+/// One send in progress; reports its end exactly once.
+#[derive(Debug)]
+pub struct SendGuard {
+    cell: Arc<PoolCell>,
+    call: CallId,
+    attempt: Attempt,
+    /// Reused once the answer is complete, closed otherwise.
+    connection: Option<Connection>,
+    /// Reported in place of [`AttemptEnd::Answered`].
+    answered_as: AttemptEnd,
+    ended: bool,
+    _in_progress: InProgress,
+}
+
+impl SendGuard {
+    fn new(context: &CallContext, attempt: Attempt) -> Self {
+        Self {
+            cell: Arc::clone(&context.cell),
+            call: context.call.id,
+            attempt,
+            connection: None,
+            answered_as: AttemptEnd::Answered,
+            ended: false,
+            _in_progress: context.kernel.enter(),
+        }
+    }
+
+    fn began(&self, report: LoadReport) {
+        self.cell.handle(Event::AnswerBegan { call: self.call, attempt: self.attempt, report });
+    }
+
+    /// Reports the end of the send.
+    pub fn end(mut self, end: AttemptEnd) {
+        self.report(end);
+    }
+
+    fn report(&mut self, end: AttemptEnd) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        let connection = self.connection.take();
+        let whole = matches!(end, AttemptEnd::Answered | AttemptEnd::Failed | AttemptEnd::Refused);
+        if whole && let Some(connection) = connection {
+            connection.give_back();
+        }
+        let end = if end == AttemptEnd::Answered { self.answered_as } else { end };
+        self.cell.handle(Event::Ended { call: self.call, attempt: self.attempt, end });
+    }
+}
+
+impl Drop for SendGuard {
+    fn drop(&mut self) {
+        self.report(AttemptEnd::Cancelled);
+    }
+}
+
+/// An answer's head with the send it belongs to.
+#[derive(Debug)]
+pub struct Head {
+    /// The answer; its body has not been read.
+    pub response: Response<Incoming>,
+    /// The send, which goes on while the body is read.
+    pub guard: SendGuard,
+}
+
+/// A whole answer of a failed send.
+#[derive(Debug)]
+pub struct FailedAnswer {
+    /// Which of the call's sends.
+    pub attempt: Attempt,
+    /// Head.
+    pub head: response::Parts,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// What one send gave.
+#[derive(Debug)]
+pub enum SendResult {
+    /// An answer to pass on.
+    Answered(Box<Head>),
+    /// An answer of 500 or above; the pool decides what becomes of it.
+    Failed(Box<FailedAnswer>),
+    /// No answer; the pool has been told and decides.
+    Nothing,
+}
+
+/// Sends a call to a target and waits for the head of the answer.
+pub async fn send(
+    context: &CallContext,
+    parts: &RequestParts,
+    attempt: Attempt,
+    target: TargetSpec,
+) -> SendResult {
+    let mut guard = SendGuard::new(context, attempt);
+    match exchange(context, parts, attempt, &target, &mut guard).await {
+        Ok(response) => take_answer(context, guard, response).await,
+        Err(end) => {
+            guard.end(end);
+            SendResult::Nothing
+        }
+    }
+}
+
+async fn exchange(
+    context: &CallContext,
+    parts: &RequestParts,
+    attempt: Attempt,
+    target: &TargetSpec,
+    guard: &mut SendGuard,
+) -> Result<Response<Incoming>, AttemptEnd> {
+    let connection = timeout(context.remaining(), checkout(context, target)).await;
+    let Ok(Some(mut connection)) = connection else { return Err(AttemptEnd::Unsent) };
+    let body = parts.take_body().ok_or(AttemptEnd::Unsent)?;
+    let limits = HeadLimits::new(context, &connection, &body);
+    let request = target_request(context, parts, attempt, target, body).ok_or(AttemptEnd::Unsent)?;
+    let sent_at = context.kernel.clock.now();
+    let sent = tokio::select! {
+        biased;
+        sent = connection.send(request) => sent,
+        end = limits.wait() => return Err(end),
+    };
+    match sent {
+        Sent::Answered(response) => {
+            let took = context.kernel.clock.now().since(sent_at);
+            context.kernel.head_times.learn(&context.service, context.call.route, took);
+            guard.connection = Some(connection);
+            Ok(response)
+        }
+        Sent::Unsent(request) => {
+            parts.put_back(request.into_body());
+            Err(AttemptEnd::Unsent)
+        }
+        Sent::Lost => Err(AttemptEnd::Lost),
+    }
+}
+
+async fn checkout(context: &CallContext, target: &TargetSpec) -> Option<Connection> {
+    let kernel = &context.kernel;
+    let limit = allowance(target.max_connections, kernel.plan.current().budgets.max_instances);
+    let freshness = match context.call.kind {
+        RequestKind::Idempotent => {
+            let usual = kernel.head_times.usual(&context.service, context.call.route);
+            silence::freshness(usual, context.remaining())
+        }
+        RequestKind::AtMostOnce | RequestKind::Unstated => Freshness::Proven,
+    };
+    kernel.connections.checkout(target.address, limit, freshness).await
+}
+
+/// How long the head of an answer is waited for.
+struct HeadLimits {
+    /// When the answer must have begun, unless an upload goes on.
+    deadline: Instant,
+    /// When a reused connection counts as silent for good.
+    silent_at: Option<Instant>,
+    upload: Option<Arc<UploadProgress>>,
+    progress_timeout: Duration,
+    /// Time for the answer to begin once an upload is complete.
+    after_upload: Duration,
+}
+
+impl HeadLimits {
+    fn new(context: &CallContext, connection: &Connection, body: &RequestBody) -> Self {
+        let remaining = context.remaining();
+        let now = Instant::now();
+        let may_repeat = context.call.kind == RequestKind::Idempotent;
+        let silent_at = (may_repeat && connection.is_reused()).then(|| now + silence::limit(remaining));
+        let upload = match body {
+            RequestBody::Whole(_) => None,
+            RequestBody::Streamed(upload) => Some(upload.progress()),
+        };
+        Self {
+            deadline: now + remaining,
+            silent_at,
+            upload,
+            progress_timeout: context.progress_timeout(),
+            after_upload: remaining,
+        }
+    }
+
+    /// Waits until the send must be given up and returns how it ended.
+    async fn wait(self) -> AttemptEnd {
+        if let Some(upload) = &self.upload {
+            return self.wait_upload(upload).await;
+        }
+        if let Some(silent_at) = self.silent_at.filter(|at| *at < self.deadline) {
+            sleep_until(silent_at).await;
+            return AttemptEnd::Lost;
+        }
+        sleep_until(self.deadline).await;
+        AttemptEnd::TimedOut
+    }
+
+    /// An upload has no time limit while it moves; the caller's own stalls break the upload itself.
+    async fn wait_upload(&self, upload: &UploadProgress) -> AttemptEnd {
+        loop {
+            let (limit, end) = match upload.state() {
+                UploadState::Sending => (upload.moved_at() + self.progress_timeout, AttemptEnd::Lost),
+                UploadState::AwaitingCaller => (Instant::now() + self.progress_timeout, AttemptEnd::Lost),
+                UploadState::Complete | UploadState::Broken => {
+                    let answer_due = self.deadline.max(upload.moved_at() + self.after_upload);
+                    (answer_due, AttemptEnd::TimedOut)
+                }
+            };
+            if limit <= Instant::now() {
+                return end;
+            }
+            sleep_until(limit).await;
+        }
+    }
+}
+
+async fn take_answer(
+    context: &CallContext,
+    mut guard: SendGuard,
+    response: Response<Incoming>,
+) -> SendResult {
+    if is_delimited_by_close(&response) {
+        // Such a body ends in the same way whether it is whole or cut.
+        guard.end(AttemptEnd::Lost);
+        return SendResult::Nothing;
+    }
+    guard.began(load_report(&response));
+    if context.refusal_means_not_run && is_stated_refusal(&response) {
+        if read_failed(context, response.into_body()).await.is_none() {
+            guard.connection = None;
+        }
+        guard.end(AttemptEnd::Refused);
+        return SendResult::Nothing;
+    }
+    if !response.status().is_server_error() {
+        return SendResult::Answered(Box::new(Head { response, guard }));
+    }
+    if response.body().size_hint().exact().is_none_or(|n| n > MAX_FAILED_BODY_BYTES as u64) {
+        guard.answered_as = AttemptEnd::Failed;
+        return SendResult::Answered(Box::new(Head { response, guard }));
+    }
+    let (head, body) = response.into_parts();
+    let Some(body) = read_failed(context, body).await else {
+        guard.end(AttemptEnd::Lost);
+        return SendResult::Nothing;
+    };
+    let attempt = guard.attempt;
+    guard.end(AttemptEnd::Failed);
+    SendResult::Failed(Box::new(FailedAnswer { attempt, head, body }))
+}
+
+/// Reads the small body of a failed answer whole, so that its slot and connection are free.
+async fn read_failed(context: &CallContext, body: Incoming) -> Option<Bytes> {
+    let read = Limited::new(body, MAX_FAILED_BODY_BYTES).collect();
+    let collected = timeout(context.progress_timeout(), read).await.ok()?.ok()?;
+    Some(collected.to_bytes())
+}
+
+/// Whether only the end of the connection ends the body.
+fn is_delimited_by_close(response: &Response<Incoming>) -> bool {
+    response.body().size_hint().exact().is_none()
+        && !response.headers().contains_key(header::TRANSFER_ENCODING)
+}
+
+/// The contract of `refusal_means_not_run`: 503 with `Retry-After` states that nothing ran.
+fn is_stated_refusal(response: &Response<Incoming>) -> bool {
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && response.headers().contains_key(header::RETRY_AFTER)
+}
+
+fn load_report(response: &Response<Incoming>) -> LoadReport {
+    let in_flight = headers::number(response.headers(), &headers::LOAD).ok().flatten();
+    LoadReport {
+        in_flight: in_flight.map(|n| u32::try_from(n).unwrap_or(u32::MAX)),
+        draining: response.headers().get(headers::TARGET_STATE).is_some_and(|v| v == "draining"),
+    }
+}
+
+fn target_request(
+    context: &CallContext,
+    parts: &RequestParts,
+    attempt: Attempt,
+    target: &TargetSpec,
+    body: RequestBody,
+) -> Option<Request<RequestBody>> {
+    let mut request = Request::new(body);
+    *request.method_mut() = parts.head.method.clone();
+    let path = parts.head.uri.path_and_query()?.clone();
+    *request.uri_mut() = Uri::from(path);
+    *request.version_mut() = Version::HTTP_11;
+    let fields = request.headers_mut();
+    fields.clone_from(&parts.head.headers);
+    headers::strip(fields);
+    fields.remove(header::CONTENT_LENGTH);
+    fields.remove(header::EXPECT);
+    if !fields.contains_key(header::HOST) {
+        let host = parts.head.uri.authority().map_or_else(|| target.address.to_string(), ToString::to_string);
+        fields.insert(header::HOST, HeaderValue::from_str(&host).ok()?);
+    }
+    let remaining_ms = u64::try_from(context.remaining().as_millis()).unwrap_or(u64::MAX);
+    fields.insert(headers::DEADLINE_MS, HeaderValue::from(remaining_ms));
+    let attempts = context.call.prior_attempts.saturating_add(attempt.0);
+    fields.insert(headers::ATTEMPT, HeaderValue::from(attempts));
+    fields.insert(headers::REQUEST_ID, HeaderValue::from_str(&context.request_id()).ok()?);
+    Some(request)
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -23,6 +23,9 @@
 /// Time between two reads of the plan and the instance list.
 const POLL_PERIOD: Duration = Duration::from_millis(500);
 
+/// Time between two looks for idle connections that no request may use any more.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
 /// Sockets of one instance, bound.
 #[derive(Debug)]
 pub struct Listeners {
@@ -76,13 +79,14 @@
     let links = tokio::spawn(peer::link::connect_all(Arc::clone(&kernel)));
     let polls = tokio::spawn(poll_platform(Arc::clone(&kernel)));
     let callers = tokio::spawn(proxy::listen(Arc::clone(&kernel), listeners.callers));
+    let sweeps = tokio::spawn(sweep_connections(Arc::clone(&kernel)));
     kernel.wait_leaving().await;
     sleep(Duration::from_millis(kernel.config.balancer_lag_ms)).await;
     kernel.refuse_new();
     log::info!("event=refusing-new in_progress={}", kernel.in_progress());
     kernel.wait_idle().await;
     callers.abort();
-    for task in [admin, peers, links, polls] {
+    for task in [admin, peers, links, polls, sweeps] {
         task.abort();
     }
     log::info!("event=left run={}", kernel.run_id);
@@ -112,15 +116,34 @@
     next(&mut terminate, &mut interrupt).await;
     kernel.leave();
     next(&mut terminate, &mut interrupt).await;
-    log::warn!(
-        "event=second-signal in_progress={} hint=\"a third signal cuts them off\"",
-        kernel.in_progress()
-    );
+    name_in_progress(&kernel, "second-signal", 1);
     next(&mut terminate, &mut interrupt).await;
-    log::error!("event=cut-off in_progress={}", kernel.in_progress());
+    name_in_progress(&kernel, "cut-off", 0);
     std::process::exit(1);
 }
 
+/// Logs every request that the next signal, or this one, cuts off.
+fn name_in_progress(kernel: &Kernel, event: &str, signals_left: u32) {
+    let requests = kernel.requests_in_progress();
+    let connections = kernel.caller_connections();
+    log::warn!(
+        "event={event} in_progress={} caller_connections={connections} signals_to_cut_off={signals_left}",
+        requests.len()
+    );
+    let now = kernel.clock.now();
+    for request in &requests {
+        log::warn!("event={event}-request {request} age_ms={}", request.age(now).as_millis());
+    }
+}
+
+async fn sweep_connections(kernel: Arc<Kernel>) {
+    let mut period = interval(SWEEP_PERIOD);
+    loop {
+        period.tick().await;
+        kernel.connections.sweep();
+    }
+}
+
 async fn next(terminate: &mut Signal, interrupt: &mut Signal) {
     tokio::select! {
         _ = terminate.recv() => {}
