Refuse NaN in sheets and name a faulty section once

Cause: a cell NaN passed both range comparisons, and every entry below a misspelt section line was a fault of its own. Figures: before, NaN accepted as retry_budget and n faults for n entries; after, refused, and 1 fault.

--- a/src/plan/sheet.rs
+++ b/src/plan/sheet.rs
@@ -136,7 +136,8 @@
         }
         let expected = format!("a number from {min} to {max}");
         let value = self.parse::<T>(column, &expected)?;
-        if value < min || value > max {
+        // Written so that NaN is out of range.
+        if !(min..=max).contains(&value) {
             self.fault(column, format!("{column}: expected {expected}, found {value}"));
             return None;
         }
@@ -210,6 +211,8 @@
 #[derive(Default)]
 struct SheetReader {
     section: Option<Section>,
+    /// Whether the last section line named no section.
+    section_faulty: bool,
     /// Empty until the line that names the section's columns has been read.
     columns: Columns,
     columns_read: bool,
@@ -232,12 +235,11 @@
             return;
         }
         let Some(section) = self.section else {
-            self.faults.push(SheetFault {
-                line: line.number,
-                column: 1,
-                message: format!("expected a section such as [services], found {first:?}"),
-            });
-            // Entries below a faulty section line can't be judged.
+            // Entries below a faulty section line can't be judged, and that line has its fault already.
+            if !self.section_faulty {
+                let message = format!("expected a section such as [services], found {first:?}");
+                self.faults.push(SheetFault { line: line.number, column: 1, message });
+            }
             return;
         };
         if self.columns_read {
@@ -251,7 +253,8 @@
         self.section = Section::from_cell(cell);
         self.columns.clear();
         self.columns_read = false;
-        if self.section.is_none() {
+        self.section_faulty = self.section.is_none();
+        if self.section_faulty {
             let known = Section::ALL.map(|s| format!("[{s}]")).join(", ");
             let message = format!("expected one of {known}, found {cell:?}");
             self.faults.push(SheetFault { line: line.number, column: 1, message });
