--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod client;
 pub mod deployment;
+pub mod gateway;
 pub mod http;
 pub mod platform;
+pub mod store_outage;
 pub mod target;
 pub mod tour;
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -26,7 +26,7 @@
     membership::Members,
     observe::tally::Tally,
     plan::{IntendedAction, Plan, keeper::PlanInForce},
-    platform::Platform,
+    platform::{Platform, guard::GuardedPlatform, share::Purpose},
     proxy::{connection::Connections, silence::HeadTimes},
     settings::Config,
     units::{CallId, RunId},
@@ -52,7 +52,9 @@
     pub clock: Clock,
     /// Identifier of this run.
     pub run_id: RunId,
-    /// The platform's service.
+    /// The platform's service behind this instance's shares.
+    pub store: GuardedPlatform,
+    /// The platform's service as seen for the plan and the list.
     pub platform: Platform,
     /// Plan in force.
     pub plan: PlanInForce,
@@ -88,9 +90,9 @@
             let message = format!("platform_driver: expected {known}, found {:?}", config.platform_driver);
             Error::new(ErrorKind::Settings, message)
         })?;
-        let platform = (driver.open)(&config)?;
         let clock = Clock::start();
         let run_id = RunId::from(rand::random::<u64>());
+        let store = GuardedPlatform::new((driver.open)(&config)?, clock, run_id.into());
         Ok(Arc::new(Self {
             clock,
             run_id,
@@ -99,13 +101,14 @@
             pools: PoolTable::new(clock, config.data_centre.clone(), run_id.into()),
             connections: Connections::default(),
             head_times: HeadTimes::default(),
-            claims: Claims::new(platform.clone(), run_id),
+            claims: Claims::new(store.view(Purpose::Claim), run_id),
             tally: Tally::default(),
             plan_current: AtomicBool::new(false),
             phase: watch::Sender::new(Phase::Serving),
             in_progress: Arc::default(),
             last_call: AtomicU64::new(0),
-            platform,
+            platform: store.view(Purpose::Plan),
+            store,
             config,
         }))
     }
@@ -150,6 +153,7 @@
         }
         let plan = self.plan.current();
         self.pools.apply(&plan);
+        self.store.follow(&plan.budgets);
         log::info!("event=plan-in-force version={version}");
         true
     }
