--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, process::ExitCode};
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
-use arbutusshelf_bench::{platform::PlatformStandIn, store_outage, target::TargetStandIn, tour};
+use arbutusshelf_bench::{plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour};
 use argh::FromArgs;
 
 #[global_allocator]
@@ -22,6 +22,7 @@
 enum Command {
     Tour(Tour),
     StoreOutage(store_outage::Args),
+    PlanSize(plan_size::Args),
     Platform(Platform),
     Target(Target),
 }
@@ -78,6 +79,10 @@
             let findings = tour::run().await?;
             Ok(if findings.broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
+        Command::PlanSize(args) => {
+            plan_size::run(&args)?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::StoreOutage(args) => {
             store_outage::run(&args).await?;
             Ok(ExitCode::SUCCESS)
--- a/src/plan/difference.rs
+++ b/src/plan/difference.rs
@@ -1,8 +1,10 @@
 //! What changes between two plans, in words for operators.
 
-use std::fmt::Debug;
-
 use super::Plan;
+use crate::collections::HashMap;
+
+/// Positions of entries by name.
+type Positions = HashMap<String, usize>;
 
 /// Lists what differs from `old` to `new`, one line an entry; empty when nothing does.
 pub fn describe(old: &Plan, new: &Plan) -> Vec<String> {
@@ -31,22 +33,26 @@
     lines
 }
 
-fn compare<T: PartialEq + Debug>(
+fn compare<T: PartialEq>(
     lines: &mut Vec<String>,
     what: &str,
     old: &[T],
     new: &[T],
     name: impl Fn(&T) -> String,
 ) {
+    let by_name = |items: &'_ [T]| items.iter().enumerate().map(|(i, item)| (name(item), i)).collect();
+    let (old_by_name, new_by_name): (Positions, Positions) = (by_name(old), by_name(new));
     for item in old {
-        if !new.iter().any(|n| name(n) == name(item)) {
-            lines.push(format!("- {what} {}", name(item)));
+        let name = name(item);
+        if !new_by_name.contains_key(&name) {
+            lines.push(format!("- {what} {name}"));
         }
     }
     for item in new {
-        match old.iter().find(|o| name(o) == name(item)) {
-            None => lines.push(format!("+ {what} {}", name(item))),
-            Some(before) if before != item => lines.push(format!("~ {what} {}", name(item))),
+        let name = name(item);
+        match old_by_name.get(&name).map(|i| &old[*i]) {
+            None => lines.push(format!("+ {what} {name}")),
+            Some(before) if before != item => lines.push(format!("~ {what} {name}")),
             Some(_) => {}
         }
     }
