Burn report from minute roll-ups of all instances, metrics page, limited one-line logs

Cause: the report covered one instance since its start, there was no metrics page, and request text could flood the log. Change: ends of calls go to minute roll-ups that are written to the object store once each and merged into a report over four windows with alarms, gaps, cost and marks, as table, JSON and SVG; /metrics in OpenMetrics text; every log line is escaped whole and limited by module and event.

--- a/bench/src/tour.rs
+++ b/bench/src/tour.rs
@@ -8,7 +8,7 @@
 use arbutusshelf::{
     admin::{client, submit::Accepted},
     error::{Error, ErrorKind, Result},
-    observe::report::{Report, table},
+    observe::{report::Report, table::table},
     plan::RequestKind,
 };
 use bytes::Bytes;
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -22,7 +22,7 @@
     error::{Error, ErrorKind, Result},
     kernel::Kernel,
     membership::MemberView,
-    observe::report,
+    observe::{self, snapshot},
     units::{PlanVersion, TargetId},
 };
 
@@ -35,6 +35,9 @@
 /// Time an operator's client may take to send a request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Content type of the metrics page.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// Answer of `GET /plan/status`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PlanStatus {
@@ -127,9 +130,10 @@
         (&Method::GET, "/plan/status") => json_reply(&plan_status(kernel)),
         (&Method::GET, "/targets") => json_reply(&targets(kernel)),
         (&Method::GET, "/members") => json_reply(&kernel.members.view(kernel.clock.now())),
-        (&Method::GET, "/report") => {
-            let report = report::make(&kernel.config.instance, &kernel.plan.current(), &kernel.tally);
-            json_reply(&report)
+        (&Method::GET, "/report") => json_reply(&observe::report(kernel).await),
+        (&Method::GET, "/metrics") => {
+            observe::count(kernel);
+            Ok(metrics_reply(kernel.observer.metrics.encode(&snapshot::take(kernel))?))
         }
         (&Method::POST, "/plan/submit") => submit_plan(kernel, request).await,
         (&Method::POST, "/leave") => {
@@ -189,6 +193,12 @@
     response
 }
 
+fn metrics_reply(page: String) -> Response<Full<Bytes>> {
+    let mut response = text_reply(StatusCode::OK, page);
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(OPEN_METRICS));
+    response
+}
+
 fn json_reply(value: &impl Serialize) -> Result<Response<Full<Bytes>>> {
     let json = serde_json::to_vec(value).map_err(|e| Error::new(ErrorKind::File, format!("reply: {e}")))?;
     let mut response = Response::new(Full::new(Bytes::from(json)));
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -155,6 +155,9 @@
     /// bearer token of that instance, if its settings have one
     #[argh(option)]
     pub token: Option<String>,
+    /// also draw burn and latency over time into this file (SVG)
+    #[argh(option, arg_name = "file")]
+    pub svg: Option<PathBuf>,
     /// print the report as JSON
     #[argh(switch)]
     pub json: bool,
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -182,9 +182,17 @@
 async fn show_report(args: cli::Report) -> Result<ExitCode> {
     let token = args.token.as_deref();
     let report = call::<Report>(Method::GET, args.to, "/report", token, Bytes::new()).await?;
-    let form = if args.json { "json" } else { "table" };
+    if let Some(file) = &args.svg {
+        let picture = write_report("svg", &report)?;
+        fs::write(file, picture)
+            .map_err(|e| Error::new(ErrorKind::File, format!("{}: {e}", file.display())))?;
+    }
+    print!("{}", write_report(if args.json { "json" } else { "table" }, &report)?);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn write_report(form: &str, report: &Report) -> Result<String> {
     let writer = registry::report_writer(form)
         .ok_or_else(|| Error::new(ErrorKind::File, format!("no report writer is named {form}")))?;
-    print!("{}", (writer.write)(&report)?);
-    Ok(ExitCode::SUCCESS)
+    (writer.write)(report)
 }
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -19,7 +19,12 @@
     claims::Claims,
     error::{Error, ErrorKind, Result},
     membership::Members,
-    observe::tally::Tally,
+    observe::{
+        Observer,
+        rollup::RunKey,
+        store_calls::{StoreCalls, counted},
+        tally::Tally,
+    },
     plan::{IntendedAction, Plan, keeper::PlanInForce},
     platform::{Platform, guard::GuardedPlatform, share::Purpose},
     proxy::connection::Connections,
@@ -52,6 +57,8 @@
     pub claims: Claims,
     /// Counts for the report.
     pub tally: Tally,
+    /// What this instance sees of itself.
+    pub observer: Observer,
     /// Whether the platform or a peer confirmed the plan recently enough to serve on.
     plan_current: AtomicBool,
     leaving: AtomicBool,
@@ -77,7 +84,10 @@
         })?;
         let clock = Clock::start();
         let run_id = RunId::from(rand::random::<u64>());
-        let store = GuardedPlatform::new((driver.open)(&config)?, clock, run_id.into());
+        let store_calls = Arc::new(StoreCalls::default());
+        let driver = counted((driver.open)(&config)?, &store_calls);
+        let store = GuardedPlatform::new(driver, clock, run_id.into());
+        let run = RunKey { instance: config.instance.clone(), run_id };
         Ok(Arc::new(Self {
             clock,
             run_id,
@@ -87,6 +97,7 @@
             connections: Connections::default(),
             claims: Claims::new(store.view(Purpose::Claim), run_id),
             tally: Tally::default(),
+            observer: Observer::new(run, store_calls),
             plan_current: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             refusing: watch::Sender::new(false),
--- a/src/observe/report.rs
+++ b/src/observe/report.rs
@@ -1,26 +1,54 @@
-//! The service-level burn report.
-
-use std::fmt::Write;
+//! The service-level burn report, merged from the roll-ups of all instances.
+//!
+//! Pure: the roll-ups, the plan and the wall clock are passed in.
 
 use serde::{Deserialize, Serialize};
 
-use super::tally::{ServiceCounts, Tally};
+use super::{
+    coverage::{self, Coverage},
+    merge::{Index, Sum, WindowSums},
+    rollup::{CauseCount, ControlCost, HourRollUp, Mark, MinuteRollUp, UnixMinute},
+    series::{self, Point},
+    window::{Alarm, Judged, Window, alarms},
+};
 use crate::{
-    error::{Error, ErrorKind},
-    kernel::registry::{REPORT_WRITERS, ReportWriter},
-    plan::Plan,
+    plan::{Objective, Plan},
+    platform::ListedInstance,
     units::{InstanceId, PlanVersion, ServiceName},
 };
 
-/// Burn of all services as seen by one instance since it started.
+/// What a report is made from.
+#[derive(Debug, Clone, Default)]
+pub struct Gathered {
+    /// Minutes, in any order, any number of times.
+    pub minutes: Vec<MinuteRollUp>,
+    /// Hours, in any order, any number of times.
+    pub hours: Vec<HourRollUp>,
+    /// Instances that the platform lists, if it answered.
+    pub listed: Vec<ListedInstance>,
+    /// Why roll-ups of others may be missing; none when all that the store has were read.
+    pub store_fault: Option<String>,
+}
+
+/// Burn of all services over all instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Instance that made the report.
     pub instance: InstanceId,
-    /// Plan in force.
+    /// Plan in force there.
     pub plan_version: PlanVersion,
+    /// When it was made, in seconds since the Unix epoch.
+    pub at_unix_s: u64,
     /// Services, sorted by name.
     pub services: Vec<ServiceBurn>,
+    /// What measuring and coordination cost, shortest window first.
+    pub costs: Vec<WindowCost>,
+    /// Instances with what is known and missing of them.
+    pub coverage: Vec<Coverage>,
+    /// Why roll-ups of others may be missing.
+    pub store_fault: Option<String>,
+    /// Drains, plan changes and outages, sorted by time.
+    pub marks: Vec<Mark>,
 }
 
 /// Burn of one service.
@@ -28,107 +56,176 @@
 pub struct ServiceBurn {
     /// Name.
     pub service: ServiceName,
-    /// Calls that ended.
+    /// Objective of the plan in force.
+    pub objective: Objective,
+    /// Alarms that are raised, the most urgent first.
+    pub alarms: Vec<Alarm>,
+    /// Windows, shortest first.
+    pub windows: Vec<WindowBurn>,
+    /// Crest minutes of the last day.
+    pub crest: CrestBurn,
+    /// Calls of the last day by outcome and cause, sorted.
+    pub causes: Vec<CauseCount>,
+    /// Burn and latency over time.
+    pub series: Vec<Point>,
+}
+
+impl ServiceBurn {
+    /// Returns one window's figures.
+    pub fn window(&self, window: Window) -> Option<&WindowBurn> {
+        self.windows.iter().find(|w| w.window == window)
+    }
+}
+
+/// Burn of one service over one window.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WindowBurn {
+    /// Window.
+    pub window: Window,
+    /// All calls.
     pub calls: u64,
-    /// Share of calls that must be useful, 0.0 to 1.0.
-    pub objective: f64,
-    /// Share of calls that were useful, 0.0 to 1.0.
+    /// Calls that count against the objective; those that only the caller can put right do not.
+    pub judged: u64,
+    /// Share of useful ones among these, 0.0 to 1.0.
     pub useful_share: f64,
-    /// Speed at which the error budget is spent; 1.0 spends it exactly within the window.
+    /// Speed at which the error budget is spent; 1.0 spends it exactly within the objective's days.
     pub burn: f64,
-    /// Median time to the head of the answer, in milliseconds.
+    /// Quantiles of the time to the head of the answer; absent without answered calls.
+    pub latency: Option<Quantiles>,
+    /// Quantiles of the time in the queue.
+    pub queue_wait: Option<Quantiles>,
+    /// Quantiles of the time behind long requests.
+    pub head_of_line: Option<Quantiles>,
+}
+
+/// Quantiles of a time in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Quantiles {
+    /// Median.
     pub p50_ms: f64,
-    /// 99th percentile of the same, in milliseconds.
+    /// 99th percentile.
     pub p99_ms: f64,
-    /// Calls by outcome and cause, sorted.
-    pub causes: Vec<CauseCount>,
+    /// 99.9th percentile.
+    pub p999_ms: f64,
 }
 
-/// Calls with one outcome and cause.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct CauseCount {
-    /// Outcome.
-    pub outcome: String,
-    /// Cause, empty when the target answered.
-    pub cause: String,
-    /// Calls.
-    pub calls: u64,
+/// Service at the crest, over the last day.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CrestBurn {
+    /// Minutes in which the plan expected a crest, over all instances.
+    pub planned_minutes: u64,
+    /// Minutes in which demand was well above its recent mean, over all instances.
+    pub demand_minutes: u64,
+    /// Calls of all these minutes that count against the objective.
+    pub judged: u64,
+    /// Share of useful ones, 0.0 to 1.0.
+    pub useful_share: f64,
+    /// Burn of these minutes.
+    pub burn: f64,
+    /// Quantiles of the time to the head of the answer.
+    pub latency: Option<Quantiles>,
 }
 
-/// Makes the report from the counts of this instance.
-pub fn make(instance: &InstanceId, plan: &Plan, tally: &Tally) -> Report {
-    let mut services = tally.inspect(|all| all.iter().map(|(n, c)| burn(n, c, plan)).collect::<Vec<_>>());
-    services.sort_by(|a, b| a.service.cmp(&b.service));
-    Report { instance: instance.clone(), plan_version: plan.version, services }
+/// What measuring and coordination cost over one window, all instances together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WindowCost {
+    /// Window.
+    pub window: Window,
+    /// Sums.
+    pub cost: ControlCost,
+    /// Instance-minutes that the sums cover.
+    pub instance_minutes: u64,
+    /// Probes a second over all targets, beside the plan's budget for all targets together.
+    pub probes_per_s: f64,
+    /// Budget of the plan for all targets together, in probes a second.
+    pub probe_budget_per_s: f64,
+}
+
+/// Makes the report.
+pub fn make(instance: &InstanceId, plan: &Plan, gathered: &Gathered, now_unix_s: u64) -> Report {
+    let now = UnixMinute::of_second(now_unix_s);
+    let index = Index::new(&gathered.minutes, &gathered.hours);
+    let windows = Window::ALL.map(|window| (window, index.sum(window, now)));
+    let services = plan.services.iter();
+    let services = services.map(|s| service_burn(&s.name, &s.objective, &windows, &index, now)).collect();
+    Report {
+        instance: instance.clone(),
+        plan_version: plan.version,
+        at_unix_s: now_unix_s,
+        services,
+        costs: windows.iter().map(|(window, sums)| window_cost(*window, sums, plan)).collect(),
+        coverage: coverage::of_runs(&index, &gathered.listed, now),
+        store_fault: gathered.store_fault.clone(),
+        marks: index.marks(now),
+    }
 }
 
-fn burn(service: &ServiceName, counts: &ServiceCounts, plan: &Plan) -> ServiceBurn {
-    let calls = counts.by_cause.values().sum::<u64>();
-    let objective = plan.service(service.as_str()).map_or(0.999, |s| s.objective.useful_share);
-    let useful_share = if calls == 0 { 1.0 } else { counts.useful as f64 / calls as f64 };
-    let budget = (1.0 - objective).max(f64::EPSILON);
-    let ms = |quantile| counts.latency_us.value_at_quantile(quantile) as f64 / 1_000.0;
-    let mut causes = counts
-        .by_cause
-        .iter()
-        .map(|((outcome, cause), calls)| CauseCount {
-            outcome: outcome.to_string(),
-            cause: cause.map(|c| c.to_string()).unwrap_or_default(),
-            calls: *calls,
-        })
-        .collect::<Vec<_>>();
-    causes.sort();
+fn service_burn(
+    name: &ServiceName,
+    objective: &Objective,
+    windows: &[(Window, WindowSums)],
+    index: &Index<'_>,
+    now: UnixMinute,
+) -> ServiceBurn {
+    let nothing = Sum::default();
+    let sum = |window: Window| {
+        let sums = windows.iter().find(|(w, _)| *w == window);
+        sums.and_then(|(_, sums)| sums.services.get(name)).unwrap_or(&nothing)
+    };
+    let day = sum(Window::Day);
     ServiceBurn {
-        service: service.clone(),
-        calls,
-        objective,
-        useful_share,
-        burn: (1.0 - useful_share) / budget,
-        p50_ms: ms(0.5),
-        p99_ms: ms(0.99),
-        causes,
+        service: name.clone(),
+        objective: objective.clone(),
+        alarms: alarms(objective, |window| sum(window).judged()),
+        windows: Window::ALL.iter().map(|w| window_burn(*w, sum(*w), objective)).collect(),
+        crest: crest_burn(day, objective),
+        causes: day.causes(),
+        series: series::of_service(index, name, objective, now),
     }
 }
 
-/// Writes the report as a table for people.
-pub fn table(report: &Report) -> String {
-    let mut text = format!("instance {} plan {}\n", report.instance, report.plan_version);
-    let _ = writeln!(
-        text,
-        "{:<20} {:>9} {:>9} {:>9} {:>8} {:>9} {:>9}  outcomes",
-        "service", "calls", "goal", "useful", "burn", "p50 ms", "p99 ms"
-    );
-    for s in &report.services {
-        let causes = s
-            .causes
-            .iter()
-            .map(|c| {
-                format!("{}{}{}={}", c.outcome, if c.cause.is_empty() { "" } else { "/" }, c.cause, c.calls)
-            })
-            .collect::<Vec<_>>()
-            .join(" ");
-        let _ = writeln!(
-            text,
-            "{:<20} {:>9} {:>8.3}% {:>8.3}% {:>8.2} {:>9.2} {:>9.2}  {causes}",
-            s.service,
-            s.calls,
-            s.objective * 100.0,
-            s.useful_share * 100.0,
-            s.burn,
-            s.p50_ms,
-            s.p99_ms
-        );
+fn window_burn(window: Window, sum: &Sum, objective: &Objective) -> WindowBurn {
+    let judged = sum.judged();
+    WindowBurn {
+        window,
+        calls: sum.calls(),
+        judged: judged.calls,
+        useful_share: judged.useful_share(),
+        burn: judged.burn(objective),
+        latency: quantiles(&sum.latency),
+        queue_wait: quantiles(&sum.queue_wait),
+        head_of_line: quantiles(&sum.head_of_line),
     }
-    text
 }
 
-#[linkme::distributed_slice(REPORT_WRITERS)]
-static TABLE: ReportWriter = ReportWriter { name: "table", write: |report| Ok(table(report)) };
+fn crest_burn(day: &Sum, objective: &Objective) -> CrestBurn {
+    let judged: Judged = day.crest;
+    CrestBurn {
+        planned_minutes: day.planned_crest_minutes,
+        demand_minutes: day.demand_crest_minutes,
+        judged: judged.calls,
+        useful_share: judged.useful_share(),
+        burn: judged.burn(objective),
+        latency: quantiles(&day.crest_latency),
+    }
+}
 
-#[linkme::distributed_slice(REPORT_WRITERS)]
-static JSON: ReportWriter = ReportWriter {
-    name: "json",
-    write: |report| {
-        serde_json::to_string_pretty(report).map_err(|e| Error::new(ErrorKind::File, format!("report: {e}")))
-    },
-};
+fn quantiles(times: &super::counts::Times) -> Option<Quantiles> {
+    Some(Quantiles {
+        p50_ms: times.quantile_ms(0.5)?,
+        p99_ms: times.quantile_ms(0.99)?,
+        p999_ms: times.quantile_ms(0.999)?,
+    })
+}
+
+fn window_cost(window: Window, sums: &WindowSums, plan: &Plan) -> WindowCost {
+    let targets = plan.services.iter().map(|s| s.targets.len()).sum::<usize>();
+    let seconds = sums.minutes_seen.max(1) as f64 * 60.0;
+    WindowCost {
+        window,
+        cost: sums.cost,
+        instance_minutes: sums.instance_minutes,
+        probes_per_s: sums.cost.probes as f64 / seconds,
+        probe_budget_per_s: plan.budgets.probes_per_target_per_s * targets as f64,
+    }
+}
--- /dev/null
+++ b/src/observe/snapshot.rs
@@ -0,0 +1,64 @@
+//! Reads the state of the instance for the metrics page.
+
+use super::metrics::{PeerGauges, QueueGauges, Snapshot, TargetGauges};
+use crate::{decide::pool::Pool, kernel::Kernel, plan::Plan, units::ServiceName};
+
+/// Reads the state now.
+pub fn take(kernel: &Kernel) -> Snapshot {
+    let plan = kernel.plan.current();
+    let share = 1.0 / f64::from(plan.budgets.max_instances);
+    let pools = kernel.pools.all();
+    let state = kernel.observer.state();
+    let plan_age_s = state.plan_since.elapsed().as_secs_f64();
+    let (rollup_bytes, rollup_backlog) = (state.roll_ups.kept_bytes(), state.roll_ups.backlog() as u64);
+    drop(state);
+    Snapshot {
+        targets: pools.iter().flat_map(|(name, cell)| cell.inspect(|pool| targets(name, pool))).collect(),
+        queues: pools.iter().map(|(name, cell)| cell.inspect(|pool| queue(name, pool))).collect(),
+        plan_version: plan.version.into(),
+        plan_age_s,
+        ready: kernel.ready().is_ok(),
+        in_progress: kernel.in_progress() as u64,
+        peers: peers(kernel),
+        probe_budget_per_s: probe_budget_per_s(&plan) * share,
+        store_write_share_per_s: f64::from(plan.budgets.store_writes_per_s) * share,
+        store_read_share_per_s: f64::from(plan.budgets.store_reads_per_s) * share,
+        control_budget_bytes_per_s: u64::from(plan.budgets.control_bytes_per_s),
+        rollup_bytes,
+        rollup_backlog,
+    }
+}
+
+fn probe_budget_per_s(plan: &Plan) -> f64 {
+    let targets = plan.services.iter().map(|s| s.targets.len()).sum::<usize>();
+    plan.budgets.probes_per_target_per_s * targets as f64
+}
+
+fn targets(service: &ServiceName, pool: &Pool) -> Vec<TargetGauges> {
+    let specs = pool.spec().targets.iter();
+    let gauges = |(spec, in_flight): (&crate::plan::TargetSpec, u32)| TargetGauges {
+        service: service.to_string(),
+        target: spec.id.to_string(),
+        in_flight,
+        limit: spec.slots,
+        ejected: false,
+        draining: false,
+    };
+    specs.zip(pool.own_in_flight()).map(gauges).collect()
+}
+
+fn queue(service: &ServiceName, _pool: &Pool) -> QueueGauges {
+    QueueGauges { service: service.to_string(), waiting: 0 }
+}
+
+fn peers(kernel: &Kernel) -> PeerGauges {
+    let mut gauges = PeerGauges::default();
+    for member in kernel.members.view(kernel.clock.now()) {
+        match (member.live, member.leaving) {
+            (true, false) => gauges.live += 1,
+            (true, true) => gauges.leaving += 1,
+            (false, _) => gauges.silent += 1,
+        }
+    }
+    gauges
+}
--- /dev/null
+++ b/src/observe/svg.rs
@@ -0,0 +1,216 @@
+//! The report as a plot: burn and latency over time, with what happened marked.
+
+use plotters::{
+    chart::{ChartBuilder, ChartContext},
+    coord::{
+        Shift,
+        types::{RangedCoordf64, RangedCoordu64},
+    },
+    drawing::{DrawingArea, IntoDrawingArea},
+    element::{Circle, PathElement, Rectangle, Text},
+    prelude::{Cartesian2d, SVGBackend},
+    series::LineSeries,
+    style::{BLACK, Color, IntoFont, RGBColor, WHITE},
+};
+
+use super::{
+    report::{Report, ServiceBurn},
+    rollup::{Mark, MarkKind},
+    series::Point,
+};
+use crate::{
+    error::{Error, ErrorKind, Result},
+    kernel::registry::{REPORT_WRITERS, ReportWriter},
+    plan::clock::format_utc,
+};
+
+/// Width of the picture, in pixels.
+const WIDTH: u32 = 1_200;
+
+/// Height of one service's row, in pixels.
+const ROW_HEIGHT: u32 = 240;
+
+/// Height of title and legend, in pixels.
+const HEAD_HEIGHT: u32 = 64;
+
+/// Most services in one picture; the ones that burn fastest are drawn.
+const MAX_SERVICES: usize = 12;
+
+/// Burn axis reaches at least this far.
+const MIN_BURN_AXIS: f64 = 2.0;
+
+const BURN_COLOUR: RGBColor = RGBColor(178, 34, 34);
+const LATENCY_COLOUR: RGBColor = RGBColor(31, 87, 164);
+const LIMIT_COLOUR: RGBColor = RGBColor(120, 120, 120);
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+type Chart<'a, 'b> = ChartContext<'a, SVGBackend<'b>, Cartesian2d<RangedCoordu64, RangedCoordf64>>;
+
+/// Text of the horizontal axis, by second.
+type Axis = fn(&u64) -> String;
+
+/// Draws the report.
+///
+/// # Errors
+///
+/// [`ErrorKind::File`] when the picture can't be drawn.
+pub fn draw(report: &Report) -> Result<String> {
+    let mut picture = String::new();
+    draw_all(&mut picture, report)
+        .map_err(|e| Error::new(ErrorKind::File, format!("the picture can't be drawn: {e}")))?;
+    Ok(picture)
+}
+
+type Drawn<T = ()> = std::result::Result<T, Box<dyn std::error::Error>>;
+
+fn draw_all(picture: &mut String, report: &Report) -> Drawn {
+    let services = drawn_services(report);
+    let height = HEAD_HEIGHT + ROW_HEIGHT * services.len().max(1) as u32;
+    let root = SVGBackend::with_string(picture, (WIDTH, height)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let (head, body) = root.split_vertically(HEAD_HEIGHT);
+    draw_head(&head, report, services.len())?;
+    let rows = body.split_evenly((services.len().max(1), 1));
+    for (row, service) in rows.iter().zip(&services) {
+        let (burn, latency) = row.split_horizontally(WIDTH / 2);
+        draw_burn(&burn, service, &report.marks)?;
+        draw_latency(&latency, service, &report.marks)?;
+    }
+    root.present()?;
+    Ok(())
+}
+
+fn drawn_services(report: &Report) -> Vec<&ServiceBurn> {
+    let mut services = report.services.iter().filter(|s| !s.series.is_empty()).collect::<Vec<_>>();
+    let worst = |s: &ServiceBurn| s.windows.iter().map(|w| w.burn).fold(0.0, f64::max);
+    services.sort_by(|a, b| worst(b).total_cmp(&worst(a)));
+    services.truncate(MAX_SERVICES);
+    services
+}
+
+fn draw_head(head: &Area<'_>, report: &Report, drawn: usize) -> Drawn {
+    let at = format_utc(report.at_unix_s);
+    let title = format!(
+        "Burn and latency up to {at}, plan version {}, {drawn} of {} services",
+        report.plan_version,
+        report.services.len()
+    );
+    head.draw(&Text::new(title, (16, 10), ("sans-serif", 18).into_font().color(&BLACK)))?;
+    let mut left = 16;
+    for (kind, name) in LEGEND {
+        let colour = colour(kind);
+        head.draw(&Rectangle::new([(left, 40), (left + 14, 52)], colour.filled()))?;
+        head.draw(&Text::new(name, (left + 20, 38), ("sans-serif", 14).into_font().color(&BLACK)))?;
+        left += 40 + 8 * i32::try_from(name.len()).unwrap_or_default();
+    }
+    if let Some(fault) = &report.store_fault {
+        let text = format!("INCOMPLETE: {fault}");
+        head.draw(&Text::new(text, (left, 38), ("sans-serif", 14).into_font().color(&BURN_COLOUR)))?;
+    }
+    Ok(())
+}
+
+const LEGEND: [(MarkKind, &str); 6] = [
+    (MarkKind::PlanInForce, "plan in force"),
+    (MarkKind::Drain, "drain or return"),
+    (MarkKind::Started, "instance started"),
+    (MarkKind::Leaving, "instance leaving"),
+    (MarkKind::StoreLost, "store lost"),
+    (MarkKind::StoreBack, "store back"),
+];
+
+fn colour(kind: MarkKind) -> RGBColor {
+    match kind {
+        MarkKind::PlanInForce => RGBColor(46, 125, 50),
+        MarkKind::Drain => RGBColor(230, 126, 34),
+        MarkKind::Started => RGBColor(90, 200, 220),
+        MarkKind::Leaving => RGBColor(142, 68, 173),
+        MarkKind::StoreLost => RGBColor(20, 20, 20),
+        MarkKind::StoreBack => RGBColor(170, 170, 170),
+    }
+}
+
+fn draw_burn(area: &Area<'_>, service: &ServiceBurn, marks: &[Mark]) -> Drawn {
+    let points = service.series.iter().map(|p| (middle(p), p.burn)).collect::<Vec<_>>();
+    let top = points.iter().map(|p| p.1).fold(MIN_BURN_AXIS, f64::max) * 1.1;
+    let goal = service.objective.useful_share * 100.0;
+    let caption = format!("{}: burn (1 spends the budget of {goal:.2}% in its days)", service.service);
+    let mut chart = chart(area, &caption, &service.series, top)?;
+    draw_marks(&mut chart, marks, &service.series, top)?;
+    draw_limit(&mut chart, &service.series, 1.0)?;
+    draw_line(&mut chart, &service.series, &points, BURN_COLOUR)
+}
+
+fn draw_latency(area: &Area<'_>, service: &ServiceBurn, marks: &[Mark]) -> Drawn {
+    let with_latency = service.series.iter().filter_map(|p| Some((middle(p), p.p99_ms?)));
+    let points = with_latency.collect::<Vec<_>>();
+    let limit = service.objective.latency_ms as f64;
+    let top = points.iter().map(|p| p.1).fold(limit, f64::max) * 1.1;
+    let caption = format!("{}: p99 to the head of the answer, ms (bound {limit})", service.service);
+    let mut chart = chart(area, &caption, &service.series, top)?;
+    draw_marks(&mut chart, marks, &service.series, top)?;
+    draw_limit(&mut chart, &service.series, limit)?;
+    draw_line(&mut chart, &service.series, &points, LATENCY_COLOUR)
+}
+
+fn middle(point: &Point) -> u64 {
+    point.unix_s + point.step_s / 2
+}
+
+/// Returns first and last second of the series.
+fn span(series: &[Point]) -> (u64, u64) {
+    let first = series.first().map_or(0, |p| p.unix_s);
+    let last = series.last().map_or(1, |p| p.unix_s + p.step_s);
+    (first, last.max(first + 1))
+}
+
+fn chart<'a, 'b>(area: &'a Area<'b>, caption: &str, series: &[Point], top: f64) -> Drawn<Chart<'a, 'b>> {
+    let (first, last) = span(series);
+    let mut chart = ChartBuilder::on(area)
+        .caption(caption, ("sans-serif", 14))
+        .margin(8)
+        .margin_right(24)
+        .x_label_area_size(28)
+        .y_label_area_size(56)
+        .build_cartesian_2d(first..last, 0.0..top)?;
+    let time: Axis = |second| format_utc(*second)[11..16].to_owned();
+    chart
+        .configure_mesh()
+        .x_labels(8)
+        .y_labels(5)
+        .x_label_formatter(&time)
+        .light_line_style(WHITE)
+        .label_style(("sans-serif", 12))
+        .draw()?;
+    Ok(chart)
+}
+
+fn draw_marks(chart: &mut Chart<'_, '_>, marks: &[Mark], series: &[Point], top: f64) -> Drawn {
+    let (first, last) = span(series);
+    for mark in marks.iter().filter(|m| (first..=last).contains(&m.unix_s)) {
+        let line = PathElement::new([(mark.unix_s, 0.0), (mark.unix_s, top)], colour(mark.kind));
+        chart.draw_series([line])?;
+    }
+    Ok(())
+}
+
+fn draw_limit(chart: &mut Chart<'_, '_>, series: &[Point], limit: f64) -> Drawn {
+    let (first, last) = span(series);
+    chart.draw_series(LineSeries::new([(first, limit), (last, limit)], LIMIT_COLOUR))?;
+    Ok(())
+}
+
+/// Draws a line that is broken where steps are missing, so that a gap is seen as one.
+fn draw_line(chart: &mut Chart<'_, '_>, series: &[Point], points: &[(u64, f64)], colour: RGBColor) -> Drawn {
+    let step_s = series.first().map_or(1, |p| p.step_s);
+    for run in points.chunk_by(|a, b| b.0 - a.0 <= step_s) {
+        chart.draw_series(LineSeries::new(run.iter().copied(), colour.stroke_width(2)))?;
+        if let [alone] = run {
+            chart.draw_series([Circle::new(*alone, 2, colour.filled())])?;
+        }
+    }
+    Ok(())
+}
+
+#[linkme::distributed_slice(REPORT_WRITERS)]
+static SVG: ReportWriter = ReportWriter { name: "svg", write: draw };
--- a/src/observe/tally.rs
+++ b/src/observe/tally.rs
@@ -1,26 +1,35 @@
-//! Counts of calls by service, outcome and cause since the start of the run.
+//! Ends of calls on their way from the call path to the roll-ups.
+//!
+//! The call path only appends to one of a few buffers; counting happens when the buffers are drained.
 
 use std::{
-    sync::{Mutex, PoisonError},
+    mem,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
-use hdrhistogram::Histogram;
-
 use crate::{
-    collections::HashMap,
     error::{ErrorKind, Outcome},
+    plan::RequestKind,
     units::ServiceName,
 };
 
-/// Longest latency told apart, in microseconds: one hour.
-const MAX_LATENCY_US: u64 = 3_600_000_000;
+/// Buffers; workers rarely meet on the same one.
+const SHARDS: usize = 8;
+
+/// Ends that one buffer holds between two drains; further ones are only counted as lost.
+const SHARD_CAPACITY: usize = 16_384;
 
 /// How one call ended, for the counts.
 #[derive(Debug, Clone)]
 pub struct CallEnd {
-    /// Service.
-    pub service: ServiceName,
+    /// Service; none when the request matched no service.
+    pub service: Option<ServiceName>,
+    /// Kind of request.
+    pub kind: RequestKind,
     /// What the caller was told.
     pub outcome: Outcome,
     /// Why, unless the target answered.
@@ -29,44 +38,59 @@
     pub useful: bool,
     /// Time from the request's arrival to the head of the answer.
     pub latency: Duration,
+    /// Part of it spent waiting in the instance's queue.
+    pub queue_wait: Duration,
+    /// Part of the queue wait during which long requests held slots that the call could have had.
+    pub head_of_line: Duration,
 }
 
-/// Counts of one service.
+#[derive(Debug, Default)]
+#[repr(align(128))]
+struct Shard(Mutex<Vec<CallEnd>>);
+
+/// Ends of calls that have not been counted yet.
 #[derive(Debug)]
-pub struct ServiceCounts {
-    /// Calls by outcome and cause.
-    pub by_cause: HashMap<(Outcome, Option<ErrorKind>), u64>,
-    /// Useful calls.
-    pub useful: u64,
-    /// Time to the head of the answer, in microseconds.
-    pub latency_us: Histogram<u64>,
+pub struct Tally {
+    shards: [Shard; SHARDS],
+    next: AtomicUsize,
+    /// Ends that found their buffer full.
+    lost: AtomicU64,
 }
 
-impl ServiceCounts {
-    fn new() -> Self {
-        let latency_us = Histogram::new_with_max(MAX_LATENCY_US, 2).expect("bounds are constant and valid");
-        Self { by_cause: HashMap::default(), useful: 0, latency_us }
+impl Default for Tally {
+    fn default() -> Self {
+        Self { shards: Default::default(), next: AtomicUsize::new(0), lost: AtomicU64::new(0) }
     }
 }
 
-/// Counts of all services.
-#[derive(Debug, Default)]
-pub struct Tally {
-    services: Mutex<HashMap<ServiceName, ServiceCounts>>,
-}
-
 impl Tally {
-    /// Counts a call.
+    /// Appends the end of a call.
     pub fn record(&self, end: CallEnd) {
-        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        let counts = services.entry(end.service).or_insert_with(ServiceCounts::new);
-        *counts.by_cause.entry((end.outcome, end.cause)).or_default() += 1;
-        counts.useful += u64::from(end.useful);
-        counts.latency_us.saturating_record(u64::try_from(end.latency.as_micros()).unwrap_or(u64::MAX));
+        let shard = &self.shards[self.next.fetch_add(1, Ordering::Relaxed) % SHARDS];
+        let mut ends = shard.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if ends.len() < SHARD_CAPACITY {
+            ends.push(end);
+            return;
+        }
+        drop(ends);
+        self.lost.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Takes all ends recorded since the last drain.
+    pub fn drain(&self) -> Vec<CallEnd> {
+        let mut drained = Vec::new();
+        for shard in &self.shards {
+            let mut ends = shard.0.lock().unwrap_or_else(PoisonError::into_inner);
+            let room = ends.len();
+            let taken = mem::replace(&mut *ends, Vec::with_capacity(room));
+            drop(ends);
+            drained.extend(taken);
+        }
+        drained
     }
 
-    /// Runs `read` on the counts of every service.
-    pub fn inspect<T>(&self, read: impl FnOnce(&HashMap<ServiceName, ServiceCounts>) -> T) -> T {
-        read(&self.services.lock().unwrap_or_else(PoisonError::into_inner))
+    /// Returns how many ends were lost to full buffers since the start.
+    pub fn lost(&self) -> u64 {
+        self.lost.load(Ordering::Relaxed)
     }
 }
--- a/src/plan/clock.rs
+++ b/src/plan/clock.rs
@@ -28,3 +28,34 @@
     let days = (year - 1970) * 365 + leap_days_before + day_of_year;
     Some(days * 86_400 + hour * 3_600 + minute * 60)
 }
+
+/// Writes seconds since the Unix epoch as `YYYY-MM-DDTHH:MMZ`.
+pub fn format_utc(unix_s: u64) -> String {
+    let days = unix_s / 86_400;
+    let (year, month, day) = civil_date(days);
+    let (hour, minute) = (unix_s % 86_400 / 3_600, unix_s % 3_600 / 60);
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}Z")
+}
+
+/// Returns year, month and day of a day since the Unix epoch.
+fn civil_date(days: u64) -> (u64, usize, u64) {
+    let is_leap = |y: u64| y.is_multiple_of(4) && (!y.is_multiple_of(100) || y.is_multiple_of(400));
+    let mut year = 1970;
+    let mut left = days;
+    loop {
+        let in_year = if is_leap(year) { 366 } else { 365 };
+        if left < in_year {
+            break;
+        }
+        left -= in_year;
+        year += 1;
+    }
+    for (index, in_month) in DAYS_IN_MONTH.into_iter().enumerate() {
+        let in_month = in_month + u64::from(index == 1 && is_leap(year));
+        if left < in_month {
+            return (year, index + 1, left + 1);
+        }
+        left -= in_month;
+    }
+    unreachable!("a year has no days beyond its months")
+}
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -122,7 +122,16 @@
     pub fn count(&self, outcome: Outcome, cause: Option<ErrorKind>, answered_well: bool) {
         let latency = self.kernel.clock.now().since(self.arrived);
         let useful = answered_well && latency <= self.useful_within;
-        self.kernel.tally.record(CallEnd { service: self.service.clone(), outcome, cause, useful, latency });
+        self.kernel.tally.record(CallEnd {
+            service: Some(self.service.clone()),
+            kind: self.kind,
+            outcome,
+            cause,
+            useful,
+            latency,
+            queue_wait: Duration::ZERO,
+            head_of_line: Duration::ZERO,
+        });
     }
 }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -12,7 +12,7 @@
     admin,
     error::{Error, ErrorKind, Result},
     kernel::Kernel,
-    logging, peer,
+    logging, observe, peer,
     plan::accept,
     platform::ListedInstance,
     proxy,
@@ -75,6 +75,8 @@
     let peers = tokio::spawn(peer::link::listen(Arc::clone(&kernel), listeners.peers));
     let links = tokio::spawn(peer::link::connect_all(Arc::clone(&kernel)));
     let polls = tokio::spawn(poll_platform(Arc::clone(&kernel)));
+    let counts = tokio::spawn(observe::count_all(Arc::clone(&kernel)));
+    let uploads = tokio::spawn(observe::upload_all(Arc::clone(&kernel)));
     let callers = tokio::spawn(proxy::listen(Arc::clone(&kernel), listeners.callers));
     kernel.wait_leaving().await;
     sleep(Duration::from_millis(kernel.config.balancer_lag_ms)).await;
@@ -82,6 +84,9 @@
     log::info!("event=refusing-new in_progress={}", kernel.in_progress());
     kernel.wait_idle().await;
     callers.abort();
+    counts.abort();
+    uploads.abort();
+    observe::flush(&kernel).await;
     for task in [admin, peers, links, polls] {
         task.abort();
     }
@@ -139,7 +144,9 @@
         if let Ok(list) = (kernel.platform.list_instances)(()).await {
             kernel.members.listed(&kernel.config.instance, &list);
         }
-        if read_plan(&kernel).await {
+        let read = read_plan(&kernel).await;
+        kernel.observer.note_store(read);
+        if read {
             confirmed_at = Some(kernel.clock.now());
         }
         judge_current(&kernel, confirmed_at);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -65,6 +65,9 @@
     /// Threads of the worker pool; 0 for one a processor.
     pub workers: usize,
 
+    /// Lines a second that each module and event may log, in the long run.
+    pub log_lines_per_s: u64,
+
     /// Least severe level that is logged.
     pub log_level: LevelFilter,
 
@@ -202,6 +205,7 @@
     let cut_off_after_ms = reader.ranged("cut_off_after_ms", 30_000, 1_000..=3_600_000);
     let confirm_timeout_ms = reader.ranged("confirm_timeout_ms", 5_000, 100..=60_000);
     let workers = reader.ranged("workers", 0, 0..=256) as usize;
+    let log_lines_per_s = reader.ranged("log_lines_per_s", 10, 1..=100_000);
     let log_level = reader.level("log_level").unwrap_or(LevelFilter::Info);
     let log_levels = reader.levels("log_levels");
     Some(Config {
@@ -222,6 +226,7 @@
         cut_off_after_ms,
         confirm_timeout_ms,
         workers,
+        log_lines_per_s,
         log_level,
         log_levels,
     })
