--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -2,15 +2,21 @@
 
 use std::{
     convert::Infallible,
-    pin::pin,
+    pin::{Pin, pin},
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
+    task::{Context, Poll},
     time::Duration,
 };
 
-use hyper::{Request, Version, body::Incoming, service::service_fn};
+use bytes::Bytes;
+use hyper::{
+    Request, Version,
+    body::{Body, Frame, Incoming, SizeHint},
+    service::service_fn,
+};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto,
@@ -20,7 +26,9 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use super::{connection::READ_BUFFER_BYTES, handle};
+use super::{
+    answer::AnswerBody, body::BodyError, caller_stream::CallerStream, connection::READ_BUFFER_BYTES, handle,
+};
 use crate::kernel::Kernel;
 
 /// Time for which kept-alive connections are still served with not-run once new requests are refused.
@@ -34,9 +42,12 @@
 /// Time between two looks at whether the other end of an HTTP/2 connection is there.
 const PING_PERIOD: Duration = Duration::from_secs(20);
 
+/// A connection that was told to end and has no request is closed after this many idle limits.
+const UNFINISHED_PARTS: u32 = 2;
+
 /// What a connection is doing.
 #[derive(Debug)]
-struct Activity {
+pub(super) struct Activity {
     in_progress: AtomicUsize,
     /// When the last request ended, or the connection began.
     idle_since: Mutex<Instant>,
@@ -55,6 +66,11 @@
         Active(Arc::clone(self))
     }
 
+    /// Returns whether an answer of this instance may be on its way.
+    pub(super) fn is_busy(&self) -> bool {
+        self.in_progress.load(Ordering::Acquire) > 0
+    }
+
     fn idle_since(&self) -> Instant {
         *self.idle_since.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -63,7 +79,7 @@
     async fn wait_idle(&self, limit: Duration) {
         loop {
             let idle_until = self.idle_since() + limit;
-            let busy = self.in_progress.load(Ordering::Acquire) > 0;
+            let busy = self.is_busy();
             if !busy && idle_until <= Instant::now() {
                 return;
             }
@@ -73,7 +89,7 @@
     }
 }
 
-/// One request of a connection until its answer's head is ready.
+/// One request of a connection until its answer's body has ended.
 #[derive(Debug)]
 struct Active(Arc<Activity>);
 
@@ -84,6 +100,32 @@
     }
 }
 
+/// An answer's body that keeps its request active.
+struct ActiveBody {
+    inner: AnswerBody,
+    _active: Active,
+}
+
+impl Body for ActiveBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.inner).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 fn builder(kernel: &Kernel) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
@@ -112,17 +154,21 @@
         let kernel = Arc::clone(&shared);
         async move {
             let response = handle(kernel, request).await;
-            drop(active);
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|inner| ActiveBody { inner, _active: active }))
         }
     });
+    let stream = CallerStream::new(stream, Arc::clone(&activity));
     let builder = builder(&kernel);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let idle_limit = Duration::from_millis(kernel.config.head_timeout_ms);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = wait_end(&kernel, &activity) => {
+        () = wait_end(&kernel, &activity, idle_limit) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                result = connection => result,
+                () = activity.wait_idle(idle_limit * UNFINISHED_PARTS) => Ok(()),
+            }
         }
     };
     if let Err(e) = result {
@@ -131,8 +177,7 @@
 }
 
 /// Waits until the connection should take no more requests.
-async fn wait_end(kernel: &Kernel, activity: &Activity) {
-    let idle_limit = Duration::from_millis(kernel.config.head_timeout_ms);
+async fn wait_end(kernel: &Kernel, activity: &Activity, idle_limit: Duration) {
     tokio::select! {
         () = activity.wait_idle(idle_limit) => {}
         () = wait_left(kernel, activity) => {}
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -42,6 +42,8 @@
     service_deadline: Duration,
     /// Time within which an answer must begin to count as useful.
     useful_within: Duration,
+    /// Whether it continues the answer of a call whose target failed.
+    pub(super) continues: bool,
     /// Names the request while it is in progress.
     named: NamedRequest,
 }
@@ -87,13 +89,14 @@
             refusal_means_not_run: service.refusal_means_not_run,
             service_deadline: Duration::from_millis(service.deadline_ms),
             useful_within: Duration::from_millis(service.objective.latency_ms),
+            continues: false,
         })
     }
 
     /// Returns a call that continues this one's answer on another target.
     pub(super) fn continued(&self) -> Self {
         let arrived = self.kernel.clock.now();
-        let deadline = arrived + self.service_deadline;
+        let deadline = arrived + self.service_deadline.min(self.progress_timeout());
         let id = self.kernel.next_call();
         let prior_attempts = self.call.prior_attempts.saturating_add(1);
         Self {
@@ -107,6 +110,7 @@
             refusal_means_not_run: self.refusal_means_not_run,
             service_deadline: self.service_deadline,
             useful_within: self.useful_within,
+            continues: true,
             named: self.named.clone(),
         }
     }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -4,6 +4,7 @@
 pub mod body;
 pub mod call;
 pub mod caller;
+mod caller_stream;
 pub mod connection;
 pub mod context;
 pub mod headers;
@@ -26,6 +27,7 @@
 use crate::{
     error::ErrorKind,
     kernel::Kernel,
+    observe::tally::CallEnd,
     plan::{RequestKind, ServiceSpec},
 };
 
@@ -52,7 +54,7 @@
     let _in_progress = kernel.enter();
     let answer = match intake::prepare(&kernel, request).await {
         Ok((context, parts)) => run(context, parts).await,
-        Err(kind) => refusal(kind, None),
+        Err(kind) => refuse_unprepared(&kernel, kind),
     };
     let mut response = answer.into_response();
     if kernel.is_leaving() {
@@ -61,6 +63,21 @@
     response
 }
 
+/// Counts and answers a request that was refused before its call began.
+fn refuse_unprepared(kernel: &Kernel, kind: ErrorKind) -> Answer {
+    kernel.tally.record(CallEnd {
+        service: None,
+        kind: RequestKind::Unstated,
+        outcome: kind.answer().outcome,
+        cause: Some(kind),
+        useful: false,
+        latency: Duration::ZERO,
+        queue_wait: Duration::ZERO,
+        head_of_line: Duration::ZERO,
+    });
+    refusal(kind, None)
+}
+
 async fn run(context: CallContext, parts: RequestParts) -> Answer {
     match context.kind {
         RequestKind::AtMostOnce => once::run(context, parts).await,
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -50,6 +50,12 @@
 /// Pause between two tries to continue an answer.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
+/// Tries to continue an answer end after this many times the progress timeout.
+const RESUME_WINDOW_PARTS: u32 = 2;
+
+/// The first piece of a continued answer is waited for during the progress timeout over this.
+const FIRST_PIECE_PART: u32 = 8;
+
 /// Passes on an answer that has begun.
 pub fn pass_on(context: CallContext, parts: RequestParts, head: Head) -> Answer {
     let length = head.response.body().size_hint().exact();
@@ -70,7 +76,7 @@
         _in_progress: context.kernel.enter(),
     };
     let source = Some(Source { body, guard: head.guard, skip: 0 });
-    let relay = Relay { context, parts, validator, source, offset: 0, failure };
+    let relay = Relay { context, parts, validator, source, offset: 0, resume_until: None, failure };
     tokio::spawn(relay.run(sender));
     Answer::ran(answer_head, relayed.boxed())
 }
@@ -131,6 +137,8 @@
     source: Option<Source>,
     /// Bytes handed to the caller's side.
     offset: u64,
+    /// When tries to continue the answer end; set from the first try until a piece has come.
+    resume_until: Option<Instant>,
     /// Why the answer ended early, set before the channel closes.
     failure: Arc<OnceLock<BodyError>>,
 }
@@ -171,6 +179,7 @@
             }
             match self.next_piece().await {
                 Ok(Some(bytes)) => {
+                    self.resume_until = None;
                     self.offset += bytes.len() as u64;
                     permit.send(Piece::Data(bytes));
                 }
@@ -223,7 +232,10 @@
 
     /// Reads the next piece; `None` is the end of a whole answer.
     async fn next_piece(&mut self) -> Result<Option<Bytes>, BodyError> {
-        let progress_timeout = self.context.progress_timeout();
+        let mut progress_timeout = self.context.progress_timeout();
+        if self.resume_until.is_some() {
+            progress_timeout /= FIRST_PIECE_PART;
+        }
         let Some(source) = &mut self.source else { return Err(BodyError::Cut) };
         loop {
             let frame = timeout(progress_timeout, source.body.frame()).await;
@@ -242,7 +254,11 @@
     /// Finds a target that continues the answer, for as long as the caller may wait for progress.
     async fn resume(&mut self) -> bool {
         let Some(validator) = &self.validator else { return false };
-        let until = Instant::now() + self.context.progress_timeout();
+        if self.resume_until.is_some() {
+            sleep(RESUME_PAUSE).await;
+        }
+        let window = self.context.progress_timeout() * RESUME_WINDOW_PARTS;
+        let until = *self.resume_until.get_or_insert_with(|| Instant::now() + window);
         let Some(parts) = resumed_request(&self.parts, validator, self.offset) else { return false };
         while Instant::now() < until {
             let context = self.context.continued();
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -197,7 +197,7 @@
     let kernel = &context.kernel;
     let limit = allowance(target.max_connections, kernel.plan.current().budgets.max_instances);
     let freshness = match context.call.kind {
-        RequestKind::Idempotent if attempt > FIRST_ATTEMPT => Freshness::New,
+        RequestKind::Idempotent if context.continues || attempt > FIRST_ATTEMPT => Freshness::New,
         RequestKind::Idempotent => {
             let usual = kernel.head_times.usual(&context.service, context.call.route);
             silence::freshness(usual, context.remaining())
--- /dev/null
+++ b/tests/proxy_callers.rs
@@ -0,0 +1,209 @@
+//! The caller side: ambiguous requests, limits, headers, deadlines, cancellation, both protocols.
+
+use std::time::{Duration, Instant};
+
+use arbutusshelf_bench::{
+    client::{Caller, exchange_raw},
+    gateway::{Gateway, GatewayOptions, SERVICE, wait_until},
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+const RAW_LIMIT: Duration = Duration::from_millis(300);
+
+async fn gateway(settings: serde_json::Value) -> Gateway {
+    let options = GatewayOptions { targets: 1, settings, ..GatewayOptions::default() };
+    Gateway::start(options).await.expect("the gateway starts")
+}
+
+async fn plain() -> Gateway {
+    gateway(serde_json::json!({})).await
+}
+
+/// What is sent, and whether the request itself may run.
+struct Smuggling {
+    name: &'static str,
+    request: String,
+    may_run: bool,
+}
+
+fn smuggling_cases() -> Vec<Smuggling> {
+    let post = format!("POST /{SERVICE}/x HTTP/1.1\r\nHost: a\r\n");
+    let hidden = format!("GET /{SERVICE}/smuggled HTTP/1.1\r\nHost: a\r\n\r\n");
+    let case = |name, head: &str, body: &str, may_run| Smuggling {
+        name,
+        request: format!("{post}{head}\r\n{body}"),
+        may_run,
+    };
+    let chunked = "Transfer-Encoding: chunked\r\n";
+    let length = format!("Content-Length: {}\r\n", hidden.len() + 5);
+    let end_then_hidden = format!("0\r\n\r\n{hidden}");
+    vec![
+        case("differing lengths", "Content-Length: 0\r\nContent-Length: 5\r\n", &hidden, false),
+        case("length list", "Content-Length: 0, 5\r\n", &hidden, false),
+        case("signed length", "Content-Length: +0\r\n", &hidden, false),
+        case("negative length", "Content-Length: -1\r\n", &hidden, false),
+        case("length not a number", "Content-Length: 0x0\r\n", &hidden, false),
+        case("both, length first", &format!("{length}{chunked}"), &end_then_hidden, true),
+        case("both, length last", &format!("{chunked}{length}"), &end_then_hidden, true),
+        case("unknown coding", "Transfer-Encoding: xchunked\r\n", &end_then_hidden, false),
+        case("chunked not last", "Transfer-Encoding: chunked, identity\r\n", &end_then_hidden, false),
+        case("space before colon", "Transfer-Encoding : chunked\r\n", &end_then_hidden, false),
+        case("folded header", "X: a\r\n Transfer-Encoding: chunked\r\n", &hidden, false),
+        case("chunk size not a number", chunked, &format!("zz\r\n{hidden}"), false),
+        case("chunk size overflow", chunked, &format!("fffffffffffffffff\r\n{hidden}"), false),
+        case("chunk longer than stated", chunked, &format!("1\r\nabc\r\n{end_then_hidden}"), false),
+        case("two hosts", "Host: b\r\n", "", false),
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn ambiguous_requests_smuggle_nothing() {
+    let gateway = plain().await;
+    for case in smuggling_cases() {
+        let ran_before = gateway.ran();
+        let answer = exchange_raw(gateway.callers(), case.request.as_bytes(), RAW_LIMIT).await;
+        let answer = answer.expect("the instance accepts");
+        assert!(answer.matches("HTTP/1.1 ").count() <= 1, "{}: {answer}", case.name);
+        if case.may_run {
+            assert!(gateway.ran() <= ran_before + 1, "{}", case.name);
+        } else {
+            assert_eq!(gateway.ran(), ran_before, "{}: {answer}", case.name);
+            assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 4"), "{}: {answer}", case.name);
+        }
+        let seen = gateway.targets[0].seen();
+        assert!(!seen.iter().any(|r| r.path.contains("smuggled")), "{}", case.name);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_answer_carries_an_outcome() {
+    let gateway = gateway(serde_json::json!({"max_body_bytes": 1_000})).await;
+    let long_head = format!("GET /{SERVICE}/x HTTP/1.1\r\nHost: a\r\nX: {}\r\n\r\n", "x".repeat(40_000));
+    let too_large = format!("POST /{SERVICE}/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n");
+    for (request, status) in [
+        ("BROKEN\r\n\r\n".to_owned(), "400"),
+        (long_head, "431"),
+        (too_large, "413"),
+        (format!("GET /{SERVICE}/x HTTP/1.1\r\n\r\n"), "400"),
+        (format!("GET /{SERVICE}/x HTTP/1.1\r\nHost: a\r\narbutusshelf-deadline-ms: soon\r\n\r\n"), "400"),
+    ] {
+        let answer = exchange_raw(gateway.callers(), request.as_bytes(), RAW_LIMIT).await;
+        let answer = answer.expect("the instance accepts");
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
+        assert_eq!(answer.matches("arbutusshelf-outcome: not-run").count(), 1, "{answer}");
+    }
+    assert_eq!(gateway.ran(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_and_idle_callers_are_let_go() {
+    let gateway = gateway(serde_json::json!({"head_timeout_ms": 300, "progress_timeout_ms": 300})).await;
+    let starts = [
+        String::new(),
+        "GET / HT".to_owned(),
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_owned(),
+        format!("POST /{SERVICE}/x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n123"),
+        format!("GET /{SERVICE}/x HTTP/1.1\r\nHost: a\r\n\r\n"),
+    ];
+    for start in starts {
+        let mut stream = TcpStream::connect(gateway.callers()).await.expect("the instance accepts");
+        stream.write_all(start.as_bytes()).await.expect("the start is taken");
+        let mut answer = Vec::new();
+        let end = tokio::time::timeout(Duration::from_secs(5), stream.read_to_end(&mut answer)).await;
+        assert!(end.is_ok(), "kept open after {start:?}");
+    }
+    wait_until(|| gateway.kernel.caller_connections() == 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn only_end_to_end_headers_reach_the_target() {
+    let gateway = plain().await;
+    for caller in [Caller::default(), Caller::http2()] {
+        let uri = format!("http://{}/{SERVICE}/x", gateway.callers());
+        let mut request = Request::get(uri).header("x-kept", "1").header("arbutusshelf-outcome", "ran");
+        request = request.header("arbutusshelf-deadline-ms", "700").header("arbutusshelf-attempt", "3");
+        if matches!(request.version_ref(), Some(&hyper::Version::HTTP_11)) {
+            request = request.header("proxy-authorization", "secret").header("te", "trailers");
+        }
+        let answer = caller.send(request.body(Full::default()).expect("a request")).await;
+        assert_eq!(answer.expect("an answer").outcome(), "ran");
+        let seen = gateway.targets[0].seen().pop().expect("the target saw it");
+        for absent in ["proxy-authorization", "te", "arbutusshelf-outcome", "connection"] {
+            assert!(!seen.headers.contains_key(absent), "{absent}");
+        }
+        assert_eq!(seen.headers["x-kept"], "1");
+        assert_eq!(seen.headers["arbutusshelf-attempt"], "3");
+        let deadline_ms = seen.headers["arbutusshelf-deadline-ms"].to_str().expect("text");
+        let deadline_ms = deadline_ms.parse::<u64>().expect("a number");
+        assert!((500..=700).contains(&deadline_ms), "{deadline_ms}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn headers_named_by_connection_are_dropped() {
+    let gateway = plain().await;
+    let request = format!(
+        "GET /{SERVICE}/x HTTP/1.1\r\nHost: a\r\nConnection: close, x-hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\n\r\n"
+    );
+    let answer = exchange_raw(gateway.callers(), request.as_bytes(), RAW_LIMIT).await;
+    assert!(answer.expect("the instance accepts").starts_with("HTTP/1.1 200"));
+    let seen = gateway.targets[0].seen().pop().expect("the target saw it");
+    assert!(!seen.headers.contains_key("x-hop") && !seen.headers.contains_key("keep-alive"));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_callers_deadline_is_kept() {
+    let gateway = plain().await;
+    let uri = format!("http://{}/{SERVICE}/x?work_us=5000000", gateway.callers());
+    let request = Request::get(uri).header("arbutusshelf-deadline-ms", "150").body(Full::default());
+    let started = Instant::now();
+    let answer = Caller::default().send(request.expect("a request")).await.expect("an answer");
+    assert_eq!((answer.status, answer.outcome()), (504, "unknown"));
+    assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
+}
+
+/// A leaving caller breaks off its idempotent request at the target, but no other kind.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_leaves_cancels_only_what_is_idempotent() {
+    for (method, path, cancelled) in
+        [(Method::GET, "x", 1), (Method::POST, "x", 0), (Method::POST, "once", 0)]
+    {
+        for caller in [Caller::default(), Caller::http2()] {
+            let gateway = plain().await;
+            let (address, method) = (gateway.callers(), method.clone());
+            let path = format!("/{SERVICE}/{path}?work_us=400000");
+            let call = async move { caller.call(method, address, &path, Some("key-1"), Bytes::new()).await };
+            let leaving = tokio::spawn(call);
+            wait_until(|| gateway.targets[0].ran() == 1).await;
+            leaving.abort();
+            wait_until(|| gateway.targets[0].in_flight() == 0).await;
+            assert_eq!(gateway.targets[0].cancelled(), cancelled);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_result_of_an_at_most_once_request_is_kept_when_its_caller_leaves() {
+    let gateway = plain().await;
+    let address = gateway.callers();
+    let path = format!("/{SERVICE}/once?work_us=100000");
+    let caller = Caller::default();
+    let (first, first_path) = (caller.clone(), path.clone());
+    let leaving = tokio::spawn(async move {
+        first.call(Method::POST, address, &first_path, Some("key-1"), Bytes::new()).await
+    });
+    wait_until(|| gateway.targets[0].ran() == 1).await;
+    leaving.abort();
+    wait_until(|| gateway.kernel.requests_in_progress().is_empty()).await;
+    let again = caller.call(Method::POST, address, &path, Some("key-1"), Bytes::new()).await;
+    let again = again.expect("an answer");
+    assert_eq!((again.status, again.outcome()), (200, "ran"));
+    assert!(again.headers.contains_key("arbutusshelf-stored"));
+    assert_eq!(gateway.ran(), 1);
+}
--- a/tests/proxy_shutdown.rs
+++ b/tests/proxy_shutdown.rs
@@ -1,11 +1,24 @@
 //! Graceful shutdown: no request in progress is cut off.
 
-use std::time::Duration;
+mod testenv;
+
+use std::{convert::Infallible, time::Duration};
 
 use arbutusshelf_bench::{
-    client::Caller,
+    client::{Caller, exchange_raw},
+    deployment::ANY_PORT,
     gateway::{Gateway, GatewayOptions, SERVICE, wait_until},
-    target::content,
+    platform::PlatformStandIn,
+    target::{RECEIVED, TargetStandIn, content},
+};
+use bytes::Bytes;
+use http_body_util::StreamBody;
+use hyper::{Request, body::Frame, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use testenv::TestEnv;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
 };
 
 const MEGABYTE: usize = 1 << 20;
@@ -24,3 +37,135 @@
     assert!(received.body == content(&path, MEGABYTE), "the answer differs");
     tokio::time::timeout(Duration::from_secs(10), gateway.task).await.expect("it leaves").expect("no panic");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slow_caller_gets_its_last_byte_before_the_instance_ends() {
+    let size = 12 << 20;
+    let gateway = Gateway::start(GatewayOptions::default()).await.expect("the gateway starts");
+    let path = format!("/{SERVICE}/recording");
+    let request = format!("{path}?bytes={size}");
+    let begun = Caller::default().begin(gateway.callers(), &request).await.expect("a head");
+    gateway.kernel.leave();
+    gateway.kernel.wait_refusing().await;
+    assert!(!gateway.task.is_finished());
+    let received = begun.finish().await.expect("a whole answer");
+    assert!(received.body == content(&path, size), "the answer differs");
+    tokio::time::timeout(Duration::from_secs(10), gateway.task).await.expect("it leaves").expect("no panic");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_long_upload_outlasts_a_shutdown() {
+    let gateway = Gateway::start(GatewayOptions::default()).await.expect("the gateway starts");
+    let (sender, receiver) = tokio::sync::mpsc::channel::<Bytes>(1);
+    let pieces = futures::stream::unfold(receiver, |mut receiver| async move {
+        let piece = receiver.recv().await?;
+        Some((Ok::<_, Infallible>(Frame::data(piece)), receiver))
+    });
+    let stream = TcpStream::connect(gateway.callers()).await.expect("the instance accepts");
+    let (mut connection, driver) =
+        http1::handshake(TokioIo::new(stream)).await.expect("the connection opens");
+    tokio::spawn(driver);
+    let request = Request::post(format!("/{SERVICE}/x")).header("host", "a");
+    let request = request.body(StreamBody::new(Box::pin(pieces))).expect("a request");
+    let answer = tokio::spawn(async move { connection.send_request(request).await });
+    let piece = Bytes::from(vec![1; 100_000]);
+    sender.send(piece.clone()).await.expect("the upload goes on");
+    wait_until(|| gateway.targets[0].in_flight() + gateway.targets[1].in_flight() == 1).await;
+    gateway.kernel.leave();
+    gateway.kernel.wait_refusing().await;
+    for _ in 0..3 {
+        sender.send(piece.clone()).await.expect("the upload goes on");
+    }
+    drop(sender);
+    let answer = answer.await.expect("the caller does not panic").expect("an answer");
+    assert_eq!(answer.headers()["arbutusshelf-outcome"], "ran");
+    let upload = answer.headers()[RECEIVED].to_str().expect("text").to_owned();
+    assert!(upload.starts_with("400000:"), "{upload}");
+    drop(answer);
+    tokio::time::timeout(Duration::from_secs(10), gateway.task).await.expect("it leaves").expect("no panic");
+}
+
+/// Serves during the balancer's lag, then answers not-run, also on connections opened before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_after_the_lag_are_told_not_run() {
+    let gateway = Gateway::start(GatewayOptions::default()).await.expect("the gateway starts");
+    let request = format!("GET /{SERVICE}/x HTTP/1.1\r\nHost: a\r\n\r\n");
+    let mut kept = TcpStream::connect(gateway.callers()).await.expect("the instance accepts");
+    gateway.kernel.leave();
+    assert!(gateway.kernel.ready().is_err());
+    let during = exchange_raw(gateway.callers(), request.as_bytes(), Duration::from_secs(5)).await;
+    let during = during.expect("the instance accepts");
+    assert!(during.starts_with("HTTP/1.1 200") && during.contains("connection: close"), "{during}");
+    gateway.kernel.wait_refusing().await;
+    kept.write_all(request.as_bytes()).await.expect("the connection is kept");
+    let mut answer = String::new();
+    kept.read_to_string(&mut answer).await.expect("an answer and a clean end");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("arbutusshelf-outcome: not-run") && answer.contains("connection: close"));
+    tokio::time::timeout(Duration::from_secs(10), gateway.task).await.expect("it leaves").expect("no panic");
+    assert_eq!(gateway.targets.iter().map(TargetStandIn::ran).sum::<u32>(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_http2_caller_is_told_to_go_away_and_loses_nothing() {
+    let gateway = Gateway::start(GatewayOptions::default()).await.expect("the gateway starts");
+    let caller = Caller::http2();
+    let path = format!("/{SERVICE}/x?work_us=150000");
+    let calls = (0..8).map(|_| {
+        let (caller, path, address) = (caller.clone(), path.clone(), gateway.callers());
+        tokio::spawn(async move { caller.get(address, &path).await })
+    });
+    let calls = calls.collect::<Vec<_>>();
+    wait_until(|| gateway.targets.iter().map(TargetStandIn::in_flight).sum::<u32>() == 8).await;
+    gateway.kernel.leave();
+    for call in calls {
+        let answer = call.await.expect("the caller does not panic").expect("a whole answer");
+        assert_eq!(answer.outcome(), "ran");
+    }
+    tokio::time::timeout(Duration::from_secs(10), gateway.task).await.expect("it leaves").expect("no panic");
+}
+
+/// The second signal names what the third cuts off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_second_signal_names_the_requests_in_progress() {
+    let target = TargetStandIn::start(ANY_PORT, 3).await.expect("loopback has a free port");
+    let platform = PlatformStandIn::start(ANY_PORT, 1).await.expect("loopback has a free port");
+    let settings =
+        serde_json::json!({"platform_driver": "http", "platform_address": platform.server.address});
+    let address = target.server.address;
+    let (mut instance, env) = tokio::task::spawn_blocking(move || {
+        let env = TestEnv::new();
+        let instance = env.serve("entry-01", &settings);
+        let sheet = env.write("sheet.csv", &one_target_sheet(address));
+        let admin = instance.admin.to_string();
+        let output = env.run(&["plan", "submit", &sheet, "--to", &admin, "--change-id", "first"]);
+        assert_eq!(output.status.code(), Some(0), "{}", testenv::stderr(&output));
+        (instance, env)
+    })
+    .await
+    .expect("the instance starts");
+    let (callers, path) = (instance.callers, format!("/{SERVICE}/x?work_us=20000000"));
+    let call = tokio::spawn(async move { Caller::default().get(callers, &path).await });
+    wait_until(|| target.in_flight() == 1).await;
+    let instance = tokio::task::spawn_blocking(move || {
+        instance.signal("TERM");
+        instance.wait_log("event=refusing-new");
+        instance.signal("TERM");
+        let line = instance.wait_log("event=second-signal-request");
+        assert!(line.contains(&format!("service={SERVICE}")) && line.contains("kind=idempotent"), "{line}");
+        instance.signal("TERM");
+        assert_eq!(instance.wait_end(), Some(1));
+        drop(env);
+        instance
+    });
+    instance.await.expect("the instance names the request");
+    assert!(call.await.expect("the caller does not panic").is_err());
+}
+
+fn one_target_sheet(target: std::net::SocketAddr) -> String {
+    format!(
+        "[instances]\nid,data_centre\nentry-01,ost-a\n\n[services]\nname,deadline_ms\n{SERVICE},30000\n\n\
+         [targets]\nservice,id,address,data_centre,slots,max_connections\n{SERVICE},svc-01,{target},ost-a,3,200\n\n\
+         [routes]\nservice,method,path_prefix,kind,priority\n{SERVICE},GET,/{SERVICE},idempotent,normal\n"
+    )
+}
--- /dev/null
+++ b/tests/proxy_transfers.rs
@@ -0,0 +1,202 @@
+//! Long transfers: whole by hash, continued from another target, bounded in memory, slots not held by callers.
+
+use std::time::Duration;
+
+use arbutusshelf_bench::{
+    client::Caller,
+    gateway::{Gateway, GatewayOptions, SERVICE, wait_until},
+    target::{EtagKind, Framing, RECEIVED, TargetStandIn, content, hex},
+};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Method;
+use sha2::{Digest, Sha256};
+
+const SIZE: usize = 3 << 20;
+
+/// Byte at which a faulty target stops.
+const FAULT_AT: u64 = 1 << 20;
+
+async fn gateway(targets: usize) -> Gateway {
+    let settings = serde_json::json!({"progress_timeout_ms": 500});
+    let options = GatewayOptions { targets, settings, ..GatewayOptions::default() };
+    Gateway::start(options).await.expect("the gateway starts")
+}
+
+fn sha256(bytes: &[u8]) -> String {
+    hex(&Sha256::digest(bytes))
+}
+
+fn path() -> String {
+    format!("/{SERVICE}/recording")
+}
+
+fn in_flight(gateway: &Gateway) -> u32 {
+    let service = SERVICE.parse().expect("the name is valid");
+    let cell = gateway.kernel.pools.find(&service).expect("the pool exists");
+    cell.inspect(|pool| pool.own_in_flight().sum())
+}
+
+/// Downloads while the first target that runs it has a fault; the fault is gone from all others.
+async fn download_with_fault(gateway: &Gateway, caller: &Caller, fault: impl Fn(usize)) -> Option<Bytes> {
+    (0..gateway.targets.len()).for_each(&fault);
+    let begun = caller.begin(gateway.callers(), &format!("{}?bytes={SIZE}", path())).await.expect("a head");
+    let healthy = gateway.targets.iter().filter(|t| t.ran() == 0);
+    healthy.for_each(|t| {
+        t.set_behaviour(|b| {
+            b.stall_at = None;
+            b.cut_at = None;
+        });
+    });
+    begun.finish().await.ok().map(|r| r.body)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_download_that_is_cut_or_stalls_is_continued() {
+    let expected = sha256(&content(&path(), SIZE));
+    for caller in [Caller::default(), Caller::http2()] {
+        for stalls in [false, true] {
+            let gateway = gateway(2).await;
+            let body = download_with_fault(&gateway, &caller, |i| {
+                gateway.targets[i].set_behaviour(|b| {
+                    b.cut_at = (!stalls).then_some(FAULT_AT);
+                    b.stall_at = stalls.then_some(FAULT_AT);
+                });
+            });
+            assert_eq!(sha256(&body.await.expect("a whole answer")), expected, "stalls: {stalls}");
+            let ranges = gateway.targets.iter().flat_map(TargetStandIn::seen);
+            let ranges = ranges.filter(|r| r.headers.contains_key("if-range")).count();
+            assert!(ranges >= 1, "the answer was continued by range");
+            wait_until(|| in_flight(&gateway) == 0).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_download_outlives_the_death_of_its_target() {
+    let mut gateway = gateway(2).await;
+    gateway.targets.iter().for_each(|t| t.set_behaviour(|b| b.stall_at = Some(FAULT_AT)));
+    let request = format!("{}?bytes={SIZE}", path());
+    let begun = Caller::default().begin(gateway.callers(), &request).await.expect("a head");
+    let serving = gateway.targets.iter().position(|t| t.ran() > 0).expect("one runs it");
+    drop(gateway.targets.remove(serving));
+    gateway.targets[0].set_behaviour(|b| b.stall_at = None);
+    let body = begun.finish().await.expect("a whole answer").body;
+    assert_eq!(sha256(&body), sha256(&content(&path(), SIZE)));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_download_is_not_spliced_from_other_content() {
+    for etag in [EtagKind::Weak, EtagKind::Absent, EtagKind::Differing] {
+        let gateway = gateway(2).await;
+        let fault = |i: usize| {
+            gateway.targets[i].set_behaviour(|b| {
+                b.cut_at = Some(FAULT_AT);
+                b.etag = etag;
+            });
+        };
+        let body = download_with_fault(&gateway, &Caller::default(), fault).await;
+        assert!(body.is_none(), "{etag:?}: an answer that can't be continued ends as an error");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_download_without_length_is_whole_or_an_error() {
+    let gateway = gateway(1).await;
+    gateway.targets[0].set_behaviour(|b| b.framing = Framing::Chunked);
+    let caller = Caller::default();
+    let request = format!("{}?bytes={SIZE}", path());
+    let whole = caller.get(gateway.callers(), &request).await.expect("a whole answer").body;
+    assert_eq!(sha256(&whole), sha256(&content(&path(), SIZE)));
+    gateway.targets[0].set_behaviour(|b| b.stall_at = Some(FAULT_AT));
+    assert!(caller.get(gateway.callers(), &request).await.is_err());
+}
+
+/// The caller reads nothing for longer than a full buffer may hold a slot.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slow_caller_holds_no_slot_and_gets_its_whole_answer() {
+    // More than the buffers of loopback sockets take.
+    let size = 24 << 20;
+    let gateway = gateway(2).await;
+    let request = format!("{}?bytes={size}", path());
+    let begun = Caller::default().begin(gateway.callers(), &request).await.expect("a head");
+    assert_eq!(in_flight(&gateway), 1);
+    wait_until(|| in_flight(&gateway) == 0).await;
+    assert_eq!(gateway.ran(), 1, "the slot was freed before the answer was continued");
+    let body = begun.finish().await.expect("a whole answer").body;
+    assert_eq!(sha256(&body), sha256(&content(&path(), size)));
+    assert!(gateway.ran() > 1);
+}
+
+/// Without a validator the target waits for the caller, but not for ever.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_takes_nothing_is_cut_off_where_no_other_target_can_continue() {
+    let size = 24 << 20;
+    let gateway = gateway(1).await;
+    gateway.targets[0].set_behaviour(|b| b.etag = EtagKind::Absent);
+    let request = format!("{}?bytes={size}", path());
+    let begun = Caller::default().begin(gateway.callers(), &request).await.expect("a head");
+    wait_until(|| in_flight(&gateway) == 0).await;
+    assert!(begun.finish().await.is_err(), "a cut answer is not taken as whole");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_long_upload_is_passed_on_whole() {
+    let gateway = gateway(2).await;
+    let body = content("upload", 8 << 20);
+    for (caller, method) in [
+        (Caller::default(), Method::PUT),
+        (Caller::default(), Method::POST),
+        (Caller::http2(), Method::PUT),
+        (Caller::http2(), Method::POST),
+    ] {
+        let answer = caller.call(method.clone(), gateway.callers(), &path(), None, body.clone()).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.outcome(), "ran");
+        assert_eq!(answer.headers[RECEIVED], format!("{}:{}", body.len(), sha256(&body)), "{method}");
+    }
+    assert_eq!(gateway.ran(), 4);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_idempotent_upload_is_sent_again_and_a_long_one_is_not() {
+    for (size, sends) in [(100_000, 2), (2 << 20, 1)] {
+        let gateway = gateway(2).await;
+        gateway.targets.iter().for_each(|t| t.set_behaviour(|b| b.fail_fast = true));
+        let body = content("upload", size);
+        let answer = Caller::default().call(Method::PUT, gateway.callers(), &path(), None, body).await;
+        if let Ok(answer) = answer {
+            assert!(answer.status >= 500, "{}", answer.status);
+        }
+        let seen = gateway.targets.iter().map(|t| t.seen().len()).sum::<usize>();
+        if sends == 1 {
+            assert_eq!(seen, 1, "{size} bytes");
+        } else {
+            assert!(seen >= sends, "{size} bytes: {seen} sends");
+        }
+    }
+}
+
+/// An upload that takes longer than the deadline of a call is not cut off while it moves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upload_has_no_total_time_limit() {
+    let settings = serde_json::json!({"progress_timeout_ms": 500});
+    let options = GatewayOptions { targets: 1, deadline_ms: 300, settings, ..GatewayOptions::default() };
+    let gateway = Gateway::start(options).await.expect("the gateway starts");
+    let pieces = futures::stream::unfold(0, |sent| async move {
+        tokio::time::sleep(Duration::from_millis(80)).await;
+        let frame = hyper::body::Frame::data(Bytes::from(vec![1; 40_000]));
+        (sent < 12).then_some((Ok::<_, std::convert::Infallible>(frame), sent + 1))
+    });
+    let stream = tokio::net::TcpStream::connect(gateway.callers()).await.expect("the instance accepts");
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.expect("a connection");
+    let driver = tokio::spawn(connection);
+    let request = hyper::Request::post(path()).header("host", "x");
+    let request = request.body(http_body_util::StreamBody::new(Box::pin(pieces))).expect("a request");
+    let answer = sender.send_request(request).await.expect("an answer");
+    assert_eq!(answer.headers()["arbutusshelf-outcome"], "ran");
+    assert!(answer.headers()[RECEIVED].to_str().expect("text").starts_with("480000:"));
+    drop(answer.into_body().collect().await);
+    driver.abort();
+}
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -120,6 +120,12 @@
         line
     }
 
+    /// Sends a signal by name, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([&format!("-{name}"), &self.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success(), "the signal was sent");
+    }
+
     /// Waits for the end of the process.
     pub fn wait_end(&mut self) -> Option<i32> {
         let started = Instant::now();
