--- a/src/observe/svg.rs
+++ b/src/observe/svg.rs
@@ -126,7 +126,7 @@
         MarkKind::Started => RGBColor(90, 200, 220),
         MarkKind::Leaving => RGBColor(142, 68, 173),
         MarkKind::StoreLost => RGBColor(20, 20, 20),
-        MarkKind::StoreBack => RGBColor(170, 170, 170),
+        MarkKind::StoreBack => RGBColor(0, 150, 136),
     }
 }
 
--- a/src/plan/sheet.rs
+++ b/src/plan/sheet.rs
@@ -100,11 +100,90 @@
 /// Columns of the section that is being read: name to position from 0.
 type Columns = HashMap<&'static str, usize>;
 
+/// One column of a sheet's section, as the reader takes it; budgets are listed by their names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SheetColumn {
+    /// Section without brackets.
+    pub section: String,
+    /// Column, or name of the budget.
+    pub column: String,
+    /// Whether it must be filled in.
+    pub required: bool,
+    /// Least and greatest value, of numbers.
+    pub range: Option<(String, String)>,
+    /// Value of an empty cell, of numbers that may be left out.
+    pub default: Option<String>,
+}
+
+/// Returns every column of every section.
+pub fn columns() -> Vec<SheetColumn> {
+    let mut reader = SheetReader { asked: Some(Vec::new()), ..SheetReader::default() };
+    for section in Section::ALL {
+        let names = section.columns().iter().map(|(name, _)| *name);
+        reader.columns = names.clone().zip(0..).collect();
+        // An empty entry asks for every number; the crest is the action that has one.
+        let cells = names.map(|name| if name == "action" { "crest".to_owned() } else { String::new() });
+        let line = Line { number: 0, cells: cells.collect() };
+        match section {
+            Section::Budgets => BUDGETS.iter().for_each(|name| {
+                reader.read_entry(section, &Line { number: 0, cells: vec![(*name).to_owned()] });
+            }),
+            _ => reader.read_entry(section, &line),
+        }
+    }
+    let asked = reader.asked.unwrap_or_default();
+    Section::ALL.into_iter().flat_map(|section| section_columns(section, &asked)).collect()
+}
+
+fn section_columns(section: Section, asked: &[AskedNumber]) -> Vec<SheetColumn> {
+    let names = match section {
+        Section::Budgets => BUDGETS.iter().map(|name| (*name, false)).collect(),
+        _ => section.columns().to_vec(),
+    };
+    let describe = |(column, required): (&str, bool)| {
+        let number = asked.iter().find(|a| a.section == section && a.column == column);
+        SheetColumn {
+            section: section.to_string(),
+            column: column.to_owned(),
+            required,
+            range: number.map(|n| (n.min.clone(), n.max.clone())),
+            default: number.and_then(|n| n.default.clone()),
+        }
+    };
+    names.into_iter().map(describe).collect()
+}
+
+/// Names of the budgets.
+const BUDGETS: [&str; 5] = [
+    "max_instances",
+    "probes_per_target_per_s",
+    "store_writes_per_s",
+    "store_reads_per_s",
+    "control_bytes_per_s",
+];
+
+fn budget_names() -> String {
+    let (last, others) = BUDGETS.split_last().expect("there are budgets");
+    format!("{} or {last}", others.join(", "))
+}
+
+/// A number that the reader asked for.
+struct AskedNumber {
+    section: Section,
+    column: String,
+    min: String,
+    max: String,
+    default: Option<String>,
+}
+
 /// One entry of a section, read cell by cell.
 struct Entry<'a> {
+    section: Section,
     line: &'a Line,
     columns: &'a Columns,
     faults: &'a mut Vec<SheetFault>,
+    /// Numbers that were asked for, while the columns are listed.
+    asked: Option<&'a mut Vec<AskedNumber>>,
 }
 
 impl Entry<'_> {
@@ -131,6 +210,7 @@
     where
         T: FromStr + PartialOrd + fmt::Display + Copy,
     {
+        self.ask(column, default, min, max);
         if self.cell(column).is_empty() && default.is_some() {
             return default;
         }
@@ -143,6 +223,22 @@
         }
         Some(value)
     }
+
+    fn ask<T: fmt::Display>(&mut self, column: &str, default: Option<T>, min: T, max: T) {
+        // A budget's number is in the column of values and goes by the budget's name.
+        let name = if self.section == Section::Budgets { self.cell("name") } else { column }.to_owned();
+        let section = self.section;
+        let default = default.map(|d| d.to_string());
+        if let Some(asked) = &mut self.asked {
+            asked.push(AskedNumber {
+                section,
+                column: name,
+                min: min.to_string(),
+                max: max.to_string(),
+                default,
+            });
+        }
+    }
 }
 
 /// Reads a sheet into a plan without version and change id.
@@ -225,6 +321,8 @@
     names: HashSet<(Section, String)>,
     references: Vec<Reference>,
     faults: Vec<SheetFault>,
+    /// Numbers that were asked for, while the columns are listed.
+    asked: Option<Vec<AskedNumber>>,
 }
 
 impl SheetReader {
@@ -287,7 +385,9 @@
     fn read_entry(&mut self, section: Section, line: &Line) {
         let columns = std::mem::take(&mut self.columns);
         let mut faults = std::mem::take(&mut self.faults);
-        let entry = &mut Entry { line, columns: &columns, faults: &mut faults };
+        let mut asked = self.asked.take();
+        let entry =
+            &mut Entry { section, line, columns: &columns, faults: &mut faults, asked: asked.as_mut() };
         match section {
             Section::Budgets => self.read_budget(entry),
             Section::Instances => self.read_instance(entry),
@@ -298,6 +398,7 @@
         }
         self.columns = columns;
         self.faults = faults;
+        self.asked = asked;
     }
 
     /// Records a new name and faults a repeated one.
@@ -344,13 +445,7 @@
             "control_bytes_per_s" => {
                 set(&mut budgets.control_bytes_per_s, entry.ranged("value", None, 1_000, 1_000_000_000));
             }
-            _ => entry.fault(
-                "name",
-                format!(
-                    "name: expected max_instances, probes_per_target_per_s, store_writes_per_s, \
-                     store_reads_per_s or control_bytes_per_s, found {name:?}"
-                ),
-            ),
+            _ => entry.fault("name", format!("name: expected {}, found {name:?}", budget_names())),
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -103,7 +103,7 @@
         let Value::Object(fields) = value else {
             return Err(Error::new(ErrorKind::Settings, "settings must be one JSON object"));
         };
-        let mut reader = Reader { fields, faults: Vec::new() };
+        let mut reader = Reader { fields, ..Reader::default() };
         let config = read_config(&mut reader);
         reader.refuse_unknown();
         match config {
@@ -113,14 +113,56 @@
     }
 }
 
+/// One field of a settings file, as the reader takes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsField {
+    /// Name.
+    pub name: String,
+    /// Whether it must be present.
+    pub required: bool,
+    /// Least and greatest value and the value when absent, of numbers.
+    pub number: Option<NumberRange>,
+}
+
+/// Range of a number in a settings file.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NumberRange {
+    /// Least value.
+    pub min: u64,
+    /// Greatest value.
+    pub max: u64,
+    /// Value when the field is absent.
+    pub default: u64,
+}
+
+/// Returns every field of a settings file, in the order in which they are read.
+pub fn fields() -> Vec<SettingsField> {
+    let mut reader = Reader::default();
+    // Reading an empty object asks for every field.
+    let _incomplete = read_config(&mut reader);
+    reader.asked
+}
+
 /// Takes fields out of an object and collects faults.
+#[derive(Default)]
 struct Reader {
     fields: Map<String, Value>,
     faults: Vec<String>,
+    /// Fields that were asked for.
+    asked: Vec<SettingsField>,
 }
 
 impl Reader {
+    fn ask(&mut self, name: &str, required: bool, number: Option<NumberRange>) {
+        self.asked.push(SettingsField { name: name.to_owned(), required, number });
+    }
+
     fn optional<T: DeserializeOwned>(&mut self, name: &str) -> Option<T> {
+        self.ask(name, false, None);
+        self.take(name)
+    }
+
+    fn take<T: DeserializeOwned>(&mut self, name: &str) -> Option<T> {
         let value = self.fields.remove(name)?;
         if value.is_null() {
             return None;
@@ -135,16 +177,18 @@
     }
 
     fn required<T: DeserializeOwned>(&mut self, name: &str) -> Option<T> {
+        self.ask(name, true, None);
         if self.fields.get(name).is_none_or(Value::is_null) {
             self.fields.remove(name);
             self.faults.push(format!("{name}: required"));
             return None;
         }
-        self.optional(name)
+        self.take(name)
     }
 
     fn ranged(&mut self, name: &str, default: u64, range: std::ops::RangeInclusive<u64>) -> u64 {
-        let value = self.optional(name).unwrap_or(default);
+        self.ask(name, false, Some(NumberRange { min: *range.start(), max: *range.end(), default }));
+        let value = self.take(name).unwrap_or(default);
         if !range.contains(&value) {
             self.faults.push(format!("{name}: expected {} to {}, got {value}", range.start(), range.end()));
         }
