Test that log lines can't be forged and floods are limited

Cause: nothing proved that hostile text stays one line or that a flood is limited and counted. Change: tests over hostile and arbitrary text, and of the limiter in passed-in time. Figures: of 100,000 lines of one event in 10 s at 10 lines a second, 119 to 120 pass; 257 event names are told apart at most.

--- /dev/null
+++ b/tests/log_limits.rs
@@ -0,0 +1,135 @@
+//! Log lines: none can be forged by text from outside, and floods are limited and counted.
+
+use std::time::Duration;
+
+use arbutusshelf::{
+    logging::{
+        self, Quoted,
+        escape::Hidden,
+        limit::{Dropped, Limiter},
+    },
+    units::MonoTime,
+};
+use log::LevelFilter;
+use quickcheck::{Arbitrary, Gen};
+
+const HOSTILE: [&str; 8] = [
+    "x\nat_ms=1 level=ERROR module=a event=forged",
+    "x\r\nat_ms=1 level=ERROR module=a event=forged",
+    "x\u{2028}at_ms=1 level=ERROR module=a event=forged",
+    "x\u{85}at_ms=1 level=ERROR module=a event=forged",
+    "x\u{1b}[2K\u{1b}[1Gat_ms=1 level=ERROR module=a event=forged",
+    "x\" event=forged",
+    "x\\\" event=forged",
+    "x\u{202e}degrof",
+];
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::default() + Duration::from_millis(ms)
+}
+
+/// Returns the keys of a line, as a reader that knows quotes and escapes sees them.
+fn keys(line: &str) -> Vec<String> {
+    let mut keys = Vec::new();
+    let mut word = String::new();
+    let (mut quoted, mut escaped) = (false, false);
+    for c in line.chars().chain([' ']) {
+        match c {
+            _ if escaped => escaped = false,
+            '\\' => escaped = true,
+            '"' => quoted = !quoted,
+            ' ' if !quoted => {
+                let done = std::mem::take(&mut word);
+                keys.extend(done.split_once('=').map(|(key, _)| key.to_owned()));
+            }
+            _ if !quoted => word.push(c),
+            _ => {}
+        }
+    }
+    keys
+}
+
+fn assert_one_plain_line(line: &str) {
+    let body = line.strip_suffix('\n').expect("a line ends");
+    let ends = |c: char| c.is_control() || ('\u{2028}'..='\u{202e}').contains(&c);
+    assert!(!body.contains(ends), "{body:?}");
+}
+
+#[test]
+fn quoted_text_can_neither_end_a_line_nor_add_a_key() {
+    for text in HOSTILE {
+        let message = format!("event=call-refused path={} cause=bad-request", Quoted(text));
+        let line = logging::line(1, LevelFilter::Info, "arbutusshelf::proxy", &message);
+        assert_one_plain_line(&line);
+        assert_eq!(keys(&line), ["at_ms", "level", "module", "event", "path", "cause"], "{line:?}");
+    }
+}
+
+#[test]
+fn arbitrary_text_stays_one_line_even_where_nobody_quoted_it() {
+    for seed in 0..500 {
+        let random = &mut Gen::from_size_and_seed(300, seed);
+        let text = String::arbitrary(random);
+        let line = logging::line(1, LevelFilter::Info, "m", &format!("event=x error={text}"));
+        assert_one_plain_line(&line);
+        let line = logging::line(1, LevelFilter::Info, "m", &format!("event=x text={} end=1", Quoted(&text)));
+        assert_eq!(keys(&line), ["at_ms", "level", "module", "event", "text", "end"], "{line:?}");
+    }
+    for text in HOSTILE {
+        assert_one_plain_line(&logging::line(1, LevelFilter::Info, "m", text));
+    }
+}
+
+#[test]
+fn long_text_is_cut_and_keys_are_hidden() {
+    let long = "a".repeat(1_000_000);
+    assert!(Quoted(&long).to_string().len() <= 202);
+    assert!(logging::line(1, LevelFilter::Info, "m", &long).len() < 5_000);
+    let hidden = Hidden("claim/mietkasse/card-4711").to_string();
+    assert!(!hidden.contains("4711") && hidden.starts_with("sha256:"), "{hidden}");
+    assert_ne!(hidden, Hidden("claim/mietkasse/card-4712").to_string());
+}
+
+#[test]
+fn a_flood_is_limited_and_what_it_lost_is_told_when_it_ends() {
+    let mut limiter = Limiter::new(10);
+    let mut passed = 0;
+    for call in 0..100_000_u64 {
+        passed += u64::from(limiter.admit(at(call / 10), "proxy", "call-refused"));
+    }
+    // 10 s at 10 lines a second, and a burst of 20.
+    assert!((119..=120).contains(&passed), "{passed} lines passed");
+    assert!(limiter.admit(at(9_999), "proxy", "other-event"), "another event has its own limit");
+    assert!(limiter.admit(at(9_999), "admin", "call-refused"), "another module has its own limit");
+    assert_eq!(limiter.take_due(at(9_999)), [], "the flood goes on");
+    let due = limiter.take_due(at(11_000));
+    let lines = 100_000 - passed;
+    assert_eq!(due, [Dropped { module: "proxy".to_owned(), event: "call-refused".to_owned(), lines }]);
+    assert_eq!(limiter.take_due(at(12_000)), [], "it is told once");
+    assert_eq!(limiter.take_dropped_total(), lines);
+}
+
+#[test]
+fn a_flood_that_goes_on_is_told_every_ten_seconds() {
+    let mut limiter = Limiter::new(10);
+    let mut told = 0;
+    for ms in 0..60_000 {
+        limiter.admit(at(ms), "proxy", "call-refused");
+        told += limiter.take_due(at(ms)).len();
+    }
+    assert_eq!(told, 5);
+}
+
+#[test]
+fn memory_stays_bounded_whatever_events_come() {
+    let mut limiter = Limiter::new(10);
+    for number in 0..100_000_u64 {
+        limiter.admit(
+            at(number / 10),
+            &format!("module-{}", number % 7),
+            &"event".repeat(number as usize % 50),
+        );
+        limiter.admit(at(number / 10), "proxy", &format!("event-{number}"));
+    }
+    assert!(limiter.tracked() <= 257, "{} pairs are tracked", limiter.tracked());
+}
