--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! Operators' HTTP: health, plan, targets, peers and the report.
 
 pub mod client;
+pub mod explain;
 pub mod submit;
 
 use std::{sync::Arc, time::Duration};
@@ -130,6 +131,9 @@
         (&Method::GET, "/plan/status") => json_reply(&plan_status(kernel)),
         (&Method::GET, "/targets") => json_reply(&targets(kernel)),
         (&Method::GET, "/members") => json_reply(&kernel.members.view(kernel.clock.now())),
+        (&Method::GET, "/explain") => {
+            json_reply(&explain::explain(kernel, request.uri().query().unwrap_or_default())?)
+        }
         (&Method::GET, "/report") => json_reply(&observe::report(kernel).await),
         (&Method::GET, "/metrics") => {
             observe::count(kernel);
--- a/src/kernel/pools.rs
+++ b/src/kernel/pools.rs
@@ -18,8 +18,9 @@
         pool::{Pool, PoolSettings},
     },
     error::ErrorKind,
+    observe::choices::{ChoiceRing, ChoiceView},
     plan::{Plan, ServiceSpec, TargetSpec},
-    units::{CallId, DataCentre, ServiceName, TargetId},
+    units::{CallId, DataCentre, RunId, ServiceName, TargetId},
 };
 
 /// What one call must do next.
@@ -58,6 +59,7 @@
     calls: HashMap<CallId, mpsc::UnboundedSender<Directive>>,
     /// Reused between events to spare allocations; empty between two events.
     actions: Vec<Action>,
+    choices: ChoiceRing,
 }
 
 /// One service's pool with the calls it decides on.
@@ -71,7 +73,12 @@
 
 impl PoolCell {
     fn new(clock: Clock, pool: Pool) -> Self {
-        let state = CellState { pool, calls: HashMap::default(), actions: Vec::new() };
+        let state = CellState {
+            pool,
+            calls: HashMap::default(),
+            actions: Vec::new(),
+            choices: ChoiceRing::default(),
+        };
         Self { clock, state: Mutex::new(state), rewake: Notify::new() }
     }
 
@@ -105,11 +112,21 @@
         read(&self.lock().pool)
     }
 
+    /// Returns the latest choices of targets, latest first; `of` asks for those of one call.
+    pub fn choices(&self, run_id: RunId, of: Option<CallId>) -> Vec<ChoiceView> {
+        let state = self.lock();
+        state.choices.view(&state.pool, self.clock.now(), run_id, of)
+    }
+
     fn step(&self, state: &mut CellState, event: Event) {
-        let CellState { pool, calls, actions } = state;
+        let CellState { pool, calls, actions, choices } = state;
+        let now = self.clock.now();
         let wake_before = pool.next_wake();
-        pool.handle(self.clock.now(), event, actions);
+        pool.handle(now, event, actions);
         for action in actions.drain(..) {
+            if let Action::Send { call, attempt, target } = action {
+                choices.note(now, call, attempt, target, pool);
+            }
             deliver(pool.spec(), calls, &action);
         }
         if pool.next_wake() != wake_before {
--- a/src/observe/choices.rs
+++ b/src/observe/choices.rs
@@ -8,69 +8,160 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    collections::HashMap,
-    units::{ServiceName, TargetId},
+    decide::{Attempt, TargetIndex, pool::Pool},
+    units::{CallId, MonoTime, RunId, ServiceName, TargetId},
 };
 
 /// Choices kept of one service.
-const KEPT_CHOICES: usize = 128;
+pub const KEPT_CHOICES: usize = 128;
 
-/// One choice: a call's attempt went to a target.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Choice {
-    /// Identifier of the request.
+/// Identifiers of callers' own kept.
+const KEPT_NAMES: usize = 1_024;
+
+/// One choice, with what this instance had in flight at each target right after it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Choice {
+    at: MonoTime,
+    call: CallId,
+    attempt: Attempt,
+    target: TargetIndex,
+    in_flight: Vec<u32>,
+}
+
+/// Latest choices of one pool; lives under the pool's lock.
+#[derive(Debug, Default)]
+pub struct ChoiceRing {
+    /// Invariant: at most [`KEPT_CHOICES`], oldest first.
+    kept: VecDeque<Choice>,
+}
+
+impl ChoiceRing {
+    /// Keeps a choice in place of the oldest one.
+    pub fn note(&mut self, at: MonoTime, call: CallId, attempt: Attempt, target: TargetIndex, pool: &Pool) {
+        // The oldest entry's list is used again, so a full ring allocates nothing.
+        let full = self.kept.len() == KEPT_CHOICES;
+        let oldest = if full { self.kept.pop_front() } else { None };
+        let mut in_flight = oldest.map(|c| c.in_flight).unwrap_or_default();
+        in_flight.clear();
+        in_flight.extend(pool.own_in_flight());
+        self.kept.push_back(Choice { at, call, attempt, target, in_flight });
+    }
+
+    /// Returns the choices as operators see them, latest first; `of` asks for those of one call.
+    pub fn view(&self, pool: &Pool, now: MonoTime, run_id: RunId, of: Option<CallId>) -> Vec<ChoiceView> {
+        let wanted = self.kept.iter().rev().filter(|c| of.is_none_or(|of| of == c.call));
+        wanted.map(|choice| view(choice, pool, now, run_id)).collect()
+    }
+}
+
+/// One target as it stood at a choice.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CandidateView {
+    /// Target.
+    pub target: TargetId,
+    /// Requests of this instance in flight there, right after the choice.
+    pub in_flight: u32,
+    /// Slots.
+    pub slots: u32,
+    /// Whether the call went there.
+    pub chosen: bool,
+}
+
+/// One choice as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChoiceView {
+    /// Identifier of the request, unless the caller gave its own.
     pub request_id: String,
-    /// When, in milliseconds since the Unix epoch.
-    pub at_unix_ms: u64,
+    /// Service.
+    pub service: ServiceName,
+    /// Time since the choice, in milliseconds.
+    pub age_ms: u64,
     /// Which of the call's sends, from 0.
     pub attempt: u32,
-    /// Where it went.
-    pub target: TargetId,
-    /// Time the call had waited by then, in milliseconds.
-    pub waited_ms: f64,
     /// Why, in words.
     pub reason: String,
+    /// All targets as they stood.
+    pub candidates: Vec<CandidateView>,
 }
 
-/// Latest choices by service.
+fn view(choice: &Choice, pool: &Pool, now: MonoTime, run_id: RunId) -> ChoiceView {
+    let specs = pool.spec().targets.iter().zip(&choice.in_flight).enumerate();
+    let candidate = |(index, (spec, in_flight)): (usize, (&crate::plan::TargetSpec, &u32))| CandidateView {
+        target: spec.id.clone(),
+        in_flight: *in_flight,
+        slots: spec.slots,
+        chosen: index == choice.target.0,
+    };
+    let candidates = specs.map(candidate).collect::<Vec<_>>();
+    ChoiceView {
+        request_id: request_id(run_id, choice.call),
+        service: pool.spec().name.clone(),
+        age_ms: u64::try_from(now.since(choice.at).as_millis()).unwrap_or(u64::MAX),
+        attempt: choice.attempt.0,
+        reason: reason(choice, &candidates),
+        candidates,
+    }
+}
+
+fn reason(choice: &Choice, candidates: &[CandidateView]) -> String {
+    let Some(chosen) = candidates.iter().find(|c| c.chosen) else {
+        return "the target is no longer in the plan".to_owned();
+    };
+    // The chosen target's count has this call in it already.
+    let before = chosen.in_flight.saturating_sub(1);
+    let others = candidates.iter().filter(|c| !c.chosen);
+    let (free, full) = others.partition::<Vec<_>, _>(|c| c.in_flight < c.slots);
+    let why = match choice.attempt.0 {
+        0 => "first send",
+        _ => "repeated send after an earlier one ended or was slow",
+    };
+    format!(
+        "{why}: {} had {before} of {} slots used from here; of the other targets {} had a free slot and {} had none",
+        chosen.target,
+        chosen.slots,
+        free.len(),
+        full.len()
+    )
+}
+
+/// Returns the identifier of a call that has none from its caller.
+pub fn request_id(run_id: RunId, call: CallId) -> String {
+    format!("{run_id}-{call}")
+}
+
+/// Reads the call from an identifier that this run gave.
+pub fn parse_request_id(run_id: RunId, text: &str) -> Option<CallId> {
+    let (run, call) = text.split_once('-')?;
+    let of_this_run = run.parse::<RunId>().ok()? == run_id;
+    of_this_run.then(|| call.parse().ok()).flatten()
+}
+
+/// Returns whether a caller's own identifier is taken over: 8 to 64 letters, digits, `-`, `_` and `.`.
+pub fn is_well_formed(text: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    (8..=64).contains(&text.len()) && text.bytes().all(allowed)
+}
+
+/// Calls by the identifiers that callers gave them.
 #[derive(Debug, Default)]
-pub struct Choices {
-    /// Invariant: each list holds at most [`KEPT_CHOICES`], oldest first.
-    by_service: Mutex<HashMap<ServiceName, VecDeque<Choice>>>,
+pub struct CallerNames {
+    /// Invariant: at most [`KEPT_NAMES`], oldest first.
+    kept: Mutex<VecDeque<(String, CallId)>>,
 }
 
-impl Choices {
-    /// Keeps a choice in place of the oldest one.
-    pub fn note(&self, service: &ServiceName, choice: Choice) {
-        let mut by_service = self.by_service.lock().unwrap_or_else(PoisonError::into_inner);
-        if !by_service.contains_key(service) {
-            by_service.insert(service.clone(), VecDeque::with_capacity(KEPT_CHOICES));
-        }
-        let Some(kept) = by_service.get_mut(service) else {
-            return;
-        };
-        if kept.len() == KEPT_CHOICES {
+impl CallerNames {
+    /// Keeps the name of a call in place of the oldest one.
+    pub fn note(&self, name: &str, call: CallId) {
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        if kept.len() == KEPT_NAMES {
             kept.pop_front();
         }
-        kept.push_back(choice);
-    }
-
-    /// Returns the kept choices of a service, latest first.
-    pub fn of_service(&self, service: &ServiceName) -> Vec<Choice> {
-        let by_service = self.by_service.lock().unwrap_or_else(PoisonError::into_inner);
-        by_service.get(service).into_iter().flat_map(|kept| kept.iter().rev().cloned()).collect()
-    }
-
-    /// Returns the choices for one request, in the order of its sends.
-    pub fn of_request(&self, request_id: &str) -> Vec<Choice> {
-        let by_service = self.by_service.lock().unwrap_or_else(PoisonError::into_inner);
-        let all = by_service.values().flatten();
-        all.filter(|c| c.request_id == request_id).cloned().collect()
+        kept.push_back((name.to_owned(), call));
     }
 
-    /// Forgets services that are no longer in the plan.
-    pub fn retain(&self, keep: impl Fn(&ServiceName) -> bool) {
-        let mut by_service = self.by_service.lock().unwrap_or_else(PoisonError::into_inner);
-        by_service.retain(|service, _| keep(service));
+    /// Finds the latest call of a name.
+    pub fn find(&self, name: &str) -> Option<CallId> {
+        let kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.iter().rev().find(|(kept, _)| kept == name).map(|(_, call)| *call)
     }
 }
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -29,7 +29,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
 use self::{
-    choices::Choices,
+    choices::CallerNames,
     metrics::Metrics,
     minutes::RollUps,
     report::Report,
@@ -78,8 +78,8 @@
 pub struct Observer {
     /// Metrics.
     pub metrics: Metrics,
-    /// Latest choices of targets.
-    pub choices: Choices,
+    /// Identifiers that callers gave to calls.
+    pub caller_names: CallerNames,
     store_calls: Arc<StoreCalls>,
     store_reachable: AtomicBool,
     /// Marks of other parts since the last drain; at most [`MAX_WAITING_MARKS`].
@@ -103,7 +103,7 @@
         };
         Self {
             metrics: Metrics::new(&store_calls),
-            choices: Choices::default(),
+            caller_names: CallerNames::default(),
             store_calls,
             store_reachable: AtomicBool::new(true),
             waiting_marks: Mutex::default(),
@@ -188,7 +188,6 @@
         }
         state.roll_ups.mark(now_s, MarkKind::PlanInForce, plan.version.to_string());
         kernel.observer.metrics.follow(plan);
-        kernel.observer.choices.retain(|service| plan.service(service.as_str()).is_some());
         state.plan_since = Instant::now();
     }
     let known = Arc::clone(&state.plan);
