--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod deployment;
 pub mod http;
+pub mod observe_cost;
 pub mod plan_size;
 pub mod platform;
 pub mod store_outage;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, process::ExitCode};
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
-use arbutusshelf_bench::{plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour};
+use arbutusshelf_bench::{
+    observe_cost, plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour,
+};
 use argh::FromArgs;
 
 #[global_allocator]
@@ -23,6 +25,7 @@
     Tour(Tour),
     StoreOutage(store_outage::Args),
     PlanSize(plan_size::Args),
+    ObserveCost(observe_cost::Args),
     Platform(Platform),
     Target(Target),
 }
@@ -83,6 +86,10 @@
             plan_size::run(&args)?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::ObserveCost(args) => {
+            observe_cost::run(&args)?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::StoreOutage(args) => {
             store_outage::run(&args).await?;
             Ok(ExitCode::SUCCESS)
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -134,7 +134,7 @@
         (&Method::GET, "/explain") => {
             json_reply(&explain::explain(kernel, request.uri().query().unwrap_or_default())?)
         }
-        (&Method::GET, "/report") => json_reply(&observe::report(kernel).await),
+        (&Method::GET, "/report") => json_reply(&observe::report(kernel).await?),
         (&Method::GET, "/metrics") => {
             observe::count(kernel);
             Ok(metrics_reply(kernel.observer.metrics.encode(&snapshot::take(kernel))?))
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -123,6 +123,8 @@
     pub store_read_share_per_s: f64,
     /// Bytes a second that this instance may send to peers.
     pub control_budget_bytes_per_s: u64,
+    /// Memory of the process, in bytes.
+    pub resident_bytes: u64,
     /// Bytes of roll-ups kept.
     pub rollup_bytes: u64,
     /// Minutes of roll-ups that wait for the store.
@@ -162,6 +164,7 @@
     store_write_share: Fraction,
     store_read_share: Fraction,
     control_budget: Gauge,
+    resident_bytes: Gauge,
     rollup_bytes: Gauge,
     rollup_backlog: Gauge,
     /// Minutes of roll-ups given up for lack of room.
@@ -201,6 +204,7 @@
             store_write_share: Fraction::default(),
             store_read_share: Fraction::default(),
             control_budget: Gauge::default(),
+            resident_bytes: Gauge::default(),
             rollup_bytes: Gauge::default(),
             rollup_backlog: Gauge::default(),
             rollup_dropped: Counter::default(),
@@ -282,6 +286,8 @@
 
     fn register_observing(&mut self) {
         let registry = &mut self.registry;
+        let bytes = self.resident_bytes.clone();
+        registry.register_with_unit("process_resident", "Memory of the process", Unit::Bytes, bytes);
         let bytes = self.rollup_bytes.clone();
         registry.register_with_unit("rollup_kept", "Bytes of roll-ups in memory", Unit::Bytes, bytes);
         let backlog = self.rollup_backlog.clone();
@@ -387,6 +393,7 @@
         self.store_write_share.set(snapshot.store_write_share_per_s);
         self.store_read_share.set(snapshot.store_read_share_per_s);
         self.control_budget.set(signed(snapshot.control_budget_bytes_per_s));
+        self.resident_bytes.set(signed(snapshot.resident_bytes));
         self.rollup_bytes.set(signed(snapshot.rollup_bytes));
         self.rollup_backlog.set(signed(snapshot.rollup_backlog));
     }
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -26,18 +26,22 @@
     time::Duration,
 };
 
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio::{
+    task::spawn_blocking,
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout},
+};
 
 use self::{
     choices::CallerNames,
     metrics::Metrics,
     minutes::RollUps,
-    report::Report,
+    report::{Gathered, Report},
     rollup::{ControlCost, Mark, MarkKind, RunKey, UnixMinute},
     store::Cache,
     store_calls::StoreCalls,
 };
 use crate::{
+    error::{Error, ErrorKind, Result},
     kernel::Kernel,
     logging,
     plan::{IntendedAction, Plan},
@@ -255,7 +259,11 @@
 }
 
 /// Makes the burn report from the roll-ups of all instances.
-pub async fn report(kernel: &Kernel) -> Report {
+///
+/// # Errors
+///
+/// [`ErrorKind::File`] when the runtime ends meanwhile.
+pub async fn report(kernel: &Kernel) -> Result<Report> {
     let mut cache = kernel.observer.reporting.lock().await;
     count(kernel);
     let now_s = unix_s();
@@ -264,11 +272,19 @@
     let reads_per_s = f64::from(budgets.store_reads_per_s) / f64::from(budgets.max_instances);
     let platform = kernel.store.view(Purpose::Report);
     let mut gathered = store::gather(&platform, &mut cache, UnixMinute::of_second(now_s), reads_per_s).await;
+    add_own(kernel, &plan, &mut gathered);
+    drop(cache);
+    let instance = kernel.config.instance.clone();
+    // Merging a day takes up to seconds at 68 services, which no worker of the pool should be held for.
+    let merged = spawn_blocking(move || report::make(&instance, &plan, &gathered, now_s)).await;
+    merged.map_err(|e| Error::new(ErrorKind::File, format!("report: {e}")))
+}
+
+/// Adds what this instance has in memory, which the store may not have yet.
+fn add_own(kernel: &Kernel, plan: &Plan, gathered: &mut Gathered) {
     let state = kernel.observer.state();
-    gathered.minutes.extend(state.roll_ups.minutes(&plan, kernel.observer.cost()));
+    gathered.minutes.extend(state.roll_ups.minutes(plan, kernel.observer.cost()));
     gathered.hours.extend(state.roll_ups.hours());
-    drop(state);
-    report::make(&kernel.config.instance, &plan, &gathered, now_s)
 }
 
 /// Returns the wall clock in seconds since the Unix epoch.
--- a/src/observe/snapshot.rs
+++ b/src/observe/snapshot.rs
@@ -1,5 +1,7 @@
 //! Reads the state of the instance for the metrics page.
 
+use std::fs;
+
 use super::metrics::{PeerGauges, QueueGauges, Snapshot, TargetGauges};
 use crate::{decide::pool::Pool, kernel::Kernel, plan::Plan, units::ServiceName};
 
@@ -24,6 +26,7 @@
         store_write_share_per_s: f64::from(plan.budgets.store_writes_per_s) * share,
         store_read_share_per_s: f64::from(plan.budgets.store_reads_per_s) * share,
         control_budget_bytes_per_s: u64::from(plan.budgets.control_bytes_per_s),
+        resident_bytes: resident_bytes(),
         rollup_bytes,
         rollup_backlog,
     }
@@ -51,6 +54,16 @@
     QueueGauges { service: service.to_string(), waiting: 0 }
 }
 
+/// Bytes of one page, on the processors that the deployments run on.
+const PAGE_BYTES: u64 = 4_096;
+
+/// Reads the memory of this process from the kernel; 0 where it does not tell.
+fn resident_bytes() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
 fn peers(kernel: &Kernel) -> PeerGauges {
     let mut gauges = PeerGauges::default();
     for member in kernel.members.view(kernel.clock.now()) {
--- a/tests/observe_metrics.rs
+++ b/tests/observe_metrics.rs
@@ -72,12 +72,15 @@
     let rows = documentation.lines().filter(|l| l.starts_with("| `arbutusshelf_"));
     let mut listed = BTreeSet::new();
     for row in rows {
-        let cells = row.trim_matches('|').split('|').map(|c| c.trim().replace('`', "")).collect::<Vec<_>>();
-        assert_eq!(cells.len(), 5, "{row}");
-        assert!(!cells[4].is_empty(), "what to do is missing in {row}");
-        let unit =
-            if matches!(cells[2].as_str(), "seconds" | "bytes") { cells[2].clone() } else { String::new() };
-        listed.insert((cells[0].clone(), cells[1].clone(), unit));
+        let columns = row.trim_matches('|').split('|').map(|c| c.trim().replace('`', "")).collect::<Vec<_>>();
+        assert_eq!(columns.len(), 5, "{row}");
+        assert!(!columns[4].is_empty(), "what to do is missing in {row}");
+        let unit = if matches!(columns[2].as_str(), "seconds" | "bytes") {
+            columns[2].clone()
+        } else {
+            String::new()
+        };
+        listed.insert((columns[0].clone(), columns[1].clone(), unit));
     }
     assert_eq!(listed, given);
 }
