Test operators' pages over running instances; a flood of faulty requests to watch

Cause: nothing proved that a left instance's counts reach another's report, or that the pages ask for the token. Change: tests over instances on loopback; bench flood.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod deployment;
+pub mod flood;
 pub mod http;
 pub mod observe_cost;
 pub mod plan_size;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,7 +4,7 @@
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
 use arbutusshelf_bench::{
-    observe_cost, plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour,
+    flood, observe_cost, plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour,
 };
 use argh::FromArgs;
 
@@ -26,6 +26,7 @@
     StoreOutage(store_outage::Args),
     PlanSize(plan_size::Args),
     ObserveCost(observe_cost::Args),
+    Flood(flood::Args),
     Platform(Platform),
     Target(Target),
 }
@@ -86,6 +87,10 @@
             plan_size::run(&args)?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Flood(args) => {
+            flood::run(&args).await?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::ObserveCost(args) => {
             observe_cost::run(&args)?;
             Ok(ExitCode::SUCCESS)
--- a/src/observe/choices.rs
+++ b/src/observe/choices.rs
@@ -24,7 +24,7 @@
     at: MonoTime,
     call: CallId,
     attempt: Attempt,
-    target: TargetIndex,
+    target: TargetId,
     in_flight: Vec<u32>,
 }
 
@@ -44,6 +44,7 @@
         let mut in_flight = oldest.map(|c| c.in_flight).unwrap_or_default();
         in_flight.clear();
         in_flight.extend(pool.own_in_flight());
+        let target = pool.spec().targets[target.0].id.clone();
         self.kept.push_back(Choice { at, call, attempt, target, in_flight });
     }
 
@@ -85,12 +86,12 @@
 }
 
 fn view(choice: &Choice, pool: &Pool, now: MonoTime, run_id: RunId) -> ChoiceView {
-    let specs = pool.spec().targets.iter().zip(&choice.in_flight).enumerate();
-    let candidate = |(index, (spec, in_flight)): (usize, (&crate::plan::TargetSpec, &u32))| CandidateView {
+    let specs = pool.spec().targets.iter().zip(&choice.in_flight);
+    let candidate = |(spec, in_flight): (&crate::plan::TargetSpec, &u32)| CandidateView {
         target: spec.id.clone(),
         in_flight: *in_flight,
         slots: spec.slots,
-        chosen: index == choice.target.0,
+        chosen: spec.id == choice.target,
     };
     let candidates = specs.map(candidate).collect::<Vec<_>>();
     ChoiceView {
--- /dev/null
+++ b/tests/observe_admin.rs
@@ -0,0 +1,134 @@
+//! Operators' pages of a running instance, and the log of its callers' hostile requests.
+
+mod testenv;
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+};
+
+use arbutusshelf::{
+    admin::{client::call, explain::Explanation, submit::Accepted},
+    error::ErrorKind,
+    observe::{coverage::RunState, report::Report, window::Window},
+};
+use arbutusshelf_bench::{
+    client::Caller,
+    deployment::{ANY_PORT, Deployment, LocalInstance, Targets},
+    platform::PlatformStandIn,
+};
+use bytes::Bytes;
+use hyper::Method;
+use testenv::TestEnv;
+
+/// Instances over one platform with the plan of a deployment in force.
+struct Stage {
+    instances: Vec<LocalInstance>,
+    _platform: PlatformStandIn,
+    _targets: Targets,
+}
+
+impl Stage {
+    async fn start(instances: usize) -> Self {
+        let platform = PlatformStandIn::start(ANY_PORT, 1).await.expect("loopback has a free port");
+        let targets = Targets::start(Deployment::Kremsau).await.expect("loopback has free ports");
+        let mut started = Vec::new();
+        for number in 1..=instances {
+            let name = format!("kremsau-0{number}");
+            let instance = LocalInstance::start(&name, "ost-a", platform.server.address);
+            started.push(instance.await.expect("the instance starts"));
+        }
+        let sheet = Bytes::from(targets.sheet.clone());
+        let admin = started[0].admin();
+        call::<Accepted>(Method::POST, admin, "/plan/submit?change-id=first", None, sheet)
+            .await
+            .expect("the sheet is accepted");
+        for instance in &started {
+            let mut plans = instance.kernel.plan.watch();
+            plans.wait_for(|plan| plan.version > 0.into()).await.expect("the kernel lives");
+            while instance.kernel.ready().is_err() {
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+        }
+        Self { instances: started, _platform: platform, _targets: targets }
+    }
+
+    async fn calls(&self, instance: usize, path: &str, calls: usize) {
+        for _ in 0..calls {
+            let received = Caller::default().get(self.instances[instance].callers(), path).await;
+            assert_eq!(received.expect("an answer").status, 200);
+        }
+    }
+}
+
+async fn get<T: serde::de::DeserializeOwned>(admin: SocketAddr, path: &str) -> T {
+    call(Method::GET, admin, path, None, Bytes::new()).await.expect("the page is there")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_an_instance_counted_before_it_left_is_in_the_report_of_another() {
+    let mut stage = Stage::start(2).await;
+    stage.calls(0, "/hallenplan/today", 5).await;
+    stage.calls(1, "/hallenplan/today", 7).await;
+    let leaving = stage.instances.pop().expect("there are two");
+    leaving.kernel.leave();
+    leaving.task.await.expect("the instance ends");
+    let report = get::<Report>(stage.instances[0].admin(), "/report").await;
+    let timetable = report.services.iter().find(|s| s.service.as_str() == "hallenplan").expect("it is there");
+    assert_eq!(timetable.window(Window::FiveMinutes).map(|w| w.calls), Some(12));
+    assert_eq!(timetable.window(Window::Day).map(|w| w.calls), Some(12));
+    let left = report.coverage.iter().find(|c| c.instance.as_str() == "kremsau-02").expect("it is known");
+    assert_eq!((left.state, left.run_id), (RunState::Left, leaving.kernel.run_id));
+    assert_eq!(report.store_fault, None);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_choice_is_explained_by_service_and_by_request() {
+    let stage = Stage::start(1).await;
+    stage.calls(0, "/hallenplan/today", 3).await;
+    let admin = stage.instances[0].admin();
+    let latest = get::<Explanation>(admin, "/explain?service=hallenplan").await;
+    assert_eq!(latest.choices.len(), 3);
+    for choice in &latest.choices {
+        assert_eq!(choice.candidates.iter().filter(|c| c.chosen).count(), 1);
+        let chosen = choice.candidates.iter().find(|c| c.chosen).expect("one was chosen");
+        assert!(choice.reason.contains(chosen.target.as_str()), "{}", choice.reason);
+        assert_eq!(chosen.in_flight, 1);
+    }
+    let id = latest.choices[0].request_id.clone();
+    let one = get::<Explanation>(admin, &format!("/explain?request={id}")).await;
+    assert_eq!(one.choices.iter().map(|c| c.request_id.clone()).collect::<Vec<_>>(), [id]);
+    for query in ["", "service=none", "request=unknown", "service=../../etc"] {
+        let path = format!("/explain?{query}");
+        let refused = call::<Explanation>(Method::GET, admin, &path, None, Bytes::new()).await;
+        assert_eq!(refused.expect_err("it is refused").kind, ErrorKind::BadRequest, "{query}");
+    }
+}
+
+#[test]
+fn pages_need_the_token_where_one_is_set() {
+    let env = TestEnv::new();
+    let instance = env.serve("kremsau-01", &serde_json::json!({"admin_token": "correct horse"}));
+    let status = |path: &str, token: &str| {
+        let answer = exchange(
+            instance.admin,
+            format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{token}\r\n").as_bytes(),
+        );
+        answer.get(9..12).map(str::to_owned)
+    };
+    for path in ["/health", "/ready", "/plan", "/targets", "/members", "/metrics", "/report", "/explain"] {
+        for token in ["", "authorization: Bearer wrong\r\n", "authorization: correct horse\r\n"] {
+            assert_eq!(status(path, token).as_deref(), Some("401"), "{path} {token}");
+        }
+    }
+    assert_eq!(status("/metrics", "authorization: Bearer correct horse\r\n").as_deref(), Some("200"));
+}
+
+fn exchange(address: SocketAddr, request: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).expect("the instance listens");
+    stream.write_all(request).expect("it takes the request");
+    let mut answer = Vec::new();
+    // An answer may end with a reset when the request was malformed.
+    let _ended = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
