--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -161,19 +161,22 @@
 }
 
 async fn submit_plan(kernel: &Kernel, request: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
-    let query = request.uri().query().unwrap_or_default();
-    let change_id = query
-        .split('&')
-        .find_map(|pair| pair.strip_prefix("change-id="))
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let parameter = |name: &str| {
+        query.split('&').filter_map(|pair| pair.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
+    };
+    let change_id = parameter("change-id")
         .ok_or_else(|| Error::new(ErrorKind::BadRequest, "change-id: required in the query"))?
         .parse()
         .map_err(|e| Error::new(ErrorKind::BadRequest, format!("change-id: {e}")))?;
+    let base = parameter("base").map(str::parse).transpose();
+    let base = base.map_err(|e| Error::new(ErrorKind::BadRequest, format!("base: {e}")))?;
     let sheet = Limited::new(request.into_body(), MAX_SHEET_BYTES)
         .collect()
         .await
         .map_err(|e| Error::new(ErrorKind::BadRequest, format!("sheet: {e}")))?
         .to_bytes();
-    json_reply(&submit::submit(kernel, &sheet, change_id).await?)
+    json_reply(&submit::submit(kernel, &sheet, change_id, base).await?)
 }
 
 fn ready_reply(kernel: &Kernel) -> Response<Full<Bytes>> {
--- a/src/admin/submit.rs
+++ b/src/admin/submit.rs
@@ -7,16 +7,20 @@
 
 use crate::{
     error::{Error, ErrorKind, Result},
-    kernel::Kernel,
+    kernel::{Kernel, unix_s},
     plan::{
         Plan,
-        accept::{self, Committed},
-        difference,
+        accept::{Submission, Verdict},
+        commit, difference, poll,
+        record::{self, Head},
         sheet::{self, SheetFault},
     },
     units::{ChangeId, InstanceId, PlanVersion},
 };
 
+/// Lines of a difference that an operator who lost a race is told.
+const TOLD_LINES: usize = 20;
+
 /// Pause between two looks at the members.
 const CONFIRM_PERIOD: Duration = Duration::from_millis(20);
 
@@ -31,6 +35,9 @@
     pub changes: Vec<String>,
     /// Live instances that did not have the version in force in time; empty when it is in force everywhere.
     pub without: Vec<InstanceId>,
+    /// Instances that the platform lists and that were never heard from here.
+    #[serde(default)]
+    pub unheard: Vec<InstanceId>,
 }
 
 /// Joins the faults of a sheet into one error.
@@ -41,27 +48,95 @@
 
 /// Checks and commits a sheet, then waits until the live instances have it in force.
 ///
+/// `base` is the version that the operator's change builds on, if stated; another one is a conflict.
+///
 /// # Errors
 ///
-/// [`ErrorKind::Sheet`] naming every fault, otherwise as [`accept::commit`].
-pub async fn submit(kernel: &Kernel, sheet: &[u8], change_id: ChangeId) -> Result<Accepted> {
+/// [`ErrorKind::Sheet`] naming every fault, [`ErrorKind::PlanConflict`] when another change won,
+/// [`ErrorKind::PlatformUnreachable`] when nothing was written, [`ErrorKind::PlanUnknown`] when the store
+/// did not tell in time.
+pub async fn submit(
+    kernel: &Kernel,
+    sheet: &[u8],
+    change_id: ChangeId,
+    base: Option<PlanVersion>,
+) -> Result<Accepted> {
     let plan = sheet::parse(sheet).map_err(|faults| sheet_error(&faults))?;
-    let before = kernel.plan.current();
-    let changes = difference::describe(&before, &plan);
-    let Committed { version, repeated } =
-        accept::commit(&kernel.platform, plan.clone(), change_id.clone(), None).await?;
+    let changes = difference::describe(&kernel.plan.current(), &plan);
+    let token = rand::random();
+    let submission =
+        Submission { plan, change_id: change_id.clone(), base, token, submitted_unix_s: unix_s() };
+    let began = kernel.clock.now();
+    let deadline = began + Duration::from_millis(kernel.config.confirm_timeout_ms);
+    let (verdict, plan) = commit::commit(&kernel.platform, kernel.clock, submission, deadline).await?;
+    let (version, repeated) = judge(kernel, verdict, &plan, &change_id).await?;
     if !repeated {
-        kernel.offer_plan(Plan { version, change_id: Some(change_id.clone()), ..plan });
+        kernel.control.set_accepted_here(version);
+        kernel.offer_plan(plan);
+        kernel.control.follower().confirm(began, version);
+        poll::tick_follower(kernel);
     }
-    log::info!("event=plan-accepted version={version} change={change_id} repeated={repeated}");
+    log::info!("event=plan-committed version={version} change={change_id} repeated={repeated}");
     let without = wait_in_force(kernel, version).await;
-    Ok(Accepted { version, repeated, changes, without })
+    let unheard = kernel.members.lock().unheard(kernel.clock.now());
+    log::info!("event=plan-accepted version={version} change={change_id} without={}", without.len());
+    Ok(Accepted { version, repeated, changes, without, unheard })
+}
+
+async fn judge(
+    kernel: &Kernel,
+    verdict: Verdict,
+    plan: &Plan,
+    change_id: &ChangeId,
+) -> Result<(PlanVersion, bool)> {
+    let (kind, message) = match verdict {
+        Verdict::Committed { version, repeated } => return Ok((version, repeated)),
+        Verdict::Conflict(winner) => {
+            (ErrorKind::PlanConflict, describe_winner(kernel, winner.as_ref(), plan).await)
+        }
+        Verdict::ChangeIdReused(version) => (
+            ErrorKind::BadRequest,
+            format!("change-id: {change_id} made version {version} with another sheet; take a new id"),
+        ),
+        Verdict::NothingWritten => (
+            ErrorKind::PlatformUnreachable,
+            "the store could not be reached or refused the write; nothing was changed".to_owned(),
+        ),
+        Verdict::Unknown => (
+            ErrorKind::PlanUnknown,
+            format!("the store did not tell whether change {change_id} took effect; submit it again"),
+        ),
+        Verdict::Unwritable(reason) => (ErrorKind::Sheet, reason),
+    };
+    Err(Error::new(kind, message))
+}
+
+/// Names the winner and what the lost change differs in from it.
+async fn describe_winner(kernel: &Kernel, winner: Option<&Head>, lost: &Plan) -> String {
+    let Some(winner) = winner else {
+        return "another change was accepted first; nothing of this one was".to_owned();
+    };
+    let first = format!("version {} by change {} was accepted first", winner.version, winner.change_id);
+    let Ok(plan) = record::read_body(&kernel.platform, winner).await else {
+        return first;
+    };
+    kernel.offer_plan(plan.clone());
+    let mut lines = difference::describe(&plan, lost);
+    let more = lines.len().saturating_sub(TOLD_LINES);
+    lines.truncate(TOLD_LINES);
+    if more > 0 {
+        lines.push(format!("and {more} more"));
+    }
+    format!("{first}; this sheet differs from it in: {}", lines.join("; "))
 }
 
 async fn wait_in_force(kernel: &Kernel, version: PlanVersion) -> Vec<InstanceId> {
     let deadline = Instant::now() + Duration::from_millis(kernel.config.confirm_timeout_ms);
     loop {
-        let without = kernel.members.without(version, kernel.clock.now());
+        let mut without = kernel.members.lock().without(version, kernel.clock.now());
+        if kernel.plan.version() < version {
+            without.push(kernel.config.instance.clone());
+        }
         if without.is_empty() || Instant::now() >= deadline {
             return without;
         }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,7 +6,7 @@
 
 use argh::FromArgs;
 
-use crate::units::ChangeId;
+use crate::units::{ChangeId, PlanVersion};
 
 /// Load balancer for servers whose load shifts in milliseconds.
 ///
@@ -122,6 +122,9 @@
     /// your name for this change; submitting the same one again is the same change
     #[argh(option, arg_name = "id")]
     pub change_id: ChangeId,
+    /// version that the sheet builds on; another one in force is a conflict
+    #[argh(option, arg_name = "version")]
+    pub base: Option<PlanVersion>,
     /// bearer token of that instance, if its settings have one
     #[argh(option)]
     pub token: Option<String>,
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -134,7 +134,8 @@
 
 async fn submit_plan(args: cli::PlanSubmit) -> Result<ExitCode> {
     let text = read_file(&args.sheet)?;
-    let path = format!("/plan/submit?change-id={}", args.change_id);
+    let base = args.base.map(|version| format!("&base={version}")).unwrap_or_default();
+    let path = format!("/plan/submit?change-id={}{base}", args.change_id);
     let accepted =
         call::<Accepted>(Method::POST, args.to, &path, args.token.as_deref(), Bytes::from(text)).await?;
     if args.json {
@@ -154,6 +155,10 @@
     for line in &accepted.changes {
         println!("{line}");
     }
+    if !accepted.unheard.is_empty() {
+        let names = accepted.unheard.iter().map(ToString::to_string).collect::<Vec<_>>();
+        println!("listed and never heard from here: {}", names.join(", "));
+    }
     if accepted.without.is_empty() {
         println!("in force on all live instances");
     } else {
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -7,9 +7,12 @@
 pub mod pools;
 pub mod registry;
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
 use tokio::sync::{Notify, watch};
@@ -17,16 +20,28 @@
 use self::{clock::Clock, pools::PoolTable};
 use crate::{
     claims::Claims,
+    decide::Event,
     error::{Error, ErrorKind, Result},
+    logging,
     membership::Members,
     observe::tally::Tally,
-    plan::{IntendedAction, Plan, keeper::PlanInForce},
+    peer::{frame::TargetSign, state::ControlState},
+    plan::{
+        Plan,
+        intentions::{DrainChange, must_leave},
+        keeper::PlanInForce,
+    },
     platform::Platform,
     proxy::connection::Connections,
     settings::Config,
-    units::{CallId, RunId},
+    units::{CallId, InstanceId, MonoTime, RunId, TargetId},
 };
 
+/// Returns the time of day in seconds since the Unix epoch.
+pub fn unix_s() -> u64 {
+    u64::try_from(logging::unix_ms() / 1_000).unwrap_or(u64::MAX)
+}
+
 /// Everything that the workers of one instance share.
 #[derive(Debug)]
 pub struct Kernel {
@@ -50,8 +65,12 @@
     pub claims: Claims,
     /// Counts for the report.
     pub tally: Tally,
-    /// Whether the platform or a peer confirmed the plan recently enough to serve on.
-    plan_current: AtomicBool,
+    /// What the links and the following of the plan share.
+    pub control: ControlState,
+    /// When this run started, in seconds since the Unix epoch.
+    started_unix_s: u64,
+    /// Time until which the plan counts as current, in microseconds of the clock; 0 before it first does.
+    current_until_us: AtomicU64,
     leaving: AtomicBool,
     /// True once new requests are refused; never false again.
     refusing: watch::Sender<bool>,
@@ -76,16 +95,19 @@
         let platform = (driver.open)(&config)?;
         let clock = Clock::start();
         let run_id = RunId::from(rand::random::<u64>());
+        let cut_off_after = Duration::from_millis(config.cut_off_after_ms);
         Ok(Arc::new(Self {
             clock,
             run_id,
             plan: PlanInForce::default(),
-            members: Members::default(),
+            members: Members::new(config.instance.clone(), run_id),
+            control: ControlState::new(run_id.into(), cut_off_after, clock.now()),
+            started_unix_s: unix_s(),
             pools: PoolTable::new(clock, config.data_centre.clone(), run_id.into()),
             connections: Connections::default(),
             claims: Claims::new(platform.clone(), run_id),
             tally: Tally::default(),
-            plan_current: AtomicBool::new(false),
+            current_until_us: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             refusing: watch::Sender::new(false),
             left: Notify::new(),
@@ -111,10 +133,11 @@
         if *self.refusing.borrow() {
             return Err(ErrorKind::Leaving);
         }
-        if self.plan.version() == 0.into() {
+        let current_until_us = self.current_until_us.load(Ordering::Acquire);
+        if self.plan.version() == 0.into() || current_until_us == 0 {
             return Err(ErrorKind::NoPlan);
         }
-        if !self.plan_current.load(Ordering::Acquire) {
+        if self.clock.now().as_micros() >= current_until_us {
             return Err(ErrorKind::CutOff);
         }
         Ok(())
@@ -135,8 +158,11 @@
         if !self.plan.offer(plan) {
             return false;
         }
+        self.control.follower().rose(version);
         let plan = self.plan.current();
+        self.control.budget().set_rate(self.clock.now(), plan.budgets.control_bytes_per_s);
         self.pools.apply(&plan);
+        self.apply_intentions(unix_s());
         log::info!("event=plan-in-force version={version}");
         true
     }
@@ -144,19 +170,54 @@
     /// Carries out the intentions of the plan in force whose time has come.
     pub fn apply_intentions(&self, now_unix_s: u64) {
         let plan = self.plan.current();
-        for intention in plan.intentions.iter().filter(|i| i.at_unix_s <= now_unix_s) {
-            match &intention.action {
-                IntendedAction::Leave(instance) if *instance == self.config.instance => self.leave(),
-                IntendedAction::Drain(target) => self.pools.set_draining(target, true),
-                IntendedAction::Return(target) => self.pools.set_draining(target, false),
-                IntendedAction::Leave(_) | IntendedAction::Crest(..) => {}
-            }
+        if must_leave(&plan, &self.config.instance, self.started_unix_s, now_unix_s) {
+            self.leave();
+        }
+        let changes = self.control.intentions().follow(&plan, now_unix_s);
+        if changes.is_empty() {
+            return;
+        }
+        self.control.drop_outdated_signs();
+        for change in &changes {
+            self.set_draining(change);
+        }
+    }
+
+    fn set_draining(&self, change: &DrainChange) {
+        self.pools.set_draining(&change.target, change.draining);
+    }
+
+    /// Takes a target's word that it drains, from one of its answers.
+    pub fn target_said_draining(&self, target: &TargetId) {
+        let after_return_unix_s = self.control.intentions().returned_unix_s(target);
+        let sign = TargetSign { target: target.clone(), after_return_unix_s };
+        if self.sign_draining(&sign) {
+            log::info!("event=target-draining target={target} source=answer");
+        }
+    }
+
+    /// Takes a sign of draining and passes it on; returns whether it was news.
+    pub fn sign_draining(&self, sign: &TargetSign) -> bool {
+        let change = self.control.intentions().sign(sign);
+        let Some(change) = change else { return false };
+        self.set_draining(&change);
+        self.control.add_sign(sign.clone());
+        true
+    }
+
+    /// Tells every pool that a peer's counts no longer apply.
+    pub fn forget_loads(&self, peer: &InstanceId) {
+        for (_, cell) in self.pools.all() {
+            cell.handle(Event::PeerGone(peer.clone()));
         }
     }
 
-    /// Records whether the plan is known to be current.
-    pub fn set_plan_current(&self, current: bool) {
-        self.plan_current.store(current, Ordering::Release);
+    /// Records until when the plan counts as current if nothing more is heard; `None` for not at all.
+    pub fn set_plan_current_until(&self, until: Option<MonoTime>) {
+        let before_us = self.current_until_us.load(Ordering::Acquire);
+        let now_us = self.clock.now().as_micros();
+        let until_us = until.map_or(before_us.min(now_us), MonoTime::as_micros);
+        self.current_until_us.store(until_us, Ordering::Release);
     }
 
     /// Starts leaving; later calls change nothing.
@@ -164,6 +225,7 @@
         if !self.leaving.swap(true, Ordering::AcqRel) {
             log::info!("event=leaving run={}", self.run_id);
             self.left.notify_one();
+            self.control.wake();
         }
     }
 
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -1,108 +1,172 @@
-//! Frames that instances exchange.
+//! Frames that instances exchange: a length, a type tag and a bincode body.
+//!
+//! The tag stands outside the body, so that a receiver skips types it does not know.
 
 use std::net::SocketAddr;
 
 use bytes::{Buf, Bytes, BytesMut};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::units::{DataCentre, InstanceId, PlanVersion, RunId, TargetId};
 
 /// Version of the protocol that a hello states.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
 
-/// One message between two instances.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Frame {
-    /// First frame in each direction.
-    Hello {
-        /// [`PROTOCOL_VERSION`] of the sender.
-        protocol_version: u32,
-        /// Sender.
-        instance: InstanceId,
-        /// Sender's run.
-        run_id: RunId,
-        /// Sender's data centre.
-        data_centre: DataCentre,
-        /// Where the sender takes links.
-        peer_address: SocketAddr,
-    },
-    /// Sign of life.
-    Heartbeat {
-        /// Version in force at the sender.
-        plan_version: PlanVersion,
-        /// Whether the sender is leaving.
-        leaving: bool,
-    },
-    /// Asks for the plan if it is newer than this version.
-    PlanWanted {
-        /// Version in force at the sender.
-        newer_than: PlanVersion,
-    },
-    /// A whole plan as JSON.
-    Plan {
-        /// Version of the plan.
-        version: PlanVersion,
-        /// The plan as JSON text.
-        json: Vec<u8>,
-    },
-    /// Requests in flight at targets since the last frame, only those that changed.
-    Loads {
-        /// Microseconds on the sender's clock, to tell the age of counts relative to each other.
-        sent_at_us: u64,
-        /// Changed counts.
-        counts: Vec<LoadCount>,
-    },
-    /// A sign that a target drains or has returned.
-    TargetDraining {
-        /// Target.
-        target: TargetId,
-        /// True for draining.
-        draining: bool,
-    },
+/// First frame of a link: who sends.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// [`PROTOCOL_VERSION`] of the sender.
+    pub protocol_version: u32,
+    /// Sender.
+    pub instance: InstanceId,
+    /// Sender's run.
+    pub run_id: RunId,
+    /// Sender's data centre.
+    pub data_centre: DataCentre,
+    /// Where the sender takes links.
+    pub peer_address: SocketAddr,
 }
 
-/// One count of a [`Frame::Loads`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// Sign of life with what the sender knows of the plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Number of this heartbeat on the way to this receiver; rises by one, from 1.
+    pub number: u64,
+    /// Number of the last heartbeat that the sender took from this receiver, 0 for none.
+    pub echo: u64,
+    /// Version in force at the sender.
+    pub plan_version: PlanVersion,
+    /// Milliseconds since the store is known to have had no higher version than that in force.
+    pub confirmed_age_ms: Option<u32>,
+    /// Whether the sender knows its plan to be current.
+    pub current: bool,
+    /// Whether the sender is leaving.
+    pub leaving: bool,
+}
+
+/// Requests in flight at targets, only those that changed since the last such frame of the link.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Loads {
+    /// Plan whose list of targets the entries count through.
+    pub plan_version: PlanVersion,
+    /// Microseconds on the sender's clock, to tell the delay of frames relative to each other.
+    pub sent_at_us: u64,
+    /// Changed counts in the order of the plan's targets.
+    pub counts: Vec<LoadCount>,
+}
+
+/// One count of [`Loads`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadCount {
-    /// Target.
-    pub target: TargetId,
+    /// Targets of the plan skipped since the last entry.
+    pub skipped: u32,
     /// Requests the sender has in flight there.
     pub in_flight: u32,
 }
 
-/// Largest frame taken from a peer, in bytes.
+/// A sign that a target drains, learned from an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetSign {
+    /// Target.
+    pub target: TargetId,
+    /// Time of the operator's return that the sign is newer than, in seconds since the Unix epoch, 0 for none.
+    pub after_return_unix_s: u64,
+}
+
+/// One message between two instances.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Frame {
+    /// First frame of a link.
+    Hello(Hello),
+    /// Sign of life.
+    Heartbeat(Heartbeat),
+    /// Asks for the plan if the one in force at the receiver is newer than this version.
+    PlanWanted(PlanVersion),
+    /// A whole plan as JSON text.
+    Plan(Bytes),
+    /// Requests in flight.
+    Loads(Loads),
+    /// A target drains.
+    TargetSign(TargetSign),
+}
+
+const TAG_HELLO: u8 = 1;
+const TAG_HEARTBEAT: u8 = 2;
+const TAG_PLAN_WANTED: u8 = 3;
+const TAG_PLAN: u8 = 4;
+const TAG_LOADS: u8 = 5;
+const TAG_TARGET_SIGN: u8 = 6;
+
+/// Largest frame taken from a peer, tag and body, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
 
+/// Largest frame of any type but a plan, in bytes.
+pub const MAX_SMALL_FRAME_BYTES: usize = 64 << 10;
+
 /// Length of the prefix that gives a frame's size.
 const PREFIX_BYTES: usize = 4;
 
 /// Why a link must be closed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum FrameError {
-    /// The prefix states more than [`MAX_FRAME_BYTES`].
-    #[error("frame of {0} bytes exceeds {MAX_FRAME_BYTES}")]
-    TooLarge(usize),
-    /// The content is not a frame.
-    #[error("malformed frame: {0}")]
-    Malformed(String),
+    /// The prefix states more than the type may have.
+    #[error("frame of {bytes} bytes and type {tag} exceeds {limit}")]
+    TooLarge {
+        /// Stated size.
+        bytes: usize,
+        /// Type tag.
+        tag: u8,
+        /// Most bytes of this type.
+        limit: usize,
+    },
+    /// The frame has no type tag.
+    #[error("frame without type tag")]
+    Empty,
+    /// The body is not that of its type.
+    #[error("malformed frame of type {tag}: {reason}")]
+    Malformed {
+        /// Type tag.
+        tag: u8,
+        /// What was wrong.
+        reason: String,
+    },
 }
 
 /// Encodes a frame with its length prefix.
 pub fn encode(frame: &Frame) -> Bytes {
-    let mut bytes = vec![0; PREFIX_BYTES];
-    // Writing into a vector fails only for types that serde can't represent; frames have none.
-    let content = bincode::serde::encode_to_vec(frame, bincode::config::standard()).unwrap_or_default();
-    bytes.extend_from_slice(&content);
-    let length = u32::try_from(content.len()).unwrap_or(u32::MAX);
-    bytes[..PREFIX_BYTES].copy_from_slice(&length.to_be_bytes());
+    let (tag, body) = match frame {
+        Frame::Hello(hello) => (TAG_HELLO, to_bytes(hello)),
+        Frame::Heartbeat(heartbeat) => (TAG_HEARTBEAT, to_bytes(heartbeat)),
+        Frame::PlanWanted(version) => (TAG_PLAN_WANTED, to_bytes(version)),
+        Frame::Plan(json) => (TAG_PLAN, json.to_vec()),
+        Frame::Loads(loads) => (TAG_LOADS, to_bytes(loads)),
+        Frame::TargetSign(sign) => (TAG_TARGET_SIGN, to_bytes(sign)),
+    };
+    encode_raw(tag, &body)
+}
+
+/// Encodes a body under any type tag.
+pub fn encode_raw(tag: u8, body: &[u8]) -> Bytes {
+    let length = u32::try_from(1 + body.len()).unwrap_or(u32::MAX);
+    let mut bytes = Vec::with_capacity(PREFIX_BYTES + 1 + body.len());
+    bytes.extend_from_slice(&length.to_be_bytes());
+    bytes.push(tag);
+    bytes.extend_from_slice(body);
     Bytes::from(bytes)
 }
 
+fn to_bytes(body: &impl Serialize) -> Vec<u8> {
+    // Writing into a vector fails only for types that serde can't represent; bodies have none.
+    bincode::serde::encode_to_vec(body, bincode::config::standard()).unwrap_or_default()
+}
+
 /// Turns received bytes into frames.
 #[derive(Debug, Default)]
 pub struct Decoder {
     /// Received and not yet decoded; at most one frame and one chunk long.
     buffer: BytesMut,
+    /// Frames of unknown types that were skipped.
+    skipped: u64,
 }
 
 impl Decoder {
@@ -111,29 +175,70 @@
         self.buffer.extend_from_slice(chunk);
     }
 
-    /// Returns the next whole frame, or `None` when more bytes are needed.
+    /// Returns how many frames of unknown types were skipped.
+    pub fn skipped(&self) -> u64 {
+        self.skipped
+    }
+
+    /// Returns the next whole frame of a known type, or `None` when more bytes are needed.
     ///
     /// # Errors
     ///
     /// [`FrameError`] when the link must be closed.
     pub fn next_frame(&mut self) -> Result<Option<Frame>, FrameError> {
+        loop {
+            let Some((tag, body)) = self.next_raw()? else {
+                return Ok(None);
+            };
+            match decode(tag, body)? {
+                Some(frame) => return Ok(Some(frame)),
+                None => self.skipped += 1,
+            }
+        }
+    }
+
+    fn next_raw(&mut self) -> Result<Option<(u8, Bytes)>, FrameError> {
         let Some(prefix) = self.buffer.first_chunk::<PREFIX_BYTES>() else {
             return Ok(None);
         };
-        let length = u32::from_be_bytes(*prefix) as usize;
-        if length > MAX_FRAME_BYTES {
-            return Err(FrameError::TooLarge(length));
+        let bytes = u32::from_be_bytes(*prefix) as usize;
+        if bytes == 0 {
+            return Err(FrameError::Empty);
         }
-        if self.buffer.len() < PREFIX_BYTES + length {
+        let Some(&tag) = self.buffer.get(PREFIX_BYTES) else {
             return Ok(None);
+        };
+        let limit = if tag == TAG_PLAN { MAX_FRAME_BYTES } else { MAX_SMALL_FRAME_BYTES };
+        if bytes > limit {
+            return Err(FrameError::TooLarge { bytes, tag, limit });
         }
-        self.buffer.advance(PREFIX_BYTES);
-        let content = self.buffer.split_to(length);
-        let config = bincode::config::standard().with_limit::<MAX_FRAME_BYTES>();
-        match bincode::serde::decode_from_slice::<Frame, _>(&content, config) {
-            Ok((frame, read)) if read == length => Ok(Some(frame)),
-            Ok((_, read)) => Err(FrameError::Malformed(format!("{} bytes too many", length - read))),
-            Err(e) => Err(FrameError::Malformed(e.to_string())),
+        if self.buffer.len() < PREFIX_BYTES + bytes {
+            return Ok(None);
         }
+        self.buffer.advance(PREFIX_BYTES + 1);
+        Ok(Some((tag, self.buffer.split_to(bytes - 1).freeze())))
+    }
+}
+
+/// Decodes a body; `None` for an unknown type.
+fn decode(tag: u8, body: Bytes) -> Result<Option<Frame>, FrameError> {
+    Ok(Some(match tag {
+        TAG_HELLO => Frame::Hello(from_bytes(tag, &body)?),
+        TAG_HEARTBEAT => Frame::Heartbeat(from_bytes(tag, &body)?),
+        TAG_PLAN_WANTED => Frame::PlanWanted(from_bytes(tag, &body)?),
+        TAG_PLAN => Frame::Plan(body),
+        TAG_LOADS => Frame::Loads(from_bytes(tag, &body)?),
+        TAG_TARGET_SIGN => Frame::TargetSign(from_bytes(tag, &body)?),
+        _ => return Ok(None),
+    }))
+}
+
+fn from_bytes<T: DeserializeOwned>(tag: u8, body: &[u8]) -> Result<T, FrameError> {
+    let malformed = |reason: String| FrameError::Malformed { tag, reason };
+    let config = bincode::config::standard().with_limit::<MAX_SMALL_FRAME_BYTES>();
+    match bincode::serde::decode_from_slice(body, config) {
+        Ok((value, read)) if read == body.len() => Ok(value),
+        Ok((_, read)) => Err(malformed(format!("{} bytes too many", body.len() - read))),
+        Err(e) => Err(malformed(e.to_string())),
     }
 }
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -1,27 +1,37 @@
-//! One link a direction: each instance opens an h2 stream to every candidate and sends its frames there.
+//! One link a direction: each instance opens an h2 stream to its peers and sends its frames there.
+//!
+//! A link keeps no queue: what it sends is worked out from the shared state at the time of sending, so that
+//! a slow peer costs no memory and is dropped.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::future::poll_fn;
-use h2::{RecvStream, SendStream, client, server};
-use hyper::{Request, Response};
+use h2::{SendStream, client};
+use hyper::Request;
 use tokio::{
-    net::{TcpListener, TcpStream},
-    time::{interval, timeout},
+    net::TcpStream,
+    time::{MissedTickBehavior, interval, timeout},
 };
 
-use super::frame::{Decoder, Frame, PROTOCOL_VERSION, encode};
+use super::{
+    budget::{OVERHEAD_BYTES, Purpose},
+    frame::{Frame, Hello, PROTOCOL_VERSION, encode},
+    loads::LoadSender,
+};
 use crate::{
     collections::HashMap,
     kernel::Kernel,
-    membership::Member,
-    plan::Plan,
-    units::{InstanceId, PlanVersion, RunId},
+    membership::links::{End, plan_links},
+    plan::follow::{PlanTalk, plan_talk},
+    units::{MonoTime, PlanVersion, RunId},
 };
 
 /// Time between two heartbeats.
-const HEARTBEAT_PERIOD: Duration = Duration::from_millis(200);
+pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time between two looks at which links are wanted.
+const LINKS_PERIOD: Duration = Duration::from_millis(200);
 
 /// Time after which a peer that takes no bytes is dropped.
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
@@ -32,171 +42,259 @@
 /// Pause before a lost link is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_millis(300);
 
-type LinkError = Box<dyn std::error::Error + Send + Sync>;
+/// Time without an echo after which a link is taken for silent and opened anew.
+const UNANSWERED_LIMIT: Duration = Duration::from_secs(3);
 
-/// Takes links from other instances; runs until dropped.
-pub async fn listen(kernel: Arc<Kernel>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, address)) => {
-                tokio::spawn(take_link(Arc::clone(&kernel), stream, address));
-            }
-            Err(e) => {
-                log::warn!("event=peer-accept-failed error={:?}", e.to_string());
-                tokio::time::sleep(REOPEN_PAUSE).await;
-            }
-        }
-    }
-}
+/// Time before the same plan is sent to the same peer again.
+const RESEND_PAUSE: Duration = Duration::from_secs(1);
 
-async fn take_link(kernel: Arc<Kernel>, stream: TcpStream, address: SocketAddr) {
-    if let Err(e) = receive(&kernel, stream).await {
-        log::warn!("event=peer-link-closed address={address} error={:?}", e.to_string());
-    }
-}
+/// Time for which a link to an address from the settings stays, until the run behind it links back.
+const SEED_LINK_TIME: Duration = Duration::from_secs(2);
 
-async fn receive(kernel: &Kernel, stream: TcpStream) -> Result<(), LinkError> {
-    stream.set_nodelay(true)?;
-    let mut connection = server::handshake(stream).await?;
-    let Some(accepted) = connection.accept().await else { return Ok(()) };
-    let (request, mut respond) = accepted?;
-    respond.send_response(Response::new(()), true)?;
-    let frames = receive_frames(kernel, request.into_body());
-    // The connection makes progress only while it is polled.
-    tokio::select! {
-        result = frames => result,
-        closed = poll_fn(|cx| connection.poll_closed(cx)) => Ok(closed?),
-    }
-}
+/// Why a link ended.
+pub type LinkError = Box<dyn std::error::Error + Send + Sync>;
 
-async fn receive_frames(kernel: &Kernel, mut body: RecvStream) -> Result<(), LinkError> {
-    let mut decoder = Decoder::default();
-    let mut sender = None;
-    while let Some(chunk) = body.data().await {
-        let chunk = chunk?;
-        body.flow_control().release_capacity(chunk.len())?;
-        decoder.push(&chunk);
-        while let Some(frame) = decoder.next_frame()? {
-            take_frame(kernel, &mut sender, frame)?;
-        }
-    }
-    Ok(())
-}
-
-fn take_frame(
-    kernel: &Kernel,
-    sender: &mut Option<(InstanceId, RunId)>,
-    frame: Frame,
-) -> Result<(), LinkError> {
-    if let Frame::Hello { protocol_version, instance, run_id, data_centre, peer_address } = frame {
-        if protocol_version != PROTOCOL_VERSION {
-            return Err(format!("protocol version {protocol_version} is not {PROTOCOL_VERSION}").into());
-        }
-        let member = Member {
-            run_id,
-            data_centre,
-            peer_address,
-            heard_at: None,
-            plan_version: PlanVersion::default(),
-            leaving: false,
-        };
-        kernel.members.greeted(kernel.clock.now(), instance.clone(), member);
-        *sender = Some((instance, run_id));
-        return Ok(());
-    }
-    let Some((instance, run_id)) = sender.as_ref() else {
-        return Err("first frame is not a hello".into());
-    };
-    match frame {
-        Frame::Heartbeat { plan_version, leaving } => {
-            kernel.members.heard(kernel.clock.now(), instance, *run_id, plan_version, leaving);
-        }
-        Frame::Plan { json, .. } => {
-            kernel.offer_plan(serde_json::from_slice::<Plan>(&json)?);
-        }
-        Frame::TargetDraining { target, draining } => kernel.pools.set_draining(&target, draining),
-        Frame::Hello { .. } | Frame::PlanWanted { .. } | Frame::Loads { .. } => {}
-    }
-    Ok(())
-}
-
-/// Keeps one link to every candidate; runs until dropped.
+/// Keeps one link to every peer that the link plan names; runs until dropped.
 pub async fn connect_all(kernel: Arc<Kernel>) {
-    let mut links = HashMap::<InstanceId, (SocketAddr, tokio::task::JoinHandle<()>)>::default();
-    let mut period = interval(HEARTBEAT_PERIOD);
+    let mut links = HashMap::<RunId, tokio::task::JoinHandle<()>>::default();
+    let mut seeds = HashMap::<SocketAddr, tokio::task::JoinHandle<()>>::default();
+    let mut period = interval(LINKS_PERIOD);
+    period.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         period.tick().await;
-        let candidates = kernel.members.candidates();
-        links.retain(|id, (address, task)| {
-            let wanted = candidates.iter().any(|(c, m)| c == id && m.peer_address == *address);
-            if !wanted {
+        let wanted = wanted_links(&kernel);
+        links.retain(|run, task| {
+            let stays = wanted.iter().any(|(wanted, _)| wanted == run);
+            if !stays {
                 task.abort();
             }
-            wanted && !task.is_finished()
+            stays && !task.is_finished()
         });
-        for (id, member) in candidates {
-            let address = member.peer_address;
-            links.entry(id.clone()).or_insert_with(|| {
+        for (run, address) in wanted {
+            links.entry(run).or_insert_with(|| {
+                let kernel = Arc::clone(&kernel);
+                tokio::spawn(async move { keep_link(&kernel, Some(run), address).await })
+            });
+        }
+        seeds.retain(|_, task| !task.is_finished());
+        for address in unknown_seeds(&kernel) {
+            seeds.entry(address).or_insert_with(|| {
                 let kernel = Arc::clone(&kernel);
-                (address, tokio::spawn(async move { keep_link(&kernel, &id, address).await }))
+                tokio::spawn(async move { keep_link(&kernel, None, address).await })
             });
         }
     }
 }
 
-async fn keep_link(kernel: &Kernel, peer: &InstanceId, address: SocketAddr) {
-    if let Err(e) = send_frames(kernel, peer, address).await {
-        log::debug!("event=peer-link-lost peer={peer} error={:?}", e.to_string());
+/// Links by the plan, and back to everyone who links here.
+fn wanted_links(kernel: &Kernel) -> Vec<(RunId, SocketAddr)> {
+    let own = End { run_id: kernel.run_id, data_centre: kernel.config.data_centre.clone() };
+    let table = kernel.members.lock();
+    let ends = table.all().map(|m| End { run_id: m.run_id, data_centre: m.data_centre.clone() });
+    let planned = plan_links(&own, &ends.collect::<Vec<_>>());
+    let wanted = table.all().filter(|m| m.greeted || planned.contains(&m.run_id));
+    wanted.map(|m| (m.run_id, m.peer_address)).collect()
+}
+
+fn unknown_seeds(kernel: &Kernel) -> Vec<SocketAddr> {
+    let table = kernel.members.lock();
+    let known = |address: &SocketAddr| table.all().any(|m| m.peer_address == *address);
+    let own = kernel.config.peers_address;
+    let seeds = kernel.config.peer_seeds.iter().filter(|a| **a != own && !known(a));
+    seeds.copied().collect()
+}
+
+async fn keep_link(kernel: &Kernel, run: Option<RunId>, address: SocketAddr) {
+    if let Err(e) = open_and_send(kernel, run, address).await {
+        log::debug!("event=peer-link-lost address={address} error={:?}", e.to_string());
     }
     tokio::time::sleep(REOPEN_PAUSE).await;
 }
 
-async fn send_frames(kernel: &Kernel, peer: &InstanceId, address: SocketAddr) -> Result<(), LinkError> {
+async fn open_and_send(kernel: &Kernel, run: Option<RunId>, address: SocketAddr) -> Result<(), LinkError> {
     let stream = timeout(OPEN_TIMEOUT, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let (sender, connection) = timeout(OPEN_TIMEOUT, client::handshake(stream)).await??;
-    let mut connection = tokio::spawn(connection);
+    let mut connection = AbortOnDrop(tokio::spawn(connection));
     let mut sender = sender.ready().await?;
     let request = Request::post("http://peer/link").body(())?;
-    let (_response, mut stream) = sender.send_request(request, false)?;
-    let result = tokio::select! {
-        result = send_periodically(kernel, peer, &mut stream) => result,
-        closed = &mut connection => Ok(closed??),
-    };
-    connection.abort();
-    result
+    let (_response, stream) = sender.send_request(request, false)?;
+    tokio::select! {
+        result = send_frames(kernel, run, stream) => result,
+        closed = &mut connection.0 => Ok(closed??),
+    }
 }
 
-async fn send_periodically(
+/// Ends the connection's task with the link.
+struct AbortOnDrop(tokio::task::JoinHandle<Result<(), h2::Error>>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+async fn send_frames(
     kernel: &Kernel,
-    peer: &InstanceId,
-    stream: &mut SendStream<Bytes>,
+    run: Option<RunId>,
+    stream: SendStream<Bytes>,
 ) -> Result<(), LinkError> {
-    let hello = Frame::Hello {
-        protocol_version: PROTOCOL_VERSION,
-        instance: kernel.config.instance.clone(),
-        run_id: kernel.run_id,
-        data_centre: kernel.config.data_centre.clone(),
-        peer_address: kernel.config.peers_address,
+    let Some(run) = run else {
+        let mut stream = stream;
+        send_all(&mut stream, encode(&hello(kernel))).await?;
+        tokio::time::sleep(SEED_LINK_TIME).await;
+        return Ok(());
     };
-    send(stream, &hello).await?;
+    let mut outbound = Outbound::new(kernel, run, stream);
+    outbound.send(Purpose::Heartbeat, &[hello(kernel)]).await?;
+    let mut urgent = kernel.control.watch_urgent();
+    let mut loads = kernel.control.watch_loads();
     let mut plans = kernel.plan.watch();
     let mut period = interval(HEARTBEAT_PERIOD);
+    period.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let plan = Arc::clone(&plans.borrow_and_update());
-        if plan.version > kernel.members.plan_version(peer) {
-            send(stream, &Frame::Plan { version: plan.version, json: serde_json::to_vec(&*plan)? }).await?;
-        }
-        send(stream, &Frame::Heartbeat { plan_version: plan.version, leaving: kernel.is_leaving() }).await?;
         tokio::select! {
-            _ = period.tick() => {}
-            changed = plans.changed() => changed?,
+            biased;
+            changed = urgent.changed() => {
+                changed?;
+                outbound.send_urgent().await?;
+            }
+            changed = plans.changed() => {
+                changed?;
+                outbound.send_heartbeat(Purpose::Urgent).await?;
+            }
+            _ = period.tick() => {
+                outbound.check_answered()?;
+                outbound.send_urgent().await?;
+                outbound.send_heartbeat(Purpose::Heartbeat).await?;
+            }
+            changed = loads.changed() => {
+                changed?;
+                outbound.send_loads().await?;
+            }
         }
     }
 }
 
-async fn send(stream: &mut SendStream<Bytes>, frame: &Frame) -> Result<(), LinkError> {
-    timeout(SEND_TIMEOUT, send_all(stream, encode(frame))).await?
+fn hello(kernel: &Kernel) -> Frame {
+    Frame::Hello(Hello {
+        protocol_version: PROTOCOL_VERSION,
+        instance: kernel.config.instance.clone(),
+        run_id: kernel.run_id,
+        data_centre: kernel.config.data_centre.clone(),
+        peer_address: kernel.config.peers_address,
+    })
+}
+
+/// One link to another instance.
+struct Outbound<'a> {
+    kernel: &'a Kernel,
+    run: RunId,
+    stream: SendStream<Bytes>,
+    opened: MonoTime,
+    /// Number of the last sign of draining that was sent.
+    seen_signs: u64,
+    /// Whether the peer has been told that this instance is leaving.
+    told_leaving: bool,
+    /// Last plan that was sent, and when.
+    sent_plan: Option<(PlanVersion, MonoTime)>,
+    loads: LoadSender,
+}
+
+impl<'a> Outbound<'a> {
+    fn new(kernel: &'a Kernel, run: RunId, stream: SendStream<Bytes>) -> Self {
+        Self {
+            kernel,
+            run,
+            stream,
+            opened: kernel.clock.now(),
+            seen_signs: 0,
+            told_leaving: false,
+            sent_plan: None,
+            loads: LoadSender::default(),
+        }
+    }
+
+    /// Sends leaving, plan, question and signs if the peer should have them.
+    async fn send_urgent(&mut self) -> Result<(), LinkError> {
+        let leaving = self.kernel.is_leaving();
+        if leaving && !self.told_leaving {
+            self.send_heartbeat(Purpose::Urgent).await?;
+            self.told_leaving = true;
+        }
+        let control = &self.kernel.control;
+        let mut frames = Vec::new();
+        let owed = control.take_owed(self.run);
+        let plan = self.kernel.plan.current();
+        if self.must_send_plan(plan.version, owed.plan) {
+            self.sent_plan = Some((plan.version, self.kernel.clock.now()));
+            frames.push(Frame::Plan(control.plan_json(&plan)));
+        }
+        if owed.ask {
+            frames.push(Frame::PlanWanted(plan.version));
+        }
+        let (signs, seen) = control.signs_after(self.seen_signs);
+        self.seen_signs = seen;
+        frames.extend(signs.into_iter().map(Frame::TargetSign));
+        self.send(Purpose::Urgent, &frames).await
+    }
+
+    fn must_send_plan(&self, own: PlanVersion, asked: bool) -> bool {
+        let now = self.kernel.clock.now();
+        let recent = |(version, at): (PlanVersion, MonoTime)| version == own && now.since(at) < RESEND_PAUSE;
+        if self.sent_plan.is_some_and(recent) {
+            return false;
+        }
+        let peer = self.kernel.members.lock().find(self.run).map(|m| m.said.plan_version);
+        let accepted_here = self.kernel.control.accepted_here();
+        plan_talk(own, accepted_here, peer.unwrap_or_default(), asked) == PlanTalk::Send
+    }
+
+    async fn send_heartbeat(&mut self, purpose: Purpose) -> Result<(), LinkError> {
+        let now = self.kernel.clock.now();
+        let says = self.kernel.control.follower().says(now, self.kernel.is_leaving());
+        let numbered = self.kernel.members.lock().next_heartbeat(now, self.run, says);
+        let heartbeat = numbered.ok_or("the peer is no longer a member")?;
+        self.send(purpose, &[Frame::Heartbeat(heartbeat)]).await
+    }
+
+    /// Sends changed counts, once the peer has the plan that they count through.
+    async fn send_loads(&mut self) -> Result<(), LinkError> {
+        let sample = self.kernel.control.latest_loads();
+        let peer = self.kernel.members.lock().find(self.run).map(|m| m.said.plan_version);
+        if peer != Some(sample.plan_version) {
+            return Ok(());
+        }
+        match self.loads.changes(sample.plan_version, &sample.in_flight, sample.taken_at) {
+            Some(loads) => self.send(Purpose::Loads, &[Frame::Loads(loads)]).await,
+            None => Ok(()),
+        }
+    }
+
+    /// A path that takes bytes and gives no echo has lost track of the connection.
+    fn check_answered(&self) -> Result<(), LinkError> {
+        let now = self.kernel.clock.now();
+        let table = self.kernel.members.lock();
+        let member = table.find(self.run).ok_or("the peer is no longer a member")?;
+        let answered = member.dated.unwrap_or_default().max(self.opened);
+        if now.since(answered) < UNANSWERED_LIMIT {
+            return Ok(());
+        }
+        Err("no heartbeat was echoed".into())
+    }
+
+    async fn send(&mut self, purpose: Purpose, frames: &[Frame]) -> Result<(), LinkError> {
+        if frames.is_empty() {
+            return Ok(());
+        }
+        let mut bytes = BytesMut::new();
+        for frame in frames {
+            bytes.extend_from_slice(&encode(frame));
+        }
+        let now = self.kernel.clock.now();
+        self.kernel.control.budget().spend(now, purpose, bytes.len() + OVERHEAD_BYTES);
+        timeout(SEND_TIMEOUT, send_all(&mut self.stream, bytes.freeze())).await?
+    }
 }
 
 async fn send_all(stream: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), LinkError> {
--- /dev/null
+++ b/src/peer/loads.rs
@@ -0,0 +1,110 @@
+//! Load counts between instances: changed counts out, whole states in.
+
+use std::time::Duration;
+
+use super::frame::{LoadCount, Loads};
+use crate::units::{MonoTime, PlanVersion};
+
+/// Longest list of counts in one frame.
+pub const MAX_COUNTS: usize = 1_024;
+
+/// Time over which the fastest frame is remembered.
+const FASTEST_KEPT: Duration = Duration::from_mins(1);
+
+/// What one link has told its peer of this instance's requests in flight.
+///
+/// ```
+/// use arbutusshelf::{peer::loads::LoadSender, units::{MonoTime, PlanVersion}};
+///
+/// let (version, now) = (PlanVersion::from(1), MonoTime::from(5));
+/// let mut sender = LoadSender::default();
+/// let first = sender.changes(version, &[0, 3, 0, 1], now).expect("counts changed");
+/// assert_eq!(first.counts.len(), 2);
+/// assert_eq!(sender.changes(version, &[0, 3, 0, 1], now), None);
+/// ```
+#[derive(Debug, Default)]
+pub struct LoadSender {
+    version: PlanVersion,
+    told: Vec<u32>,
+}
+
+impl LoadSender {
+    /// Returns the counts that changed since the last call, or `None`.
+    ///
+    /// `in_flight` has one count for each target of plan `version`, in the order of the plan.
+    pub fn changes(&mut self, version: PlanVersion, in_flight: &[u32], now: MonoTime) -> Option<Loads> {
+        if self.version != version || self.told.len() != in_flight.len() {
+            self.version = version;
+            self.told = vec![0; in_flight.len()];
+        }
+        let mut counts = Vec::new();
+        let mut next = 0;
+        for (index, (told, actual)) in self.told.iter_mut().zip(in_flight).enumerate() {
+            if told == actual || counts.len() == MAX_COUNTS {
+                continue;
+            }
+            *told = *actual;
+            counts.push(LoadCount { skipped: (index - next) as u32, in_flight: *actual });
+            next = index + 1;
+        }
+        if counts.is_empty() {
+            return None;
+        }
+        Some(Loads { plan_version: version, sent_at_us: now.as_micros(), counts })
+    }
+}
+
+/// One count as received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReceivedLoad {
+    /// Position in the plan's list of targets.
+    pub index: usize,
+    /// Requests the peer has in flight there.
+    pub in_flight: u32,
+    /// Time since the peer took the count, beyond the delay of the fastest frame.
+    pub age: Duration,
+}
+
+/// What one peer has told of its requests in flight.
+#[derive(Debug, Default)]
+pub struct LoadReceiver {
+    /// Least difference between this clock at receipt and the peer's at sending, and since when it is kept.
+    fastest: Option<(i128, MonoTime)>,
+}
+
+impl LoadReceiver {
+    /// Takes a frame; counts for another plan than `version` or beyond `targets` give nothing.
+    pub fn take(
+        &mut self,
+        now: MonoTime,
+        version: PlanVersion,
+        targets: usize,
+        loads: &Loads,
+    ) -> Vec<ReceivedLoad> {
+        let age = self.age(now, loads.sent_at_us);
+        if loads.plan_version != version {
+            return Vec::new();
+        }
+        let mut received = Vec::with_capacity(loads.counts.len().min(targets));
+        let mut next = 0_usize;
+        for count in &loads.counts {
+            let index = next.saturating_add(count.skipped as usize);
+            if index >= targets {
+                return received;
+            }
+            received.push(ReceivedLoad { index, in_flight: count.in_flight, age });
+            next = index + 1;
+        }
+        received
+    }
+
+    fn age(&mut self, now: MonoTime, sent_at_us: u64) -> Duration {
+        let difference = i128::from(now.as_micros()) - i128::from(sent_at_us);
+        let kept = self.fastest.filter(|(_, since)| now.since(*since) < FASTEST_KEPT);
+        let (fastest, _) = *self.fastest.insert(match kept {
+            Some((fastest, since)) if fastest <= difference => (fastest, since),
+            _ => (difference, now),
+        });
+        Duration::from_micros(u64::try_from(difference - fastest).unwrap_or(0))
+    }
+}
--- a/src/plan/accept.rs
+++ b/src/plan/accept.rs
@@ -1,135 +1,280 @@
-//! Accepting a change: one conditional write under the next version, settled by reading back.
+//! Accepting a change as a pure state machine: results of reads and writes in, the next step out.
+//!
+//! The commit point is one transaction: the head row under the version that was read, and the row of the
+//! change id under its absence. A write whose reply was lost is settled by reading back and, while the rows
+//! are unchanged, by sending the same write again: its conditions let it take effect at most once.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
 
-use super::Plan;
+use super::{
+    Plan,
+    record::{BODY_OBJECTS, Body, ChangeRecord, Head, INLINE_BYTES, change_key, digest, head_key, to_value},
+};
 use crate::{
-    error::{Error, ErrorKind, Result},
-    platform::{Condition, Platform, ReadError, Row, RowChange, RowKey, RowWrite, WriteResult},
-    units::{ChangeId, PlanVersion},
+    platform::{Condition, RowChange, RowWrite, WriteResult},
+    units::{ChangeId, MonoTime, PlanVersion},
 };
 
-/// Row whose value is the plan in force; its conditional write is the commit point.
-pub const PLAN_ROW: &str = "plan/current";
+/// Pause before the next try after a failed one.
+pub const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// What an operator submits.
+#[derive(Debug, Clone)]
+pub struct Submission {
+    /// The sheet's plan; version and change id are set on the way.
+    pub plan: Plan,
+    /// The operator's id of the change.
+    pub change_id: ChangeId,
+    /// Version that the operator's change builds on; `None` for the one found first.
+    pub base: Option<PlanVersion>,
+    /// Unique to this submission.
+    pub token: u64,
+    /// When it was submitted, in seconds since the Unix epoch; `now` in the sheet means this.
+    pub submitted_unix_s: u64,
+}
 
-/// Tries to settle a write whose reply was lost.
-const READ_BACK_TRIES: u32 = 10;
+/// Both rows as read.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Rows {
+    /// Head with its row's version.
+    pub head: Option<(Head, u64)>,
+    /// Record of the submitted change id.
+    pub change: Option<ChangeRecord>,
+}
 
-/// Pause between two tries to read back.
-const READ_BACK_PAUSE: Duration = Duration::from_millis(200);
+/// What came of a step.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// Both rows were read, or could not be.
+    Read(Option<Rows>),
+    /// The body's object was written.
+    BodyPut(WriteResult),
+    /// The transaction was tried.
+    Wrote(WriteResult),
+    /// The pause has passed.
+    Paused,
+}
 
-/// A change that was committed.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Committed {
-    /// Version that the change has.
-    pub version: PlanVersion,
-    /// True when an earlier submission of the same change id made the version.
-    pub repeated: bool,
+/// What to do next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// Read the change's row, then the head row.
+    Read,
+    /// Put the plan into the object store if no object has the name.
+    PutBody {
+        /// Name, unique to the submission.
+        name: String,
+        /// The plan as JSON.
+        content: Bytes,
+    },
+    /// Try the transaction.
+    Write(Vec<RowWrite>),
+    /// Wait, then send [`Event::Paused`].
+    Pause(Duration),
+    /// Tell the operator.
+    Done(Verdict),
 }
 
-/// Key of the row that keeps the plan in force.
-pub fn plan_row_key() -> RowKey {
-    RowKey(PLAN_ROW.to_owned())
+/// How a submission ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Verdict {
+    /// The change is committed.
+    Committed {
+        /// Version that the change made.
+        version: PlanVersion,
+        /// Whether an earlier submission of the same change id made it.
+        repeated: bool,
+    },
+    /// Another change was first; nothing of this one took effect.
+    Conflict(Option<Head>),
+    /// The change id made a version with another sheet; nothing took effect.
+    ChangeIdReused(PlanVersion),
+    /// The store could not be reached or refused; nothing took effect.
+    NothingWritten,
+    /// The change may have taken effect or may yet; submitting it again settles it.
+    Unknown,
+    /// The plan has no JSON form.
+    Unwritable(String),
 }
 
-/// Reads the plan from its row.
+/// One submission on its way.
 ///
-/// # Errors
+/// ```
+/// use arbutusshelf::{
+///     plan::{Plan, accept::{Acceptance, Event, Rows, Step, Submission, Verdict}},
+///     platform::WriteResult,
+///     units::MonoTime,
+/// };
 ///
-/// [`ErrorKind::PlatformUnreachable`] when the row does not hold a plan.
-pub fn decode(row: &Row) -> Result<Plan> {
-    serde_json::from_slice(&row.value).map_err(|e| {
-        Error::new(ErrorKind::PlatformUnreachable, format!("row {} holds no plan: {e}", row.key))
-    })
+/// let submission = Submission {
+///     plan: Plan::default(),
+///     change_id: "first".parse()?,
+///     base: None,
+///     token: 7,
+///     submitted_unix_s: 0,
+/// };
+/// let (now, deadline) = (MonoTime::from(0), MonoTime::from(1_000_000));
+/// let mut acceptance = Acceptance::new(submission, deadline);
+/// assert_eq!(acceptance.start(), Step::Read);
+/// let step = acceptance.handle(now, Event::Read(Some(Rows::default())));
+/// assert!(matches!(step, Step::Write(writes) if writes.len() == 2));
+/// let step = acceptance.handle(now, Event::Wrote(WriteResult::TookEffect(vec![1, 2])));
+/// assert_eq!(step, Step::Done(Verdict::Committed { version: 1.into(), repeated: false }));
+/// # Ok::<(), arbutusshelf::units::NameError>(())
+/// ```
+#[derive(Debug)]
+pub struct Acceptance {
+    submission: Submission,
+    digest: String,
+    deadline: MonoTime,
+    /// Rows as last read.
+    rows: Rows,
+    /// Whether some try of the transaction may have taken effect or may yet.
+    maybe_written: bool,
+    /// Whether the store told that another write came first.
+    lost: bool,
+    body: Option<BodyObject>,
 }
 
-fn unreachable(e: ReadError) -> Error {
-    Error::new(ErrorKind::PlatformUnreachable, format!("reading the plan: {e}"))
+#[derive(Debug)]
+struct BodyObject {
+    name: String,
+    content: Bytes,
+    stored: bool,
 }
 
-/// Commits `plan` under the version after the one in the table.
-///
-/// `expected` is the version the operator saw, if stated; another one in the table is a conflict.
-///
-/// # Errors
-///
-/// [`ErrorKind::PlanConflict`] when another change won, [`ErrorKind::PlatformUnreachable`] when nothing was
-/// written, [`ErrorKind::PlanUnknown`] when the store did not tell within the tries.
-pub async fn commit(
-    platform: &Platform,
-    mut plan: Plan,
-    change_id: ChangeId,
-    expected: Option<PlanVersion>,
-) -> Result<Committed> {
-    let current = (platform.get)(plan_row_key()).await.map_err(unreachable)?;
-    let (condition, in_force) = match &current {
-        Some(row) => (Condition::VersionIs(row.version), decode(row)?),
-        None => (Condition::Absent, Plan::default()),
-    };
-    if in_force.change_id.as_ref() == Some(&change_id) {
-        return Ok(Committed { version: in_force.version, repeated: true });
+impl Acceptance {
+    /// Creates the machine; after `deadline` it gives up as soon as a step fails.
+    pub fn new(submission: Submission, deadline: MonoTime) -> Self {
+        let digest = digest(&submission.plan);
+        let rows = Rows::default();
+        Self { submission, digest, deadline, rows, maybe_written: false, lost: false, body: None }
     }
-    if expected.is_some_and(|e| e != in_force.version) {
-        return Err(conflict(&in_force));
+
+    /// Returns the first step.
+    pub fn start(&self) -> Step {
+        Step::Read
+    }
+
+    /// Returns the plan as committed, once its version is known.
+    pub fn plan(&self) -> &Plan {
+        &self.submission.plan
     }
-    plan.version = in_force.version.next();
-    plan.change_id = Some(change_id.clone());
-    let value = serde_json::to_vec(&plan)
-        .map_err(|e| Error::new(ErrorKind::Sheet, format!("the plan can't be written as JSON: {e}")))?;
-    let write = RowWrite { key: plan_row_key(), condition, change: RowChange::Put(Bytes::from(value)) };
-    let mut result = (platform.write)(vec![write.clone()]).await;
-    for _ in 0..READ_BACK_TRIES {
-        if result != WriteResult::Refused {
-            break;
+
+    /// Takes what came of the last step and returns the next one.
+    pub fn handle(&mut self, now: MonoTime, event: Event) -> Step {
+        match event {
+            Event::Read(Some(rows)) => self.take_rows(rows),
+            Event::Read(None) | Event::BodyPut(WriteResult::Refused | WriteResult::Unknown) => {
+                self.retry(now)
+            }
+            Event::BodyPut(WriteResult::TookEffect(_) | WriteResult::Conflict(_)) => {
+                // The name is unique to this submission, so a conflict is an earlier try that took effect.
+                if let Some(body) = &mut self.body {
+                    body.stored = true;
+                }
+                self.write()
+            }
+            Event::Wrote(result) => self.wrote(now, &result),
+            Event::Paused => Step::Read,
         }
-        tokio::time::sleep(READ_BACK_PAUSE).await;
-        result = (platform.write)(vec![write.clone()]).await;
     }
-    match result {
-        WriteResult::TookEffect(_) => Ok(Committed { version: plan.version, repeated: false }),
-        WriteResult::Conflict(_) => read_winner(platform, &change_id).await,
-        WriteResult::Refused => Err(Error::new(
-            ErrorKind::PlatformUnreachable,
-            "the store refused the write; nothing was changed",
-        )),
-        WriteResult::Unknown => settle(platform, plan.version, &change_id).await,
+
+    fn wrote(&mut self, now: MonoTime, result: &WriteResult) -> Step {
+        match result {
+            WriteResult::TookEffect(_) => {
+                let version = self.submission.plan.version;
+                Step::Done(Verdict::Committed { version, repeated: false })
+            }
+            WriteResult::Conflict(_) => {
+                self.lost = true;
+                if now >= self.deadline { self.give_up() } else { Step::Read }
+            }
+            WriteResult::Refused => self.retry(now),
+            WriteResult::Unknown => {
+                self.maybe_written = true;
+                self.retry(now)
+            }
+        }
     }
-}
 
-fn conflict(winner: &Plan) -> Error {
-    let by = winner.change_id.as_ref().map(ToString::to_string).unwrap_or_default();
-    Error::new(
-        ErrorKind::PlanConflict,
-        format!("version {} by change {by} was accepted first", winner.version),
-    )
-}
+    fn retry(&self, now: MonoTime) -> Step {
+        if now >= self.deadline { self.give_up() } else { Step::Pause(RETRY_PAUSE) }
+    }
 
-async fn read_winner(platform: &Platform, change_id: &ChangeId) -> Result<Committed> {
-    let row = (platform.get)(plan_row_key()).await.map_err(unreachable)?;
-    let winner = row.as_ref().map(decode).transpose()?.unwrap_or_default();
-    if winner.change_id.as_ref() == Some(change_id) {
-        return Ok(Committed { version: winner.version, repeated: true });
+    fn give_up(&self) -> Step {
+        Step::Done(match (self.maybe_written, self.lost) {
+            (true, _) => Verdict::Unknown,
+            (false, true) => Verdict::Conflict(None),
+            (false, false) => Verdict::NothingWritten,
+        })
     }
-    Err(conflict(&winner))
-}
 
-async fn settle(platform: &Platform, version: PlanVersion, change_id: &ChangeId) -> Result<Committed> {
-    for _ in 0..READ_BACK_TRIES {
-        tokio::time::sleep(READ_BACK_PAUSE).await;
-        let Ok(Some(row)) = (platform.get)(plan_row_key()).await else {
-            continue;
-        };
-        let found = decode(&row)?;
-        if found.change_id.as_ref() == Some(change_id) {
-            return Ok(Committed { version: found.version, repeated: false });
+    fn take_rows(&mut self, rows: Rows) -> Step {
+        if let Some(record) = &rows.change {
+            return Step::Done(self.judge_record(record));
         }
-        if found.version >= version {
-            return Err(conflict(&found));
+        let found = rows.head.as_ref().map_or_else(PlanVersion::default, |(head, _)| head.version);
+        let base = *self.submission.base.get_or_insert(found);
+        if base != found {
+            // A write under the base's conditions can't take effect any more.
+            return Step::Done(Verdict::Conflict(rows.head.map(|(head, _)| head)));
         }
+        self.rows = rows;
+        self.prepare(base.next())
+    }
+
+    fn judge_record(&self, record: &ChangeRecord) -> Verdict {
+        if record.digest != self.digest {
+            return Verdict::ChangeIdReused(record.version);
+        }
+        let repeated = record.token != self.submission.token;
+        Verdict::Committed { version: record.version, repeated }
+    }
+
+    /// Gives the plan its version and stores its body first if it is large.
+    fn prepare(&mut self, version: PlanVersion) -> Step {
+        if self.submission.plan.version != version {
+            self.submission.plan.version = version;
+            self.submission.plan.change_id = Some(self.submission.change_id.clone());
+            self.submission.plan.accept_at(self.submission.submitted_unix_s);
+            match to_value(&self.submission.plan) {
+                Ok(content) if content.len() > INLINE_BYTES => {
+                    let name = format!("{BODY_OBJECTS}{version}-{:016x}", self.submission.token);
+                    self.body = Some(BodyObject { name, content, stored: false });
+                }
+                Ok(_) => {}
+                Err(e) => return Step::Done(Verdict::Unwritable(e.message)),
+            }
+        }
+        match &self.body {
+            Some(body) if !body.stored => {
+                Step::PutBody { name: body.name.clone(), content: body.content.clone() }
+            }
+            _ => self.write(),
+        }
+    }
+
+    fn write(&self) -> Step {
+        let Submission { plan, change_id, token, .. } = &self.submission;
+        let body = match &self.body {
+            Some(body) => Body::Object(body.name.clone()),
+            None => Body::Inline(Box::new(plan.clone())),
+        };
+        let head = Head { version: plan.version, change_id: change_id.clone(), body };
+        let record = ChangeRecord { version: plan.version, digest: self.digest.clone(), token: *token };
+        let (head, record) = match (to_value(&head), to_value(&record)) {
+            (Ok(head), Ok(record)) => (head, record),
+            (Err(e), _) | (_, Err(e)) => return Step::Done(Verdict::Unwritable(e.message)),
+        };
+        let row_version = self.rows.head.as_ref().map(|(_, row_version)| *row_version);
+        let condition = row_version.map_or(Condition::Absent, Condition::VersionIs);
+        let change_key = change_key(change_id);
+        Step::Write(vec![
+            RowWrite { key: head_key(), condition, change: RowChange::Put(head) },
+            RowWrite { key: change_key, condition: Condition::Absent, change: RowChange::Put(record) },
+        ])
     }
-    let message = format!("the store did not tell whether change {change_id} took effect; submit it again");
-    Err(Error::new(ErrorKind::PlanUnknown, message))
 }
--- /dev/null
+++ b/src/plan/commit.rs
@@ -0,0 +1,53 @@
+//! Carries the steps of an acceptance to the platform.
+
+use super::{
+    Plan,
+    accept::{Acceptance, Event, Rows, Step, Submission, Verdict},
+    record::{change_key, from_row, head_key},
+};
+use crate::{
+    error::Result,
+    kernel::clock::Clock,
+    platform::{ObjectCondition, Platform, RowKey},
+    units::{ChangeId, MonoTime},
+};
+
+/// Commits a submission; returns the verdict and the plan as written.
+///
+/// # Errors
+///
+/// [`crate::error::ErrorKind::PlatformUnreachable`] when a row holds something else than a plan.
+pub async fn commit(
+    platform: &Platform,
+    clock: Clock,
+    submission: Submission,
+    deadline: MonoTime,
+) -> Result<(Verdict, Plan)> {
+    let change_id = submission.change_id.clone();
+    let mut acceptance = Acceptance::new(submission, deadline);
+    let mut step = acceptance.start();
+    loop {
+        let event = match step {
+            Step::Read => Event::Read(read_rows(platform, &change_id).await?),
+            Step::PutBody { name, content } => {
+                Event::BodyPut((platform.put_object)((name, content, ObjectCondition::Absent)).await)
+            }
+            Step::Write(writes) => Event::Wrote((platform.write)(writes).await),
+            Step::Pause(pause) => {
+                tokio::time::sleep(pause).await;
+                Event::Paused
+            }
+            Step::Done(verdict) => return Ok((verdict, acceptance.plan().clone())),
+        };
+        step = acceptance.handle(clock.now(), event);
+    }
+}
+
+async fn read_rows(platform: &Platform, change_id: &ChangeId) -> Result<Option<Rows>> {
+    let read = |key: RowKey| (platform.get)(key);
+    let Ok(change) = read(change_key(change_id)).await else { return Ok(None) };
+    let Ok(head) = read(head_key()).await else { return Ok(None) };
+    let change = change.as_ref().map(from_row).transpose()?;
+    let head = head.map(|row| from_row(&row).map(|head| (head, row.version))).transpose()?;
+    Ok(Some(Rows { head, change }))
+}
--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -12,8 +12,13 @@
 
 pub mod accept;
 pub mod clock;
+pub mod commit;
 pub mod difference;
+pub mod follow;
+pub mod intentions;
 pub mod keeper;
+pub mod poll;
+pub mod record;
 pub mod sheet;
 
 /// Everything operators state: instances, services, pools, request kinds, budgets and intentions.
@@ -24,6 +29,9 @@
     pub version: PlanVersion,
     /// The operator's id of the change that made this version.
     pub change_id: Option<ChangeId>,
+    /// When it was submitted, in seconds since the Unix epoch; 0 before that.
+    #[serde(default)]
+    pub accepted_unix_s: u64,
     /// Limits and budgets that hold for the whole deployment.
     pub budgets: Budgets,
     /// Entry instances, sorted by id, ids unique.
@@ -35,6 +43,20 @@
 }
 
 impl Plan {
+    /// Sets the time of acceptance, which is what `now` in the sheet means.
+    pub fn accept_at(&mut self, unix_s: u64) {
+        self.accepted_unix_s = unix_s;
+        for intention in self.intentions.iter_mut().filter(|i| i.at_unix_s == 0) {
+            intention.at_unix_s = unix_s;
+        }
+        self.intentions.sort_by_key(|i| i.at_unix_s);
+    }
+
+    /// Returns all targets with their services, in the order of the plan.
+    pub fn targets(&self) -> impl Iterator<Item = (&ServiceSpec, &TargetSpec)> {
+        self.services.iter().flat_map(|s| s.targets.iter().map(move |t| (s, t)))
+    }
+
     /// Finds a service by name.
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         let index = self.services.binary_search_by(|s| s.name.as_str().cmp(name)).ok()?;
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -339,7 +339,11 @@
         }
     };
     guard.connection = Some(connection);
-    guard.began(load_report(&response));
+    let report = load_report(&response);
+    if report.draining {
+        context.kernel.target_said_draining(&target.id);
+    }
+    guard.began(report);
     let status = response.status();
     if context.refusal_means_not_run && is_stated_refusal(&response) {
         guard.end(AttemptEnd::Refused);
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -5,24 +5,17 @@
 use tokio::{
     net::TcpListener,
     signal::unix::{Signal, SignalKind, signal},
-    time::{MissedTickBehavior, interval, sleep},
+    time::sleep,
 };
 
 use crate::{
     admin,
     error::{Error, ErrorKind, Result},
     kernel::Kernel,
-    logging, peer,
-    plan::accept,
-    platform::ListedInstance,
-    proxy,
+    logging, peer, plan, proxy,
     settings::Config,
-    units::MonoTime,
 };
 
-/// Time between two reads of the plan and the instance list.
-const POLL_PERIOD: Duration = Duration::from_millis(500);
-
 /// Sockets of one instance, bound.
 #[derive(Debug)]
 pub struct Listeners {
@@ -72,9 +65,9 @@
 pub async fn run(kernel: Arc<Kernel>, listeners: Listeners) {
     log_start(&kernel);
     let admin = tokio::spawn(admin::listen(Arc::clone(&kernel), listeners.admin));
-    let peers = tokio::spawn(peer::link::listen(Arc::clone(&kernel), listeners.peers));
+    let peers = tokio::spawn(peer::receive::listen(Arc::clone(&kernel), listeners.peers));
     let links = tokio::spawn(peer::link::connect_all(Arc::clone(&kernel)));
-    let polls = tokio::spawn(poll_platform(Arc::clone(&kernel)));
+    let polls = tokio::spawn(plan::poll::run(Arc::clone(&kernel)));
     let callers = tokio::spawn(proxy::listen(Arc::clone(&kernel), listeners.callers));
     kernel.wait_leaving().await;
     sleep(Duration::from_millis(kernel.config.balancer_lag_ms)).await;
@@ -127,61 +120,3 @@
         _ = interrupt.recv() => {}
     }
 }
-
-/// Reads plan and list, registers this instance, and judges whether the plan is known to be current.
-async fn poll_platform(kernel: Arc<Kernel>) {
-    let mut period = interval(POLL_PERIOD);
-    period.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut confirmed_at = None;
-    loop {
-        period.tick().await;
-        register(&kernel).await;
-        if let Ok(list) = (kernel.platform.list_instances)(()).await {
-            kernel.members.listed(&kernel.config.instance, &list);
-        }
-        if read_plan(&kernel).await {
-            confirmed_at = Some(kernel.clock.now());
-        }
-        judge_current(&kernel, confirmed_at);
-        kernel.apply_intentions(u64::try_from(logging::unix_ms() / 1_000).unwrap_or(u64::MAX));
-    }
-}
-
-/// A plan is current while the store confirmed it, or a live peer could have told of a newer one.
-fn judge_current(kernel: &Kernel, confirmed_at: Option<MonoTime>) {
-    let now = kernel.clock.now();
-    let limit = Duration::from_millis(kernel.config.cut_off_after_ms);
-    let confirmed = confirmed_at.is_some_and(|at| now.since(at) < limit);
-    kernel.set_plan_current(confirmed || kernel.members.any_live(now));
-}
-
-async fn read_plan(kernel: &Kernel) -> bool {
-    match (kernel.platform.get)(accept::plan_row_key()).await {
-        Ok(Some(row)) => match accept::decode(&row) {
-            Ok(plan) => {
-                kernel.offer_plan(plan);
-                true
-            }
-            Err(e) => {
-                log::error!("event=plan-unreadable error={:?}", e.message);
-                false
-            }
-        },
-        Ok(None) => true,
-        Err(_) => false,
-    }
-}
-
-async fn register(kernel: &Kernel) {
-    let line = ListedInstance {
-        id: kernel.config.instance.clone(),
-        run_id: kernel.run_id,
-        data_centre: kernel.config.data_centre.clone(),
-        peer_address: kernel.config.peers_address,
-        caller_address: kernel.config.callers_address,
-        leaving: kernel.is_leaving(),
-    };
-    if let Err(e) = (kernel.platform.register)(line).await {
-        log::debug!("event=register-failed error={:?}", e.to_string());
-    }
-}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -29,6 +29,9 @@
     /// Where other instances connect.
     pub peers_address: SocketAddr,
 
+    /// Addresses of other instances to greet at the start, for when the platform's list can't be read.
+    pub peer_seeds: Vec<SocketAddr>,
+
     /// Platform driver by name, `embedded` or `http`.
     pub platform_driver: String,
 
@@ -184,6 +187,7 @@
     let callers_address = reader.required("callers_address");
     let admin_address = reader.required::<SocketAddr>("admin_address");
     let peers_address = reader.required("peers_address");
+    let peer_seeds = reader.optional("peer_seeds").unwrap_or_default();
     let platform_driver = reader.optional("platform_driver").unwrap_or_else(|| "embedded".to_owned());
     let platform_address = reader.optional("platform_address");
     if platform_driver == "http" && platform_address.is_none() {
@@ -198,7 +202,7 @@
     let platform_timeout_ms = reader.ranged("platform_timeout_ms", 500, 10..=60_000);
     let head_timeout_ms = reader.ranged("head_timeout_ms", 10_000, 100..=600_000);
     let progress_timeout_ms = reader.ranged("progress_timeout_ms", 5_000, 100..=600_000);
-    let balancer_lag_ms = reader.ranged("balancer_lag_ms", 3_000, 0..=60_000);
+    let balancer_lag_ms = reader.ranged("balancer_lag_ms", 2_000, 0..=60_000);
     let cut_off_after_ms = reader.ranged("cut_off_after_ms", 30_000, 1_000..=3_600_000);
     let confirm_timeout_ms = reader.ranged("confirm_timeout_ms", 5_000, 100..=60_000);
     let workers = reader.ranged("workers", 0, 0..=256) as usize;
@@ -210,6 +214,7 @@
         callers_address: callers_address?,
         admin_address: admin_address?,
         peers_address: peers_address?,
+        peer_seeds,
         platform_driver,
         platform_address,
         platform_timeout_ms,
--- a/src/units.rs
+++ b/src/units.rs
@@ -188,6 +188,12 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns the point `span` earlier, `None` before the origin.
+    #[must_use]
+    pub fn checked_sub(self, span: Duration) -> Option<Self> {
+        self.0.checked_sub(u64::try_from(span.as_micros()).ok()?).map(Self)
+    }
+
     /// Returns the microseconds since the origin.
     #[must_use]
     pub fn as_micros(self) -> u64 {
