--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -31,7 +31,7 @@
         intentions::{DrainChange, must_leave},
         keeper::PlanInForce,
     },
-    platform::Platform,
+    platform::{Platform, guard::GuardedPlatform, share::Purpose},
     proxy::connection::Connections,
     settings::Config,
     units::{CallId, InstanceId, MonoTime, RunId, TargetId},
@@ -51,7 +51,9 @@
     pub clock: Clock,
     /// Identifier of this run.
     pub run_id: RunId,
-    /// The platform's service.
+    /// The platform's service behind this instance's shares.
+    pub store: GuardedPlatform,
+    /// The platform's service as seen for the plan and the list.
     pub platform: Platform,
     /// Plan in force.
     pub plan: PlanInForce,
@@ -92,10 +94,10 @@
             let message = format!("platform_driver: expected {known}, found {:?}", config.platform_driver);
             Error::new(ErrorKind::Settings, message)
         })?;
-        let platform = (driver.open)(&config)?;
         let clock = Clock::start();
         let run_id = RunId::from(rand::random::<u64>());
         let cut_off_after = Duration::from_millis(config.cut_off_after_ms);
+        let store = GuardedPlatform::new((driver.open)(&config)?, clock, run_id.into());
         Ok(Arc::new(Self {
             clock,
             run_id,
@@ -105,7 +107,7 @@
             started_unix_s: unix_s(),
             pools: PoolTable::new(clock, config.data_centre.clone(), run_id.into()),
             connections: Connections::default(),
-            claims: Claims::new(platform.clone(), run_id),
+            claims: Claims::new(store.view(Purpose::Claim), run_id),
             tally: Tally::default(),
             current_until_us: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
@@ -114,7 +116,8 @@
             in_progress: AtomicUsize::new(0),
             idle: Notify::new(),
             last_call: AtomicU64::new(0),
-            platform,
+            platform: store.view(Purpose::Plan),
+            store,
             config,
         }))
     }
@@ -163,6 +166,7 @@
         self.control.budget().set_rate(self.clock.now(), plan.budgets.control_bytes_per_s);
         self.pools.apply(&plan);
         self.apply_intentions(unix_s());
+        self.store.follow(&plan.budgets);
         log::info!("event=plan-in-force version={version}");
         true
     }
