Check accepting, following, frames and members against tables of faults

Cause: the machines had doc examples and whole schedules only, so a single rule could break unseen. Change: fault tables for every write result and read-back, for the standing at a start, for frames and for members; random and mutated bytes for the decoder; links without any one data centre. Conclusion: each rule has a test of its own.

--- /dev/null
+++ b/tests/membership_table.rs
@@ -0,0 +1,225 @@
+//! Members: what is believed of peers that are silent, paused, replaced or only listed.
+
+use arbutusshelf::{
+    membership::{
+        links::{End, FULL_MESH_INSTANCES, PAIRS_BETWEEN_DATA_CENTRES, plan_links},
+        table::{Change, MemberTable, REMOVE_AFTER, SUSPECT_AFTER, Trust},
+    },
+    peer::frame::{Heartbeat, Hello, PROTOCOL_VERSION},
+    platform::ListedInstance,
+    units::{DataCentre, InstanceId, MonoTime, RunId},
+};
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from(ms * 1_000)
+}
+
+fn name(text: &str) -> InstanceId {
+    text.parse().expect("a name")
+}
+
+fn table() -> MemberTable {
+    MemberTable::new(name("own"), RunId::from(1))
+}
+
+fn hello(instance: &str, run: u64) -> Hello {
+    Hello {
+        protocol_version: PROTOCOL_VERSION,
+        instance: name(instance),
+        run_id: RunId::from(run),
+        data_centre: "ost-a".parse().expect("a name"),
+        peer_address: "127.0.0.1:1".parse().expect("an address"),
+    }
+}
+
+fn line(instance: &str, run: u64, leaving: bool) -> ListedInstance {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    ListedInstance {
+        id: name(instance),
+        run_id: RunId::from(run),
+        data_centre: "ost-a".parse().expect("a name"),
+        peer_address: address,
+        caller_address: address,
+        leaving,
+    }
+}
+
+/// Sends a heartbeat at `sent` and takes the peer's answer to it; returns its number.
+fn exchange(table: &mut MemberTable, run: u64, sent: MonoTime, number: u64) -> u64 {
+    let run = RunId::from(run);
+    let beat = table.next_heartbeat(sent, run, Heartbeat::default()).expect("a member");
+    table.heard(run, Heartbeat { number, echo: beat.number, ..Heartbeat::default() });
+    beat.number
+}
+
+fn trust(table: &MemberTable, run: u64, now: MonoTime) -> Option<Trust> {
+    table.find(RunId::from(run)).map(|m| m.trust(now))
+}
+
+#[test]
+fn a_listed_instance_is_a_candidate_and_not_live() {
+    let mut table = table();
+    assert!(!table.listed(at(0), &[line("own", 1, false), line("peer", 2, false)]));
+    assert_eq!(table.all().count(), 1, "this run is no member of its own table");
+    assert_eq!(trust(&table, 2, at(0)), Some(Trust::Unheard));
+    assert_eq!(table.unheard(at(0)), [name("peer")]);
+}
+
+#[test]
+fn the_list_tells_this_run_to_leave_and_no_earlier_one() {
+    assert!(table().listed(at(0), &[line("own", 1, true)]));
+    assert!(!table().listed(at(0), &[line("own", 99, true)]));
+}
+
+#[test]
+fn silence_is_suspected_before_it_is_removed() {
+    let mut table = table();
+    table.greeted(at(0), &hello("peer", 2));
+    exchange(&mut table, 2, at(100), 1);
+    let run = RunId::from(2);
+    assert_eq!(table.tick(at(200)), [Change::Live(name("peer"), run)]);
+    assert_eq!(table.tick(at(100) + SUSPECT_AFTER), [Change::Silent(name("peer"), run)]);
+    assert_eq!(table.without(5.into(), at(100) + SUSPECT_AFTER), [name("peer")], "a suspect is still named");
+    assert_eq!(table.tick(at(100) + REMOVE_AFTER), [Change::Removed(name("peer"), run)]);
+    assert_eq!(table.all().count(), 0);
+}
+
+#[test]
+fn a_silent_run_stays_a_candidate_while_it_is_listed() {
+    let mut table = table();
+    table.listed(at(0), &[line("peer", 2, false)]);
+    exchange(&mut table, 2, at(100), 1);
+    table.tick(at(60_000));
+    assert_eq!(trust(&table, 2, at(60_000)), Some(Trust::Suspect));
+}
+
+#[test]
+fn words_from_before_a_pause_do_not_make_a_peer_live() {
+    let mut table = table();
+    table.greeted(at(0), &hello("peer", 2));
+    let echo = exchange(&mut table, 2, at(100), 1);
+    // This instance is paused; on waking it reads what the peer wrote meanwhile, all echoing the old number.
+    let woken = at(60_000);
+    for number in 2..100 {
+        table.heard(RunId::from(2), Heartbeat { number, echo, ..Heartbeat::default() });
+    }
+    assert_eq!(trust(&table, 2, woken), Some(Trust::Suspect));
+    exchange(&mut table, 2, woken, 100);
+    assert_eq!(trust(&table, 2, woken), Some(Trust::Live));
+}
+
+#[test]
+fn an_echo_of_a_number_that_was_never_sent_dates_nothing() {
+    let mut table = table();
+    table.greeted(at(0), &hello("peer", 2));
+    let heartbeat = Heartbeat { number: 1, echo: 1_000, ..Heartbeat::default() };
+    assert_eq!(table.heard(RunId::from(2), heartbeat), None);
+    assert_eq!(trust(&table, 2, at(1)), Some(Trust::Unheard));
+}
+
+#[test]
+fn a_reused_name_is_another_member() {
+    let mut table = table();
+    table.greeted(at(0), &hello("peer", 2));
+    exchange(&mut table, 2, at(100), 1);
+    table.greeted(at(200), &hello("peer", 3));
+    assert_eq!(trust(&table, 3, at(300)), Some(Trust::Unheard), "the old run's word is not the new one's");
+    exchange(&mut table, 3, at(300), 1);
+    // The old run wakes from a pause and echoes nothing newer.
+    table.heard(RunId::from(2), Heartbeat { number: 2, echo: 1, ..Heartbeat::default() });
+    let now = at(2_200);
+    assert_eq!((trust(&table, 2, now), trust(&table, 3, now)), (Some(Trust::Suspect), Some(Trust::Live)));
+    assert_eq!(table.headcount(now).known, 1, "two runs of one name count once");
+}
+
+#[test]
+fn heartbeats_out_of_order_lower_nothing() {
+    let mut table = table();
+    table.greeted(at(0), &hello("peer", 2));
+    let run = RunId::from(2);
+    table.heard(run, Heartbeat { number: 5, plan_version: 9.into(), leaving: true, ..Heartbeat::default() });
+    table.heard(run, Heartbeat { number: 4, plan_version: 8.into(), ..Heartbeat::default() });
+    table.heard(run, Heartbeat { number: 6, plan_version: 7.into(), ..Heartbeat::default() });
+    let member = table.find(run).expect("a member");
+    assert_eq!(member.said.plan_version, 9.into());
+    assert!(member.leaving);
+}
+
+#[test]
+fn the_own_run_is_not_greeted() {
+    assert!(!table().greeted(at(0), &hello("own", 1)));
+}
+
+fn ends(count: u64, data_centres: u64) -> Vec<End> {
+    let data_centre = |n: u64| format!("dc-{}", n % data_centres).parse::<DataCentre>().expect("a name");
+    let run = |n: u64| RunId::from(n.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    (1..=count).map(|n| End { run_id: run(n), data_centre: data_centre(n) }).collect()
+}
+
+fn links_of(ends: &[End], own: &End) -> Vec<RunId> {
+    let others = ends.iter().filter(|e| *e != own).cloned().collect::<Vec<_>>();
+    plan_links(own, &others)
+}
+
+#[test]
+fn few_instances_link_pair_by_pair() {
+    let ends = ends(FULL_MESH_INSTANCES as u64, 3);
+    for own in &ends {
+        assert_eq!(links_of(&ends, own).len(), FULL_MESH_INSTANCES - 1);
+    }
+}
+
+#[test]
+fn many_instances_link_within_a_data_centre_and_by_few_pairs_between() {
+    let ends = ends(48, 12);
+    let mut between = 0;
+    for own in &ends {
+        let links = links_of(&ends, own);
+        for end in ends.iter().filter(|e| *e != own) {
+            let linked = links.contains(&end.run_id);
+            assert!(linked || end.data_centre != own.data_centre, "neighbours are linked");
+            assert_eq!(linked, links_of(&ends, end).contains(&own.run_id), "both ends find the same pairs");
+            between += usize::from(linked && end.data_centre != own.data_centre);
+        }
+    }
+    assert_eq!(between, 2 * PAIRS_BETWEEN_DATA_CENTRES * (12 * 11 / 2));
+}
+
+/// Returns how many instances a word reaches from the first one over the planned links.
+fn reached(ends: &[End]) -> usize {
+    let mut known = vec![ends[0].run_id];
+    let mut next = 0;
+    while next < known.len() {
+        let own = ends.iter().find(|e| e.run_id == known[next]).expect("a known end");
+        for run in links_of(ends, own) {
+            if !known.contains(&run) {
+                known.push(run);
+            }
+        }
+        next += 1;
+    }
+    known.len()
+}
+
+#[test]
+fn the_loss_of_any_data_centre_leaves_the_rest_connected() {
+    let all = ends(48, 12);
+    assert_eq!(reached(&all), 48);
+    for lost in 0..12 {
+        let lost = format!("dc-{lost}").parse::<DataCentre>().expect("a name");
+        let rest = all.iter().filter(|e| e.data_centre != lost).cloned().collect::<Vec<_>>();
+        assert_eq!(reached(&rest), rest.len(), "without {lost}");
+    }
+}
+
+#[test]
+fn a_lost_instance_moves_only_its_own_pairs() {
+    let all = ends(48, 12);
+    let rest = all[1..].to_vec();
+    for own in rest.iter().filter(|e| e.data_centre != all[0].data_centre) {
+        let before = links_of(&all, own);
+        let after = links_of(&rest, own);
+        let dropped = before.iter().filter(|run| !after.contains(run) && **run != all[0].run_id).count();
+        assert_eq!(dropped, 0, "{} keeps its other links", own.run_id);
+    }
+}
--- /dev/null
+++ b/tests/peer_frames.rs
@@ -0,0 +1,128 @@
+//! The peer protocol's decoder against a table of faults and against random bytes.
+
+use arbutusshelf::{
+    peer::frame::{
+        Decoder, Frame, FrameError, Heartbeat, Hello, LoadCount, Loads, MAX_SMALL_FRAME_BYTES,
+        PROTOCOL_VERSION, TargetSign, encode, encode_raw,
+    },
+    units::RunId,
+};
+use bytes::Bytes;
+use quickcheck::{Gen, QuickCheck};
+
+fn hello() -> Frame {
+    Frame::Hello(Hello {
+        protocol_version: PROTOCOL_VERSION,
+        instance: "kremsau-01".parse().expect("a name"),
+        run_id: RunId::from(u64::MAX),
+        data_centre: "ost-a".parse().expect("a name"),
+        peer_address: "127.0.0.1:8082".parse().expect("an address"),
+    })
+}
+
+fn one_of_each() -> Vec<Frame> {
+    let counts = vec![LoadCount { skipped: 0, in_flight: 3 }, LoadCount { skipped: 400, in_flight: 1_000 }];
+    vec![
+        hello(),
+        Frame::Heartbeat(Heartbeat { number: 1, confirmed_age_ms: Some(70), ..Heartbeat::default() }),
+        Frame::PlanWanted(7.into()),
+        Frame::Plan(Bytes::from_static(b"{}")),
+        Frame::Loads(Loads { plan_version: 7.into(), sent_at_us: 1 << 40, counts }),
+        Frame::TargetSign(TargetSign { target: "a-01".parse().expect("a name"), after_return_unix_s: 5 }),
+    ]
+}
+
+fn decode_all(bytes: &[u8], chunk: usize) -> Result<Vec<Frame>, FrameError> {
+    let mut decoder = Decoder::default();
+    let mut frames = Vec::new();
+    for part in bytes.chunks(chunk.max(1)) {
+        decoder.push(part);
+        while let Some(frame) = decoder.next_frame()? {
+            frames.push(frame);
+        }
+    }
+    Ok(frames)
+}
+
+#[test]
+fn frames_survive_any_cutting_into_chunks() {
+    let sent = one_of_each();
+    let bytes = sent.iter().flat_map(|f| encode(f).to_vec()).collect::<Vec<_>>();
+    for chunk in [1, 2, 3, 5, 7, 64, bytes.len()] {
+        assert_eq!(decode_all(&bytes, chunk).as_ref(), Ok(&sent), "chunks of {chunk}");
+    }
+}
+
+#[test]
+fn unknown_frames_are_skipped() {
+    let mut decoder = Decoder::default();
+    decoder.push(&encode_raw(200, b"of a later version"));
+    decoder.push(&encode(&hello()));
+    assert_eq!(decoder.next_frame(), Ok(Some(hello())));
+    assert_eq!(decoder.skipped(), 1);
+}
+
+#[test]
+fn malformed_frames_are_named() {
+    let oversized = u32::try_from(MAX_SMALL_FRAME_BYTES + 1).expect("it fits").to_be_bytes();
+    let mut long_hello = encode(&hello()).to_vec();
+    long_hello.push(0);
+    let length = u32::try_from(long_hello.len() - 4).expect("it fits").to_be_bytes();
+    long_hello[..4].copy_from_slice(&length);
+    let table = [
+        ("no tag", vec![0, 0, 0, 0], "frame without type tag"),
+        ("too large", [&oversized[..], &[2]].concat(), "exceeds 65536"),
+        ("plan too large", vec![0xff, 0xff, 0xff, 0xff, 4], "exceeds 16777216"),
+        ("empty heartbeat", encode_raw(2, b"").to_vec(), "malformed frame of type 2"),
+        ("bad name", encode_raw(6, &[1, b'!', 0]).to_vec(), "malformed frame of type 6"),
+        ("bytes too many", long_hello, "malformed frame of type 1: 1 bytes too many"),
+        (
+            "list too long",
+            encode_raw(5, &[1, 1, 253, 255, 255, 255, 255, 255, 255, 255, 255]).to_vec(),
+            "type 5",
+        ),
+    ];
+    for (name, bytes, expected) in table {
+        let error = decode_all(&bytes, 64).expect_err(name);
+        assert!(error.to_string().contains(expected), "{name}: {error}");
+    }
+}
+
+/// The decoder never panics and what it keeps is bounded by what it was given.
+fn takes_any_bytes(bytes: &[u8], chunk: usize) -> bool {
+    let whole = decode_all(bytes, usize::MAX);
+    let parts = decode_all(bytes, 1 + chunk % 16);
+    match (whole, parts) {
+        (Ok(whole), Ok(parts)) => whole == parts,
+        (Err(_), Err(_)) => true,
+        // A fault is found at the latest once all bytes are there.
+        (whole, parts) => panic!("{whole:?} but in parts {parts:?}"),
+    }
+}
+
+#[expect(clippy::needless_pass_by_value, reason = "quickcheck passes bytes by value")]
+fn takes_random_bytes(bytes: Vec<u8>, chunk: usize) -> bool {
+    takes_any_bytes(&bytes, chunk)
+}
+
+#[test]
+fn random_bytes_give_frames_or_errors() {
+    let rng = Gen::from_size_and_seed(400, 11);
+    QuickCheck::new().rng(rng).tests(2_000).quickcheck(takes_random_bytes as fn(Vec<u8>, usize) -> bool);
+}
+
+fn takes_mutated_frames(flips: Vec<(usize, u8)>, chunk: usize) -> bool {
+    let mut bytes = one_of_each().iter().flat_map(|f| encode(f).to_vec()).collect::<Vec<_>>();
+    let length = bytes.len();
+    for (position, flip) in flips {
+        bytes[position % length] ^= flip;
+    }
+    takes_any_bytes(&bytes, chunk)
+}
+
+#[test]
+fn mutated_frames_give_frames_or_errors() {
+    let rng = Gen::from_size_and_seed(8, 12);
+    let property = takes_mutated_frames as fn(Vec<(usize, u8)>, usize) -> bool;
+    QuickCheck::new().rng(rng).tests(4_000).quickcheck(property);
+}
--- /dev/null
+++ b/tests/plan_accept.rs
@@ -0,0 +1,277 @@
+//! Accepting a change against a table of store faults.
+
+use std::time::Duration;
+
+use arbutusshelf::{
+    plan::{
+        IntendedAction, Intention, Plan,
+        accept::{Acceptance, Event, RETRY_PAUSE, Rows, Step, Submission, Verdict},
+        record::{Body, CHANGE_ROWS, ChangeRecord, HEAD_ROW, Head, digest},
+    },
+    platform::{Condition, RowWrite, WriteResult},
+    units::{ChangeId, MonoTime, PlanVersion},
+};
+
+const OWN_TOKEN: u64 = 7;
+const OTHER_TOKEN: u64 = 8;
+
+fn change(id: &str) -> ChangeId {
+    id.parse().expect("a name")
+}
+
+fn submission(base: Option<u64>) -> Submission {
+    Submission {
+        plan: Plan::default(),
+        change_id: change("mine"),
+        base: base.map(PlanVersion::from),
+        token: OWN_TOKEN,
+        submitted_unix_s: 1_800_000_000,
+    }
+}
+
+fn head(version: u64, by: &str) -> (Head, u64) {
+    let body = Body::Object(format!("plan/{version}"));
+    (Head { version: version.into(), change_id: change(by), body }, version * 10)
+}
+
+fn record(version: u64, token: u64, plan: &Plan) -> ChangeRecord {
+    ChangeRecord { version: version.into(), digest: digest(plan), token }
+}
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from(ms * 1_000)
+}
+
+const DEADLINE_MS: u64 = 1_000;
+
+/// What the store holds when it is read back after the first write.
+#[derive(Debug, Clone, Copy)]
+enum ReadBack {
+    Nothing,
+    Unchanged,
+    Mine,
+    Winner,
+    Unreadable,
+}
+
+impl ReadBack {
+    fn rows(self) -> Option<Rows> {
+        match self {
+            Self::Nothing => Some(Rows::default()),
+            Self::Unchanged => Some(Rows { head: Some(head(4, "before")), change: None }),
+            Self::Mine => Some(Rows {
+                head: Some(head(5, "mine")),
+                change: Some(record(5, OWN_TOKEN, &Plan::default())),
+            }),
+            Self::Winner => Some(Rows { head: Some(head(5, "theirs")), change: None }),
+            Self::Unreadable => None,
+        }
+    }
+}
+
+/// What must follow once the rows were read back.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Expected {
+    Committed,
+    Conflict,
+    WritesAgain,
+    TriesAgain,
+}
+
+fn committed() -> Step {
+    Step::Done(Verdict::Committed { version: 5.into(), repeated: false })
+}
+
+fn judge(step: &Step) -> Expected {
+    match step {
+        step if *step == committed() => Expected::Committed,
+        Step::Done(Verdict::Conflict(Some(winner))) if winner.change_id.as_str() == "theirs" => {
+            Expected::Conflict
+        }
+        Step::Write(_) => Expected::WritesAgain,
+        Step::Pause(RETRY_PAUSE) => Expected::TriesAgain,
+        other => panic!("unexpected {other:?}"),
+    }
+}
+
+#[test]
+fn every_write_result_and_read_back_is_settled() {
+    use Expected::{Committed, Conflict, TriesAgain, WritesAgain};
+    use ReadBack::{Mine, Unchanged, Unreadable, Winner};
+    let took = || WriteResult::TookEffect(vec![50, 51]);
+    let lost = || WriteResult::Conflict(vec![]);
+    let table = [
+        (took(), Unreadable, Committed),
+        (lost(), Winner, Conflict),
+        (lost(), Mine, Committed),
+        (lost(), Unreadable, TriesAgain),
+        (WriteResult::Refused, Unchanged, WritesAgain),
+        (WriteResult::Refused, Winner, Conflict),
+        (WriteResult::Refused, Unreadable, TriesAgain),
+        (WriteResult::Unknown, Unchanged, WritesAgain),
+        (WriteResult::Unknown, Mine, Committed),
+        (WriteResult::Unknown, Winner, Conflict),
+        (WriteResult::Unknown, Unreadable, TriesAgain),
+    ];
+    for (written, read_back, expected) in table {
+        let case = format!("{written:?} then {read_back:?}");
+        let mut acceptance = Acceptance::new(submission(None), at(DEADLINE_MS));
+        assert_eq!(acceptance.start(), Step::Read);
+        let first = acceptance.handle(at(0), Event::Read(Unchanged.rows()));
+        assert!(matches!(first, Step::Write(_)), "{case}: {first:?}");
+        let mut step = acceptance.handle(at(10), Event::Wrote(written));
+        if matches!(step, Step::Pause(_)) {
+            step = acceptance.handle(at(210), Event::Paused);
+        }
+        if step == Step::Read {
+            step = acceptance.handle(at(220), Event::Read(read_back.rows()));
+        }
+        assert_eq!(judge(&step), expected, "{case}");
+    }
+}
+
+#[test]
+fn a_settled_write_keeps_its_conditions() {
+    let mut acceptance = Acceptance::new(submission(None), at(DEADLINE_MS));
+    let Step::Write(first) = acceptance.handle(at(0), Event::Read(ReadBack::Unchanged.rows())) else {
+        panic!("no write");
+    };
+    acceptance.handle(at(0), Event::Wrote(WriteResult::Unknown));
+    acceptance.handle(at(200), Event::Paused);
+    let again = acceptance.handle(at(210), Event::Read(ReadBack::Unchanged.rows()));
+    assert_eq!(again, Step::Write(first.clone()), "so that both can take effect at most once");
+    let conditions = first.iter().map(|w| (w.key.0.clone(), w.condition)).collect::<Vec<_>>();
+    let head = (HEAD_ROW.to_owned(), Condition::VersionIs(40));
+    let change = (format!("{CHANGE_ROWS}mine"), Condition::Absent);
+    assert_eq!(conditions, [head, change]);
+}
+
+#[test]
+fn the_first_plan_needs_the_head_row_absent() {
+    let mut acceptance = Acceptance::new(submission(None), at(DEADLINE_MS));
+    let step = acceptance.handle(at(0), Event::Read(ReadBack::Nothing.rows()));
+    let Step::Write(writes) = step else { panic!("no write: {step:?}") };
+    assert!(writes.iter().all(|w| w.condition == Condition::Absent));
+}
+
+#[test]
+fn what_is_told_at_the_deadline_is_true() {
+    let table = [
+        (WriteResult::Refused, Verdict::NothingWritten),
+        (WriteResult::Unknown, Verdict::Unknown),
+        (WriteResult::Conflict(vec![]), Verdict::Conflict(None)),
+    ];
+    for (written, expected) in table {
+        let mut acceptance = Acceptance::new(submission(None), at(DEADLINE_MS));
+        acceptance.handle(at(0), Event::Read(ReadBack::Unchanged.rows()));
+        let mut step = acceptance.handle(at(10), Event::Wrote(written.clone()));
+        let mut now = 10;
+        while !matches!(step, Step::Done(_)) {
+            now += 100;
+            assert!(now < 3 * DEADLINE_MS, "it goes on for ever");
+            let event = if step == Step::Read { Event::Read(None) } else { Event::Paused };
+            step = acceptance.handle(at(now), event);
+        }
+        assert_eq!(step, Step::Done(expected), "{written:?}");
+    }
+}
+
+#[test]
+fn a_refusal_after_an_unknown_write_stays_unknown() {
+    let mut acceptance = Acceptance::new(submission(None), at(DEADLINE_MS));
+    acceptance.handle(at(0), Event::Read(ReadBack::Unchanged.rows()));
+    acceptance.handle(at(10), Event::Wrote(WriteResult::Unknown));
+    acceptance.handle(at(210), Event::Paused);
+    acceptance.handle(at(220), Event::Read(ReadBack::Unchanged.rows()));
+    let step = acceptance.handle(at(DEADLINE_MS), Event::Wrote(WriteResult::Refused));
+    assert_eq!(step, Step::Done(Verdict::Unknown));
+}
+
+#[test]
+fn a_change_id_is_one_change_also_after_later_versions() {
+    let repeated =
+        Rows { head: Some(head(9, "later")), change: Some(record(5, OTHER_TOKEN, &Plan::default())) };
+    let mut acceptance = Acceptance::new(submission(Some(4)), at(DEADLINE_MS));
+    let step = acceptance.handle(at(0), Event::Read(Some(repeated)));
+    assert_eq!(step, Step::Done(Verdict::Committed { version: 5.into(), repeated: true }));
+}
+
+#[test]
+fn a_change_id_with_another_sheet_is_refused() {
+    let other = Plan { version: 1.into(), ..Plan::default() };
+    let rows = Rows { head: Some(head(5, "mine")), change: Some(record(5, OTHER_TOKEN, &other)) };
+    let mut acceptance = Acceptance::new(submission(None), at(DEADLINE_MS));
+    let step = acceptance.handle(at(0), Event::Read(Some(rows)));
+    assert_eq!(step, Step::Done(Verdict::ChangeIdReused(5.into())));
+}
+
+#[test]
+fn a_change_that_builds_on_an_old_version_learns_the_winner() {
+    let mut acceptance = Acceptance::new(submission(Some(3)), at(DEADLINE_MS));
+    let step = acceptance.handle(at(0), Event::Read(ReadBack::Winner.rows()));
+    assert_eq!(judge(&step), Expected::Conflict);
+}
+
+/// A plan that is too large for a row.
+fn large_plan() -> Plan {
+    let drain = |n: u32| Intention {
+        at_unix_s: u64::from(n),
+        action: IntendedAction::Drain(format!("target-{n}").parse().expect("a name")),
+    };
+    Plan { intentions: (1..500).map(drain).collect(), ..Plan::default() }
+}
+
+fn start_large() -> (Acceptance, String) {
+    let submission = Submission { plan: large_plan(), ..submission(None) };
+    let mut acceptance = Acceptance::new(submission, at(DEADLINE_MS));
+    let step = acceptance.handle(at(0), Event::Read(ReadBack::Unchanged.rows()));
+    let Step::PutBody { name, .. } = step else { panic!("the object comes first: {step:?}") };
+    (acceptance, name)
+}
+
+#[test]
+fn a_large_plan_is_stored_before_its_version() {
+    let stored = [WriteResult::TookEffect(Vec::new()), WriteResult::Conflict(Vec::new())];
+    for put in stored {
+        let (mut acceptance, name) = start_large();
+        let step = acceptance.handle(at(5), Event::BodyPut(put));
+        let Step::Write(writes) = step else { panic!("no write: {step:?}") };
+        let value = writes.iter().find_map(|w: &RowWrite| match &w.change {
+            arbutusshelf::platform::RowChange::Put(value) if w.key.0 == HEAD_ROW => Some(value.clone()),
+            _ => None,
+        });
+        let head = serde_json::from_slice::<Head>(&value.expect("the head is written")).expect("a head");
+        assert_eq!(head.body, Body::Object(name));
+    }
+}
+
+#[test]
+fn an_object_that_may_be_missing_is_put_again_under_its_name() {
+    for put in [WriteResult::Refused, WriteResult::Unknown] {
+        let (mut acceptance, name) = start_large();
+        assert_eq!(acceptance.handle(at(5), Event::BodyPut(put)), Step::Pause(RETRY_PAUSE));
+        assert_eq!(acceptance.handle(at(205), Event::Paused), Step::Read);
+        let step = acceptance.handle(at(210), Event::Read(ReadBack::Unchanged.rows()));
+        assert!(matches!(&step, Step::PutBody { name: again, .. } if *again == name), "{step:?}");
+    }
+}
+
+#[test]
+fn now_in_the_sheet_is_the_time_of_submission() {
+    let now = Intention { at_unix_s: 0, action: IntendedAction::Return("a".parse().expect("a name")) };
+    let plan = Plan { intentions: vec![now], ..Plan::default() };
+    let mut acceptance = Acceptance::new(Submission { plan, ..submission(None) }, at(DEADLINE_MS));
+    acceptance.handle(at(0), Event::Read(ReadBack::Unchanged.rows()));
+    assert_eq!(acceptance.plan().intentions[0].at_unix_s, 1_800_000_000);
+    assert_eq!(acceptance.plan().accepted_unix_s, 1_800_000_000);
+}
+
+#[test]
+fn a_store_that_is_out_from_the_start_changes_nothing() {
+    let mut acceptance = Acceptance::new(submission(None), at(DEADLINE_MS));
+    let step = acceptance.handle(at(10), Event::Read(None));
+    assert_eq!(step, Step::Pause(Duration::from_millis(200)));
+    acceptance.handle(at(210), Event::Paused);
+    let step = acceptance.handle(at(DEADLINE_MS), Event::Read(None));
+    assert_eq!(step, Step::Done(Verdict::NothingWritten));
+}
--- /dev/null
+++ b/tests/plan_follow.rs
@@ -0,0 +1,367 @@
+//! Following the plan: when it counts as current, what intentions hold, and what links may spend.
+
+use std::time::Duration;
+
+use arbutusshelf::{
+    membership::table::Headcount,
+    peer::{
+        budget::{ByteBudget, Purpose},
+        frame::{Heartbeat, LoadCount, Loads, TargetSign},
+        loads::{LoadReceiver, LoadSender},
+        signs::SignBoard,
+    },
+    plan::{
+        IntendedAction, Intention, Plan,
+        follow::{
+            Follower, PAUSE_LIMIT, POLL_ALONE, POLL_FAILING, POLL_WITH_NEWS, PlanTalk, Standing, plan_talk,
+        },
+        intentions::{DrainChange, Intentions, must_leave},
+    },
+    units::{MonoTime, PlanVersion, TargetId},
+};
+
+const CUT_OFF: Duration = Duration::from_secs(30);
+const ALONE: Headcount = Headcount { live: 0, known: 17 };
+const MINORITY: Headcount = Headcount { live: 8, known: 17 };
+const MAJORITY: Headcount = Headcount { live: 9, known: 17 };
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from(ms * 1_000)
+}
+
+fn follower() -> Follower {
+    let mut follower = Follower::new(1, CUT_OFF, at(0));
+    follower.rose(5.into());
+    follower
+}
+
+/// Ticks every 100 ms up to `until_ms` and returns the last standing.
+fn tick_until(follower: &mut Follower, from_ms: u64, until_ms: u64, headcount: Headcount) -> Standing {
+    let ticks = (from_ms..=until_ms).step_by(100);
+    ticks.map(|ms| follower.tick(at(ms), headcount, false)).last().expect("one tick at least")
+}
+
+fn said(version: u64, confirmed_age_ms: Option<u32>) -> Heartbeat {
+    Heartbeat { plan_version: version.into(), confirmed_age_ms, ..Heartbeat::default() }
+}
+
+#[test]
+fn a_start_is_ready_only_with_evidence() {
+    /// One case: what is known, and whether it makes the plan current.
+    type Case = (&'static str, fn(&mut Follower), Headcount, bool, Standing);
+    let table: [Case; 9] = [
+        ("nothing", |_| {}, MAJORITY, false, Standing::Starting),
+        (
+            "the store has it",
+            |f| f.poll_ended(at(10), at(20), Some(5.into())),
+            ALONE,
+            false,
+            Standing::Current,
+        ),
+        (
+            "the store has less",
+            |f| f.poll_ended(at(10), at(20), Some(4.into())),
+            ALONE,
+            false,
+            Standing::Starting,
+        ),
+        (
+            "the store has more",
+            |f| f.poll_ended(at(10), at(20), Some(6.into())),
+            ALONE,
+            false,
+            Standing::Starting,
+        ),
+        ("the store fails", |f| f.poll_ended(at(10), at(20), None), ALONE, true, Standing::Starting),
+        ("a majority with one that knows", |_| {}, MAJORITY, true, Standing::Current),
+        ("a minority with one that knows", |_| {}, MINORITY, true, Standing::Starting),
+        (
+            "a peer saw the store",
+            |f| f.heard(Some(at(50)), &said(5, Some(20))),
+            ALONE,
+            false,
+            Standing::Current,
+        ),
+        (
+            "a peer has more",
+            |f| f.heard(Some(at(50)), &said(6, Some(20))),
+            MAJORITY,
+            true,
+            Standing::Starting,
+        ),
+    ];
+    for (name, know, headcount, vouched, expected) in table {
+        let mut follower = follower();
+        know(&mut follower);
+        assert_eq!(follower.tick(at(100), headcount, vouched), expected, "{name}");
+    }
+}
+
+#[test]
+fn a_peers_undated_word_confirms_nothing() {
+    let mut follower = follower();
+    follower.heard(None, &said(5, Some(0)));
+    assert_eq!(follower.tick(at(100), ALONE, false), Standing::Starting);
+}
+
+#[test]
+fn an_instance_without_store_and_majority_withdraws_after_the_bound() {
+    let mut follower = follower();
+    follower.poll_ended(at(0), at(0), Some(5.into()));
+    assert_eq!(tick_until(&mut follower, 0, 29_900, MINORITY), Standing::Current);
+    assert!(follower.serves_until().is_some_and(|until| until == at(30_000)));
+    assert_eq!(tick_until(&mut follower, 30_000, 30_000, MINORITY), Standing::CutOff);
+    assert_eq!(follower.serves_until(), None);
+}
+
+#[test]
+fn a_majority_serves_on_through_a_store_outage() {
+    let mut follower = follower();
+    follower.poll_ended(at(0), at(0), Some(5.into()));
+    assert_eq!(tick_until(&mut follower, 0, 3_600_000, MAJORITY), Standing::Current);
+}
+
+#[test]
+fn a_newer_plan_that_cannot_be_had_ends_the_standing() {
+    let mut follower = follower();
+    follower.poll_ended(at(0), at(0), Some(5.into()));
+    tick_until(&mut follower, 0, 1_000, MAJORITY);
+    follower.heard(Some(at(1_000)), &said(6, None));
+    assert_eq!(tick_until(&mut follower, 1_100, 40_000, MAJORITY), Standing::CutOff);
+    follower.rose(6.into());
+    assert_eq!(tick_until(&mut follower, 40_100, 40_100, MAJORITY), Standing::Current);
+}
+
+#[test]
+fn a_paused_instance_trusts_nothing_from_before() {
+    let mut follower = follower();
+    follower.poll_ended(at(0), at(0), Some(5.into()));
+    tick_until(&mut follower, 0, 1_000, ALONE);
+    let until = follower.serves_until().expect("it serves");
+    assert!(until <= at(1_000) + PAUSE_LIMIT, "so that it stops also before its first tick");
+    assert_eq!(follower.tick(at(5_000), ALONE, false), Standing::Starting);
+    // A read that began before the pause and ended after it.
+    follower.poll_ended(at(1_000), at(5_010), Some(5.into()));
+    assert_eq!(follower.tick(at(5_100), ALONE, false), Standing::Starting);
+    follower.poll_ended(at(5_050), at(5_150), Some(5.into()));
+    assert_eq!(follower.tick(at(5_200), ALONE, false), Standing::Current);
+}
+
+#[test]
+fn reads_are_spread_and_lengthened_by_news() {
+    let wait = |f: &Follower, now: MonoTime| f.next_poll().since(now);
+    let around =
+        |period: Duration, wait: Duration| wait >= period.mul_f64(0.75) && wait <= period.mul_f64(1.25);
+    let mut follower = follower();
+    follower.poll_ended(at(0), at(10), Some(5.into()));
+    assert!(around(POLL_ALONE, wait(&follower, at(10))));
+    follower.heard(Some(at(500)), &said(5, Some(10)));
+    follower.poll_ended(at(500), at(510), Some(5.into()));
+    assert!(around(POLL_WITH_NEWS, wait(&follower, at(510))));
+    for _ in 0..5 {
+        follower.poll_ended(at(600), at(600), None);
+    }
+    assert!(around(POLL_FAILING, wait(&follower, at(600))));
+    let waits = (0..50).map(|seed| Follower::new(seed, CUT_OFF, at(0)).next_poll()).collect::<Vec<_>>();
+    assert!(waits.iter().max() > waits.iter().min(), "starts are spread");
+}
+
+#[test]
+fn eighteen_instances_stay_within_the_plan_share_of_reads() {
+    // Two reads a poll, at the fastest rate.
+    let reads_per_s = 18.0 * 2.0 / POLL_ALONE.mul_f64(0.75).as_secs_f64();
+    assert!(reads_per_s < 2_000.0 * 0.15, "{reads_per_s}");
+}
+
+#[test]
+fn one_peer_at_a_time_is_asked_for_a_plan() {
+    let mut follower = follower();
+    assert!(!follower.ask(at(0), 5.into()));
+    assert!(follower.ask(at(0), 6.into()));
+    assert!(!follower.ask(at(100), 6.into()));
+    assert!(follower.ask(at(300), 6.into()));
+}
+
+#[test]
+fn plans_are_pushed_by_the_acceptor_and_given_to_who_asks() {
+    let (old, new) = (PlanVersion::from(1), PlanVersion::from(2));
+    let table = [
+        (new, new, old, false, PlanTalk::Send),
+        (new, old, old, false, PlanTalk::Nothing),
+        (new, old, old, true, PlanTalk::Send),
+        (new, new, new, true, PlanTalk::Nothing),
+        (old, old, new, true, PlanTalk::Nothing),
+    ];
+    for (own, accepted_here, peer, asked, expected) in table {
+        assert_eq!(
+            plan_talk(own, accepted_here, peer, asked),
+            expected,
+            "{own} {accepted_here} {peer} {asked}"
+        );
+    }
+}
+
+fn target() -> TargetId {
+    "hallenplan-01".parse().expect("a name")
+}
+
+fn plan(version: u64, intentions: &[(u64, bool)]) -> Plan {
+    let action =
+        |drains| if drains { IntendedAction::Drain(target()) } else { IntendedAction::Return(target()) };
+    let intention = |(at, drains): &(u64, bool)| Intention { at_unix_s: *at, action: action(*drains) };
+    let intentions = intentions.iter().map(intention).collect();
+    Plan { version: version.into(), intentions, ..Plan::default() }
+}
+
+fn sign(after_return_unix_s: u64) -> TargetSign {
+    TargetSign { target: target(), after_return_unix_s }
+}
+
+fn drains(changes: &[DrainChange]) -> Vec<bool> {
+    changes.iter().map(|c| c.draining).collect()
+}
+
+#[test]
+fn a_drain_is_not_carried_out_again_over_its_return() {
+    let plan = plan(1, &[(100, true), (200, false)]);
+    let mut intentions = Intentions::default();
+    assert_eq!(drains(&intentions.follow(&plan, 150)), [true]);
+    assert_eq!(drains(&intentions.follow(&plan, 200)), [false]);
+    for now in 201..300 {
+        assert!(intentions.follow(&plan, now).is_empty());
+    }
+}
+
+#[test]
+fn the_later_of_two_intentions_of_one_time_holds() {
+    let mut intentions = Intentions::default();
+    assert!(intentions.follow(&plan(1, &[(100, true), (100, false)]), 100).is_empty());
+}
+
+#[test]
+fn a_new_plans_pools_hear_of_every_draining_target() {
+    let mut intentions = Intentions::default();
+    intentions.follow(&plan(1, &[(100, true)]), 150);
+    assert_eq!(drains(&intentions.follow(&plan(2, &[(100, true)]), 151)), [true]);
+    assert_eq!(drains(&intentions.follow(&plan(3, &[]), 152)), [false], "a withdrawn drain ends");
+}
+
+#[test]
+fn an_operators_return_wins_over_older_signs() {
+    let mut intentions = Intentions::default();
+    intentions.follow(&plan(1, &[]), 100);
+    assert_eq!(intentions.sign(&sign(0)).map(|c| c.draining), Some(true));
+    assert_eq!(intentions.sign(&sign(0)), None, "told once");
+    assert_eq!(drains(&intentions.follow(&plan(2, &[(150, false)]), 150)), [false]);
+    assert_eq!(intentions.sign(&sign(0)), None, "a peer's sign from before the return");
+    assert_eq!(intentions.sign(&sign(150)).map(|c| c.draining), Some(true), "an answer after it");
+}
+
+#[test]
+fn an_intention_whose_time_had_come_at_acceptance_holds_whatever_the_clock() {
+    let plan = Plan { accepted_unix_s: 500, ..plan(1, &[(500, true)]) };
+    assert_eq!(drains(&Intentions::default().follow(&plan, 400)), [true]);
+}
+
+#[test]
+fn an_instance_leaves_by_intentions_of_its_own_run_only() {
+    let leave = |at| Intention {
+        at_unix_s: at,
+        action: IntendedAction::Leave("kremsau-01".parse().expect("a name")),
+    };
+    let plan = Plan { intentions: vec![leave(100)], ..Plan::default() };
+    let (own, other) = ("kremsau-01".parse().expect("a name"), "kremsau-02".parse().expect("a name"));
+    assert!(must_leave(&plan, &own, 50, 100));
+    assert!(!must_leave(&plan, &own, 50, 99), "not yet");
+    assert!(!must_leave(&plan, &own, 101, 200), "a replacement of the same name stays");
+    assert!(!must_leave(&plan, &other, 50, 100));
+}
+
+#[test]
+fn signs_are_passed_on_once_a_link() {
+    let mut board = SignBoard::default();
+    assert!(board.add(sign(0)));
+    assert!(!board.add(sign(0)));
+    let (first, seen) = board.after(0);
+    assert_eq!(first, [sign(0)]);
+    assert_eq!(board.after(seen).0, []);
+    assert!(board.add(sign(9)), "a sign after a later return is news");
+    assert_eq!(board.after(seen).0, [sign(9)]);
+    board.drop_where(|s| s.after_return_unix_s < 10);
+    assert_eq!(board.after(0).0, []);
+}
+
+#[test]
+fn spending_stays_within_the_rate_whatever_is_offered() {
+    let rate = 21_000;
+    let mut budget = ByteBudget::new(at(0), rate);
+    for ms in 0..60_000 {
+        let now = at(ms);
+        if ms % 500 == 0 {
+            budget.spend(now, Purpose::Heartbeat, 17 * 80);
+        }
+        if ms % 20_000 == 0 {
+            budget.spend(now, Purpose::Urgent, 30_000);
+        }
+        if budget.affords(now, 900) {
+            budget.spend(now, Purpose::Loads, 900);
+        }
+    }
+    let purposes = [Purpose::Urgent, Purpose::Heartbeat, Purpose::Loads];
+    let spent = purposes.iter().map(|p| budget.spent(*p)).sum::<u64>();
+    let burst = u64::from(rate) / 4;
+    assert!(spent <= u64::from(rate) * 60 + burst, "{spent}");
+    assert!(budget.spent(Purpose::Loads) > 0);
+}
+
+#[test]
+fn loads_arrive_as_they_are() {
+    let mut sender = LoadSender::default();
+    let mut receiver = LoadReceiver::default();
+    let mut seen = vec![0; 300];
+    let mut actual = vec![0_u32; 300];
+    for round in 0..200_u64 {
+        for step in 0..7 {
+            let index = (round * 31 + step * 17) as usize % actual.len();
+            actual[index] = (round % 5) as u32 * 100;
+        }
+        let Some(loads) = sender.changes(1.into(), &actual, at(round)) else { continue };
+        for load in receiver.take(at(round + 3), 1.into(), actual.len(), &loads) {
+            seen[load.index] = load.in_flight;
+        }
+        assert_eq!(seen, actual, "round {round}");
+    }
+}
+
+#[test]
+fn loads_of_another_plan_or_beyond_its_targets_give_nothing() {
+    let counts = vec![LoadCount { skipped: 0, in_flight: 1 }, LoadCount { skipped: u32::MAX, in_flight: 2 }];
+    let loads = Loads { plan_version: 1.into(), sent_at_us: 0, counts };
+    let mut receiver = LoadReceiver::default();
+    assert!(receiver.take(at(0), 2.into(), 10, &loads).is_empty());
+    assert_eq!(receiver.take(at(0), 1.into(), 10, &loads).len(), 1);
+    assert_eq!(receiver.take(at(0), 1.into(), 0, &loads).len(), 0);
+}
+
+#[test]
+fn a_new_plan_starts_the_counts_from_zero() {
+    let mut sender = LoadSender::default();
+    sender.changes(1.into(), &[4, 0], at(0));
+    assert_eq!(sender.changes(1.into(), &[4, 0], at(1)), None);
+    let again = sender.changes(2.into(), &[4, 0], at(2)).expect("the counts are told again");
+    assert_eq!(again.counts, [LoadCount { skipped: 0, in_flight: 4 }]);
+}
+
+#[test]
+fn ages_are_told_against_the_fastest_frame() {
+    let mut receiver = LoadReceiver::default();
+    let frame = |sent_ms: u64| Loads {
+        plan_version: 1.into(),
+        sent_at_us: 77_000_000 + sent_ms * 1_000,
+        counts: vec![LoadCount { skipped: 0, in_flight: 1 }],
+    };
+    let mut age = |now_ms, sent_ms| receiver.take(at(now_ms), 1.into(), 1, &frame(sent_ms))[0].age;
+    assert_eq!(age(10, 0), Duration::ZERO);
+    assert_eq!(age(20, 15), Duration::ZERO, "5 ms on the way is the fastest now");
+    assert_eq!(age(130, 100), Duration::from_millis(25));
+}
