--- a/src/plan/accept.rs
+++ b/src/plan/accept.rs
@@ -51,6 +51,8 @@
     Read(Option<Rows>),
     /// The body's object was written.
     BodyPut(WriteResult),
+    /// The body's object was looked for; `None` when the store did not answer.
+    BodyChecked(Option<bool>),
     /// The transaction was tried.
     Wrote(WriteResult),
     /// The pause has passed.
@@ -69,6 +71,8 @@
         /// The plan as JSON.
         content: Bytes,
     },
+    /// Look whether the object is there, since the reply to its write was lost.
+    CheckBody(String),
     /// Try the transaction.
     Write(Vec<RowWrite>),
     /// Wait, then send [`Event::Paused`].
@@ -167,21 +171,30 @@
     pub fn handle(&mut self, now: MonoTime, event: Event) -> Step {
         match event {
             Event::Read(Some(rows)) => self.take_rows(rows),
-            Event::Read(None) | Event::BodyPut(WriteResult::Refused | WriteResult::Unknown) => {
-                self.retry(now)
-            }
-            Event::BodyPut(WriteResult::TookEffect(_) | WriteResult::Conflict(_)) => {
+            Event::BodyPut(WriteResult::TookEffect(_) | WriteResult::Conflict(_))
+            | Event::BodyChecked(Some(true)) => {
                 // The name is unique to this submission, so a conflict is an earlier try that took effect.
                 if let Some(body) = &mut self.body {
                     body.stored = true;
                 }
                 self.write()
             }
+            Event::BodyPut(WriteResult::Unknown) => self.check_body(now),
+            Event::Read(None) | Event::BodyPut(WriteResult::Refused) | Event::BodyChecked(_) => {
+                self.retry(now)
+            }
             Event::Wrote(result) => self.wrote(now, &result),
             Event::Paused => Step::Read,
         }
     }
 
+    fn check_body(&self, now: MonoTime) -> Step {
+        match &self.body {
+            Some(body) => Step::CheckBody(body.name.clone()),
+            None => self.retry(now),
+        }
+    }
+
     fn wrote(&mut self, now: MonoTime, result: &WriteResult) -> Step {
         match result {
             WriteResult::TookEffect(_) => {
--- a/src/plan/commit.rs
+++ b/src/plan/commit.rs
@@ -32,6 +32,10 @@
             Step::PutBody { name, content } => {
                 Event::BodyPut((platform.put_object)((name, content, ObjectCondition::Absent)).await)
             }
+            Step::CheckBody(name) => {
+                let found = (platform.get_object)(name).await;
+                Event::BodyChecked(found.ok().map(|object| object.is_some()))
+            }
             Step::Write(writes) => Event::Wrote((platform.write)(writes).await),
             Step::Pause(pause) => {
                 tokio::time::sleep(pause).await;
--- a/tests/plan_accept.rs
+++ b/tests/plan_accept.rs
@@ -245,11 +245,25 @@
     }
 }
 
+#[test]
+fn an_object_whose_reply_was_lost_is_looked_for() {
+    let (mut acceptance, name) = start_large();
+    let step = acceptance.handle(at(5), Event::BodyPut(WriteResult::Unknown));
+    assert_eq!(step, Step::CheckBody(name));
+    let step = acceptance.handle(at(10), Event::BodyChecked(Some(true)));
+    assert!(matches!(step, Step::Write(_)), "{step:?}");
+}
+
 #[test]
 fn an_object_that_may_be_missing_is_put_again_under_its_name() {
-    for put in [WriteResult::Refused, WriteResult::Unknown] {
+    let table = [
+        (Event::BodyPut(WriteResult::Refused), "refused"),
+        (Event::BodyChecked(Some(false)), "not found"),
+        (Event::BodyChecked(None), "not known"),
+    ];
+    for (event, case) in table {
         let (mut acceptance, name) = start_large();
-        assert_eq!(acceptance.handle(at(5), Event::BodyPut(put)), Step::Pause(RETRY_PAUSE));
+        assert_eq!(acceptance.handle(at(5), event), Step::Pause(RETRY_PAUSE), "{case}");
         assert_eq!(acceptance.handle(at(205), Event::Paused), Step::Read);
         let step = acceptance.handle(at(210), Event::Read(ReadBack::Unchanged.rows()));
         assert!(matches!(&step, Step::PutBody { name: again, .. } if *again == name), "{step:?}");
--- a/tests/plan_schedules.rs
+++ b/tests/plan_schedules.rs
@@ -43,7 +43,7 @@
 
 fn any_fault(g: &mut Gen) -> Fault {
     let who = within(g, INSTANCES);
-    let for_ms = 200 + within(g, 15_000) as u64;
+    let for_ms = 200 + u64::arbitrary(g) % 25_000;
     match within(g, 12) {
         0..=3 => Fault::Submit { at: who, leave: None },
         4 => Fault::Submit { at: who, leave: Some(within(g, INSTANCES)) },
--- a/tests/schedules/mod.rs
+++ b/tests/schedules/mod.rs
@@ -25,8 +25,10 @@
 const HEARTBEAT_MS: u64 = 500;
 const TICK_MS: u64 = 100;
 const BALANCER_LAG_MS: u64 = 2_000;
-pub const CUT_OFF_MS: u64 = 10_000;
+pub const CUT_OFF_MS: u64 = 4_000;
 const CONFIRM_MS: u64 = 5_000;
+/// Letters that wait for a paused node; its peers drop it beyond that.
+const KEPT_LETTERS: usize = 60;
 const LEAVE_LIMIT_MS: u64 = 3_000;
 /// Time of day at which every schedule starts, in seconds since the Unix epoch.
 const MORNING_UNIX_S: u64 = 1_800_000_000;
@@ -282,7 +284,8 @@
         let due = self.mail.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>();
         for (_, from, to, letter) in due {
             let cut = self.second_side[from] != self.second_side[to];
-            if !cut && self.nodes[to].alive {
+            let full = !self.is_running(to) && self.nodes[to].inbox.len() >= KEPT_LETTERS;
+            if !cut && self.nodes[to].alive && !full {
                 self.nodes[to].inbox.push_back(letter);
             }
         }
@@ -511,7 +514,7 @@
             }
             Step::Write(writes) => (ends, Event::Wrote(self.write(reached, writes))),
             Step::Pause(pause) => (self.now + pause.as_millis() as u64, Event::Paused),
-            Step::PutBody { .. } | Step::Done(_) => panic!("plans here are small"),
+            Step::PutBody { .. } | Step::CheckBody(_) | Step::Done(_) => panic!("plans here are small"),
         }
     }
 
@@ -620,7 +623,7 @@
 
     /// Nobody serves by a plan that was replaced longer ago than the cut-off bound.
     fn check_serving(&mut self) {
-        let bound = self.now.saturating_sub(CUT_OFF_MS + 3_000);
+        let bound = self.now.saturating_sub(CUT_OFF_MS + 2_500);
         for node in &mut self.nodes {
             let version = node.plan.version();
             if version < node.highest {
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -86,6 +86,8 @@
     pub callers: SocketAddr,
     /// Address for operators.
     pub admin: SocketAddr,
+    /// Address for other instances.
+    pub peers: SocketAddr,
 }
 
 impl Instance {
@@ -100,8 +102,8 @@
             let value = line.split_whitespace().find_map(|pair| pair.strip_prefix(name));
             value.expect("the start line has the address").parse().expect("it is an address")
         };
-        let (callers, admin) = (address("callers="), address("admin="));
-        Self { child, log, callers, admin }
+        let (callers, admin, peers) = (address("callers="), address("admin="), address("peers="));
+        Self { child, log, callers, admin, peers }
     }
 
     /// Returns the process id.
