--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -293,6 +293,7 @@
         }
         let now = self.kernel.clock.now();
         self.kernel.control.budget().spend(now, purpose, bytes.len() + OVERHEAD_BYTES);
+        self.kernel.observer.metrics.control_bytes.inc_by((bytes.len() + OVERHEAD_BYTES) as u64);
         timeout(SEND_TIMEOUT, send_all(&mut self.stream, bytes.freeze())).await?
     }
 }
