--- a/bench/src/gateway.rs
+++ b/bench/src/gateway.rs
@@ -4,9 +4,10 @@
 
 use arbutusshelf::{
     error::Result,
-    kernel::Kernel,
+    kernel::{Kernel, unix_s},
     plan::{
         Budgets, InstanceSpec, Objective, Plan, Priority, RequestKind, RouteSpec, ServiceSpec, TargetSpec,
+        accept::Submission, commit::commit,
     },
     serve::{self, Listeners},
     settings::Config,
@@ -104,6 +105,10 @@
 /// # Errors
 ///
 /// When an address can't be bound or a setting is faulty.
+///
+/// # Panics
+///
+/// When the instance is not ready within 20 s.
 pub async fn start_instance(
     options: &GatewayOptions,
     addresses: &[SocketAddr],
@@ -122,8 +127,16 @@
     let mut config = Config::parse(settings.to_string().as_bytes())?;
     let listeners = Listeners::bind(&mut config).await?;
     let kernel = Kernel::open(config)?;
+    let submission = Submission {
+        plan: plan(options, addresses),
+        change_id: "gateway".parse().expect("the name is valid"),
+        base: None,
+        token: 1,
+        submitted_unix_s: unix_s(),
+    };
+    let deadline = kernel.clock.now() + PATIENCE;
+    commit(&kernel.platform, kernel.clock, submission, deadline).await?;
     let task = tokio::spawn(serve::run(Arc::clone(&kernel), listeners));
-    kernel.offer_plan(plan(options, addresses));
     wait_until(|| kernel.admit().is_ok()).await;
     Ok((kernel, task))
 }
@@ -160,8 +173,9 @@
         ],
     };
     Plan {
-        version: PlanVersion::from(1),
+        version: PlanVersion::default(),
         change_id: None,
+        accepted_unix_s: 0,
         budgets: Budgets { max_instances: options.max_instances, ..Budgets::default() },
         instances: vec![InstanceSpec {
             id: "entry-01".parse().expect("the name is valid"),
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,8 +2,10 @@
 
 pub mod client;
 pub mod deployment;
+pub mod flood;
 pub mod gateway;
 pub mod http;
+pub mod observe_cost;
 pub mod plan_size;
 pub mod platform;
 pub mod scripted;
--- a/src/kernel/pools.rs
+++ b/src/kernel/pools.rs
@@ -18,8 +18,9 @@
         pool::{Pool, PoolSettings},
     },
     error::ErrorKind,
+    observe::choices::{ChoiceRing, ChoiceView},
     plan::{Plan, ServiceSpec, TargetSpec},
-    units::{CallId, DataCentre, ServiceName, TargetId},
+    units::{CallId, DataCentre, MonoTime, RunId, ServiceName, TargetId},
 };
 
 /// What one call must do next.
@@ -58,6 +59,7 @@
     calls: HashMap<CallId, mpsc::UnboundedSender<Directive>>,
     /// Reused between events to spare allocations; empty between two events.
     actions: Vec<Action>,
+    choices: ChoiceRing,
 }
 
 /// One service's pool with the calls it decides on.
@@ -71,7 +73,12 @@
 
 impl PoolCell {
     fn new(clock: Clock, pool: Pool) -> Self {
-        let state = CellState { pool, calls: HashMap::default(), actions: Vec::new() };
+        let state = CellState {
+            pool,
+            calls: HashMap::default(),
+            actions: Vec::new(),
+            choices: ChoiceRing::default(),
+        };
         Self { clock, state: Mutex::new(state), rewake: Notify::new() }
     }
 
@@ -105,12 +112,19 @@
         read(&self.lock().pool)
     }
 
+    /// Returns the latest choices of targets, latest first; `of` asks for those of one call.
+    pub fn choices(&self, run_id: RunId, of: Option<CallId>) -> Vec<ChoiceView> {
+        let state = self.lock();
+        state.choices.view(&state.pool, self.clock.now(), run_id, of)
+    }
+
     fn step(&self, state: &mut CellState, event: Event) {
-        let CellState { pool, calls, actions } = state;
+        let CellState { pool, calls, actions, choices } = state;
+        let now = self.clock.now();
         let wake_before = pool.next_wake();
-        pool.handle(self.clock.now(), event, actions);
-        while let Some(unheard) = carry_out(pool.spec(), calls, actions) {
-            pool.handle(self.clock.now(), unheard, actions);
+        pool.handle(now, event, actions);
+        while let Some(unheard) = carry_out(pool, choices, calls, actions, now) {
+            pool.handle(now, unheard, actions);
         }
         if pool.next_wake() != wake_before {
             self.rewake.notify_one();
@@ -136,25 +150,31 @@
 }
 
 /// Hands actions to their calls; a send for a call that has closed ends at once, so that its slot is free.
+///
+/// Returns the end of such a send, and leaves the actions after it.
 fn carry_out(
-    spec: &ServiceSpec,
+    pool: &Pool,
+    choices: &mut ChoiceRing,
     calls: &HashMap<CallId, mpsc::UnboundedSender<Directive>>,
     actions: &mut Vec<Action>,
+    now: MonoTime,
 ) -> Option<Event> {
-    let mut first_unheard = None;
+    let mut unheard = None;
     actions.retain(|action| {
-        if first_unheard.is_some() {
+        if unheard.is_some() {
             return true;
         }
-        match *action {
-            Action::Send { call, attempt, .. } if !calls.contains_key(&call) => {
-                first_unheard = Some(Event::Ended { call, attempt, end: AttemptEnd::Cancelled });
+        if let Action::Send { call, attempt, target } = *action {
+            choices.note(now, call, attempt, target, pool);
+            if !calls.contains_key(&call) {
+                unheard = Some(Event::Ended { call, attempt, end: AttemptEnd::Cancelled });
+                return false;
             }
-            _ => deliver(spec, calls, action),
         }
+        deliver(pool.spec(), calls, action);
         false
     });
-    first_unheard
+    unheard
 }
 
 fn deliver(spec: &ServiceSpec, calls: &HashMap<CallId, mpsc::UnboundedSender<Directive>>, action: &Action) {
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -22,7 +22,7 @@
     decide::{Attempt, AttemptEnd, Event, LoadReport},
     kernel::{in_progress::InProgress, pools::PoolCell},
     plan::{RequestKind, TargetSpec},
-    units::CallId,
+    units::{CallId, TargetId},
 };
 
 /// Largest body of a failed answer that is kept until the pool has decided what becomes of it.
@@ -138,7 +138,7 @@
 ) -> SendResult {
     let mut guard = SendGuard::new(context, attempt);
     match exchange(context, parts, attempt, &target, &mut guard).await {
-        Ok(response) => take_answer(context, guard, response).await,
+        Ok(response) => take_answer(context, &target.id, guard, response).await,
         Err(end) => {
             guard.end(end);
             SendResult::Nothing
@@ -269,6 +269,7 @@
 
 async fn take_answer(
     context: &CallContext,
+    target: &TargetId,
     mut guard: SendGuard,
     response: Response<Incoming>,
 ) -> SendResult {
@@ -277,7 +278,11 @@
         guard.end(AttemptEnd::Lost);
         return SendResult::Nothing;
     }
-    guard.began(load_report(&response));
+    let report = load_report(&response);
+    if report.draining {
+        context.kernel.target_said_draining(target);
+    }
+    guard.began(report);
     if context.refusal_means_not_run && is_stated_refusal(&response) {
         if read_failed(context, response.into_body()).await.is_none() {
             guard.connection = None;
