Show a milonga night's crest in the tour's report

Cause: the tour's report had no crest to show. Change: the tour submits an expected crest, sends recordings and short calls at once and checks that the report shows both; a listed run without a roll-up is told as such.

--- a/bench/src/tour.rs
+++ b/bench/src/tour.rs
@@ -100,6 +100,7 @@
         self.repeat_keys(findings).await;
         self.drain_a_target(findings).await?;
         self.leave_during_a_transfer(findings).await;
+        self.milonga_night(findings).await?;
         self.report().await
     }
 
@@ -241,6 +242,37 @@
         findings.check(left, "the instance ends once its last request has ended");
     }
 
+    /// A crest that the sheet expects: recordings and short calls at once, and the report that shows it.
+    async fn milonga_night(&self, findings: &mut Findings) -> Result<()> {
+        let (long, short) = match self.deployment {
+            Deployment::Kremsau => ("tonarchiv", "hallenplan"),
+            Deployment::Magnolia => ("practice-vault", "schedule-board"),
+        };
+        let sheet = format!("{}now,crest,{long},3\nnow,crest,{short},3\n", self.targets.sheet);
+        let admin = self.instances[0].admin();
+        let path = "/plan/submit?change-id=tour-3";
+        client::call::<Accepted>(Method::POST, admin, path, None, Bytes::from(sheet)).await?;
+        let calls = self.numbered_calls().flat_map(|(instance, number)| {
+            let recording = format!("/{long}/recording?bytes=65536&work_us=50000&number={number}");
+            let timetable = format!("/{short}/today/{number}?work_us=1000");
+            let paths = [recording, timetable.clone(), timetable.clone(), timetable];
+            paths.map(|path| self.call(Method::GET, self.instances[instance].callers(), path, None))
+        });
+        join_all(calls).await;
+        let report = client::call::<Report>(Method::GET, admin, "/report", None, Bytes::new()).await?;
+        let crest = |name: &str| {
+            let service = report.services.iter().find(|s| s.service.as_str() == name);
+            service.map_or(0, |s| if s.crest.planned_minutes > 0 { s.crest.judged } else { 0 })
+        };
+        let shown = (crest(long), crest(short));
+        let sent = CALLS_PER_ROUTE as u64;
+        findings.check(
+            shown.0 >= sent && shown.1 >= 3 * sent,
+            format!("the report shows the crest: {} calls of {long}, {} of {short}", shown.0, shown.1),
+        );
+        Ok(())
+    }
+
     async fn report(&self) -> Result<()> {
         for instance in &self.instances {
             let report =
--- a/src/observe/table.rs
+++ b/src/observe/table.rs
@@ -141,7 +141,11 @@
 
 fn write_coverage(out: &mut String, coverage: &Coverage) -> std::fmt::Result {
     let Coverage { instance, run_id, state, minutes, .. } = coverage;
-    write!(out, "  {instance} run {run_id} {state}: {minutes} minutes known")?;
+    write!(out, "  {instance} run {run_id} {state}: ")?;
+    match coverage.state {
+        RunState::Missing => write!(out, "listed, and no roll-up yet")?,
+        _ => write!(out, "{minutes} minutes known")?,
+    }
     if *state != RunState::Reporting
         && let Some(latest) = coverage.latest
     {
