Read each hour's histogram once for the plot; know the size of kept minutes without encoding them

Cause: the plot unpacked every hour's histogram once a step, and each scrape of the metrics encoded two hours of minutes. Change: percentiles by the hour are merged once; sizes are taken when a minute closes.

--- a/bench/src/flood.rs
+++ b/bench/src/flood.rs
@@ -67,8 +67,9 @@
     println!("|---|---|---|---|---|");
     before.print(0, 0);
     let started = Instant::now();
-    let per_burst = args.per_s * BURST_PERIOD.as_millis() as u64 / 1_000 / CONNECTIONS;
-    let flood = join_all((0..CONNECTIONS).map(|n| send(args, n, per_burst.max(1), started)));
+    let bursts_per_s = CONNECTIONS * 1_000 / BURST_PERIOD.as_millis() as u64;
+    let per_burst = args.per_s.div_ceil(bursts_per_s);
+    let flood = join_all((0..CONNECTIONS).map(|n| send(args, n, per_burst, started)));
     let watch = watch(args, started);
     let (answered, ()) = futures::join!(flood, watch);
     let answered = answered.into_iter().sum::<u64>();
--- a/src/observe/minutes.rs
+++ b/src/observe/minutes.rs
@@ -82,6 +82,8 @@
     open: Option<OpenMinute>,
     /// Closed minutes with histograms, oldest first; at most [`KEPT_MINUTES`].
     closed: VecDeque<MinuteRollUp>,
+    /// Sizes of `closed` as encoded, in bytes.
+    closed_bytes: VecDeque<u64>,
     /// Closed minutes whose upload is not confirmed; each is in `closed`.
     pending_minutes: VecDeque<UnixMinute>,
     /// Closed hours whose upload is not confirmed; at most [`KEPT_HOURS`].
@@ -100,6 +102,7 @@
             first_minute: None,
             open: None,
             closed: VecDeque::new(),
+            closed_bytes: VecDeque::new(),
             pending_minutes: VecDeque::new(),
             pending_hours: VecDeque::new(),
             demand: HashMap::default(),
@@ -171,8 +174,10 @@
             !idle || *mean >= 1.0
         });
         self.pending_minutes.push_back(roll_up.minute);
+        self.closed_bytes.push_back(encode(&roll_up).len() as u64);
         self.closed.push_back(roll_up);
         if self.closed.len() > KEPT_MINUTES {
+            self.closed_bytes.pop_front();
             let evicted = self.closed.pop_front().map(|m| m.minute);
             self.drop_pending(evicted);
         }
@@ -296,10 +301,9 @@
         self.dropped
     }
 
-    /// Returns the bytes of packed histograms and counts kept, about.
+    /// Returns the size of the closed minutes kept, as encoded, in bytes.
     pub fn kept_bytes(&self) -> u64 {
-        let hours = self.pending_hours.iter().flat_map(|h| &h.minutes);
-        self.closed.iter().chain(hours).map(|m| encode(m).len() as u64).sum()
+        self.closed_bytes.iter().sum()
     }
 }
 
--- a/src/observe/series.rs
+++ b/src/observe/series.rs
@@ -1,16 +1,16 @@
 //! Burn and latency of a service over time, for the plot.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
 use super::{
     counts::Times,
     merge::Index,
-    rollup::{MINUTE_S, MinuteRollUp, UnixMinute},
+    rollup::{MINUTE_S, MinuteRollUp, UnixHour, UnixMinute},
     window::{Judged, Window},
 };
-use crate::{collections::HashSet, plan::Objective, units::ServiceName};
+use crate::{plan::Objective, units::ServiceName};
 
 /// Longest span that is shown minute by minute, in minutes.
 const FINE_SPAN_MINUTES: u64 = 120;
@@ -40,6 +40,14 @@
     latency: Times,
 }
 
+impl Step {
+    /// Returns the step's own percentile, or that of its hour when no finer one is known.
+    fn p99_ms(&self, hours: &BTreeMap<UnixHour, f64>, hour: UnixHour) -> Option<f64> {
+        let own = self.latency.quantile_ms(0.99);
+        own.or_else(|| if self.judged.calls > 0 { hours.get(&hour).copied() } else { None })
+    }
+}
+
 /// Makes the points of a service's last day; steps without any roll-up are absent.
 pub fn of_service(
     index: &Index<'_>,
@@ -53,23 +61,18 @@
     let fine = now.0 - first.minute.0 < FINE_SPAN_MINUTES;
     let step_minutes = if fine { 1 } else { COARSE_STEP_MINUTES };
     let mut steps = BTreeMap::<u64, Step>::new();
-    let mut hours = HashSet::default();
     for minute in index.minutes(Window::Day, now) {
         let start = minute.minute.0 / step_minutes * step_minutes;
         let step = steps.entry(start).or_default();
         add(step, minute, name);
-        if let Some(hour) = index.hour_of(minute)
-            && hours.insert((start, hour.hour, &hour.run))
-        {
-            add_hour(step, minute, index, name);
-        }
     }
+    let hours = p99_by_hour(index, name, now);
     let point = |(start, step): (u64, Step)| Point {
         unix_s: start * MINUTE_S,
         step_s: step_minutes * MINUTE_S,
         judged: step.judged.calls,
         burn: step.judged.burn(objective),
-        p99_ms: step.latency.quantile_ms(0.99),
+        p99_ms: step.p99_ms(&hours, UnixMinute(start).hour()),
     };
     steps.into_iter().map(point).collect()
 }
@@ -84,14 +87,15 @@
     }
 }
 
-/// Adds the hour's latencies to a step that has no finer ones.
-fn add_hour(step: &mut Step, minute: &MinuteRollUp, index: &Index<'_>, name: &ServiceName) {
-    let finer = minute.services.iter().any(|s| s.service == *name && s.histograms.is_some());
-    if finer {
-        return;
-    }
-    let hour = index.hour_of(minute).into_iter().flat_map(|h| &h.services);
-    for service in hour.filter(|s| s.service == *name) {
-        step.latency.add(&service.histograms.latency_us);
+/// Returns the 99th percentile of each hour for which hour roll-ups are known, over all runs.
+fn p99_by_hour(index: &Index<'_>, name: &ServiceName, now: UnixMinute) -> BTreeMap<UnixHour, f64> {
+    let mut merged = BTreeMap::<UnixHour, Times>::new();
+    let mut added = BTreeSet::new();
+    let hours = index.minutes(Window::Day, now).filter_map(|minute| index.hour_of(minute));
+    for hour in hours.filter(|h| added.insert((h.hour, &h.run))) {
+        for service in hour.services.iter().filter(|s| s.service == *name) {
+            merged.entry(hour.hour).or_default().add(&service.histograms.latency_us);
+        }
     }
+    merged.into_iter().filter_map(|(hour, times)| Some((hour, times.quantile_ms(0.99)?))).collect()
 }
--- a/tests/observe_rollups.rs
+++ b/tests/observe_rollups.rs
@@ -166,6 +166,8 @@
             let p99_ms = window.latency.expect("there were answers").p99_ms;
             assert!((p99_ms / exact_ms - 1.0).abs() < 0.011, "p99 {p99_ms} is not {exact_ms}, {case}");
         }
+        let day = service.window(Window::Day).map(|w| w.judged);
+        assert_eq!(day, Some(service.series.iter().map(|p| p.judged).sum()), "series, {case}");
         let mut causes = BTreeMap::new();
         for (_, call) in calls.iter().filter(|(_, c)| c.service.as_ref() == Some(&service.service)) {
             let name = call.cause.map(|c| c.to_string()).unwrap_or_default();
@@ -305,6 +307,9 @@
     assert_eq!(report.services[0].window(Window::Day).map(|w| w.calls), Some(300));
     assert_eq!(report.services[0].window(Window::Hour).map(|w| w.calls), Some(60));
     assert_eq!(report.coverage[0].gaps, []);
+    let series = &report.services[0].series;
+    assert_eq!(series.len(), 60, "five hours in steps of 5 minutes");
+    assert!(series.iter().all(|p| p.p99_ms.is_some_and(|p99| (p99 - 1.0).abs() < 0.01)));
 }
 
 #[test]
