--- a/src/admin/explain.rs
+++ b/src/admin/explain.rs
@@ -5,7 +5,7 @@
 use crate::{
     error::{Error, ErrorKind, Result},
     kernel::Kernel,
-    observe::choices::{ChoiceView, parse_request_id},
+    observe::{choices::ChoiceView, request_id::RequestId},
     units::{CallId, ServiceName},
 };
 
@@ -44,5 +44,5 @@
 }
 
 fn find_call(kernel: &Kernel, id: &str) -> Option<CallId> {
-    parse_request_id(kernel.run_id, id).or_else(|| kernel.observer.caller_names.find(id))
+    RequestId::call_of(kernel.run_id, id).or_else(|| kernel.observer.caller_names.find(id))
 }
--- a/src/observe/choices.rs
+++ b/src/observe/choices.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::request_id::RequestId;
 use crate::{
     decide::{Attempt, TargetIndex, pool::Pool},
     units::{CallId, MonoTime, RunId, ServiceName, TargetId},
@@ -95,7 +96,7 @@
     };
     let candidates = specs.map(candidate).collect::<Vec<_>>();
     ChoiceView {
-        request_id: request_id(run_id, choice.call),
+        request_id: RequestId::of_call(run_id, choice.call).to_string(),
         service: pool.spec().name.clone(),
         age_ms: u64::try_from(now.since(choice.at).as_millis()).unwrap_or(u64::MAX),
         attempt: choice.attempt.0,
@@ -125,24 +126,6 @@
     )
 }
 
-/// Returns the identifier of a call that has none from its caller.
-pub fn request_id(run_id: RunId, call: CallId) -> String {
-    format!("{run_id}-{call}")
-}
-
-/// Reads the call from an identifier that this run gave.
-pub fn parse_request_id(run_id: RunId, text: &str) -> Option<CallId> {
-    let (run, call) = text.split_once('-')?;
-    let of_this_run = run.parse::<RunId>().ok()? == run_id;
-    of_this_run.then(|| call.parse().ok()).flatten()
-}
-
-/// Returns whether a caller's own identifier is taken over: 8 to 64 letters, digits, `-`, `_` and `.`.
-pub fn is_well_formed(text: &str) -> bool {
-    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
-    (8..=64).contains(&text.len()) && text.bytes().all(allowed)
-}
-
 /// Calls by the identifiers that callers gave them.
 #[derive(Debug, Default)]
 pub struct CallerNames {
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -7,6 +7,7 @@
 pub mod metrics;
 pub mod minutes;
 pub mod report;
+pub mod request_id;
 pub mod rollup;
 pub mod series;
 pub mod snapshot;
