Settle a repeated change for certain, and wait for every instance that may be live

Cause: schedules found that (1) a second submission of a change could be told that nothing was changed while the first one's write was still on its way, and (2) an instance that had just returned from a store outage told 'accepted' without knowing the others. Change: the head is read before the change's row, a conflict that names the change's own row is a repetition, and the wording says what a repeated submission can't settle; a submission reads the instance list first, and newly listed instances are waited for like live ones. The test of the mute peer now asks for it to be named as lacking the plan, which is stricter than being listed as unheard.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,10 +1,12 @@
 //! Stand-ins, load, trace replay and experiments for arbutusshelf; not shipped.
 
 pub mod client;
+pub mod control;
 pub mod deployment;
 pub mod http;
 pub mod plan_size;
 pub mod platform;
+pub mod process;
 pub mod store_outage;
 pub mod target;
 pub mod tour;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, process::ExitCode};
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
-use arbutusshelf_bench::{plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour};
+use arbutusshelf_bench::{
+    control, plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour,
+};
 use argh::FromArgs;
 
 #[global_allocator]
@@ -23,6 +25,7 @@
     Tour(Tour),
     StoreOutage(store_outage::Args),
     PlanSize(plan_size::Args),
+    Control(control::Args),
     Platform(Platform),
     Target(Target),
 }
@@ -87,6 +90,10 @@
             store_outage::run(&args).await?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Control(args) => {
+            control::run(&args).await?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Platform(args) => {
             let stand_in =
                 PlatformStandIn::start(args.listen, args.seed).await.map_err(|e| unavailable(&e))?;
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -23,6 +23,8 @@
     kernel::Kernel,
     membership::MemberView,
     observe::{self, snapshot},
+    peer::budget::Purpose,
+    plan::follow::Standing,
     units::{PlanVersion, TargetId},
 };
 
@@ -45,10 +47,25 @@
     pub version: PlanVersion,
     /// Change that made it.
     pub change_id: Option<String>,
+    /// Whether the plan is known to be current.
+    pub standing: Standing,
+    /// Bytes sent to peers since the start.
+    pub sent: SentBytes,
     /// Other instances as seen from here.
     pub members: Vec<MemberView>,
 }
 
+/// Bytes sent to peers, by what they were for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SentBytes {
+    /// Plans, leaving and draining.
+    pub urgent_bytes: u64,
+    /// Heartbeats and hellos.
+    pub heartbeat_bytes: u64,
+    /// Load counts.
+    pub loads_bytes: u64,
+}
+
 /// One line of `GET /targets`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TargetView {
@@ -144,11 +161,22 @@
     }
 }
 
+fn sent_bytes(kernel: &Kernel) -> SentBytes {
+    let budget = kernel.control.budget();
+    SentBytes {
+        urgent_bytes: budget.spent(Purpose::Urgent),
+        heartbeat_bytes: budget.spent(Purpose::Heartbeat),
+        loads_bytes: budget.spent(Purpose::Loads),
+    }
+}
+
 fn plan_status(kernel: &Kernel) -> PlanStatus {
     let plan = kernel.plan.current();
     PlanStatus {
         version: plan.version,
         change_id: plan.change_id.as_ref().map(ToString::to_string),
+        standing: kernel.control.follower().standing(),
+        sent: sent_bytes(kernel),
         members: kernel.members.view(kernel.clock.now()),
     }
 }
--- a/src/admin/submit.rs
+++ b/src/admin/submit.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     error::{Error, ErrorKind, Result},
-    kernel::{Kernel, unix_s},
+    kernel::Kernel,
+    observe::unix_s,
     plan::{
         Plan,
         accept::{Submission, Verdict},
@@ -66,6 +67,11 @@
     let token = rand::random();
     let submission =
         Submission { plan, change_id: change_id.clone(), base, token, submitted_unix_s: unix_s() };
+    if !poll::read_list(kernel).await {
+        // Without the list this instance might not know whom to wait for.
+        let message = "the instance list could not be read; this submission changed nothing";
+        return Err(Error::new(ErrorKind::PlatformUnreachable, message));
+    }
     let began = kernel.clock.now();
     let deadline = began + Duration::from_millis(kernel.config.confirm_timeout_ms);
     let (verdict, plan) = commit::commit(&kernel.platform, kernel.clock, submission, deadline).await?;
@@ -100,7 +106,10 @@
         ),
         Verdict::NothingWritten => (
             ErrorKind::PlatformUnreachable,
-            "the store could not be reached or refused the write; nothing was changed".to_owned(),
+            format!(
+                "the store could not be reached or refused the write; this submission changed nothing, but \
+                 an earlier one of {change_id} without an answer may have: if there was one, submit it again"
+            ),
         ),
         Verdict::Unknown => (
             ErrorKind::PlanUnknown,
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -175,7 +175,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     let change = status.change_id.as_deref().unwrap_or("none");
-    println!("version {} by change {change}", status.version);
+    println!("version {} by change {change}, {}", status.version, status.standing);
     for member in &status.members {
         let state = if member.live { "live" } else { "silent" };
         let leaving = if member.leaving { " leaving" } else { "" };
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -22,13 +22,13 @@
     claims::Claims,
     decide::Event,
     error::{Error, ErrorKind, Result},
-    logging,
     membership::Members,
     observe::{
         Observer,
         rollup::RunKey,
         store_calls::{StoreCalls, counted},
         tally::Tally,
+        unix_s,
     },
     peer::{frame::TargetSign, state::ControlState},
     plan::{
@@ -42,11 +42,6 @@
     units::{CallId, InstanceId, MonoTime, RunId, TargetId},
 };
 
-/// Returns the time of day in seconds since the Unix epoch.
-pub fn unix_s() -> u64 {
-    u64::try_from(logging::unix_ms() / 1_000).unwrap_or(u64::MAX)
-}
-
 /// Everything that the workers of one instance share.
 #[derive(Debug)]
 pub struct Kernel {
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -254,15 +254,20 @@
         Headcount { live: names(&|m| m.is_live(now)), known: names(&|_| true) }
     }
 
-    /// Returns the names that are live or suspected and do not have `version` in force, sorted.
+    /// Returns the names that may be live and do not have `version` in force, sorted.
+    ///
+    /// Those are the live, the suspected and the newly listed; what was listed for [`REMOVE_AFTER`] and never
+    /// heard from is in [`MemberTable::unheard`].
     pub fn without(&self, version: PlanVersion, now: MonoTime) -> Vec<InstanceId> {
-        self.names(|m| m.trust(now) != Trust::Unheard && !m.leaving && m.said.plan_version < version)
+        let may_be_live = |m: &Member| m.dated.is_some() || now.since(m.since) < REMOVE_AFTER;
+        self.names(|m| may_be_live(m) && !m.leaving && m.said.plan_version < version)
     }
 
-    /// Returns the names that are listed and were never heard from, sorted.
+    /// Returns the names that have been listed for [`REMOVE_AFTER`] and were never heard from, sorted.
     pub fn unheard(&self, now: MonoTime) -> Vec<InstanceId> {
-        let heard = self.names(|m| m.trust(now) != Trust::Unheard);
-        let mut names = self.names(|m| m.trust(now) == Trust::Unheard && !m.leaving);
+        let silent = |m: &Member| m.dated.is_none() && now.since(m.since) >= REMOVE_AFTER;
+        let heard = self.names(|m| !silent(m));
+        let mut names = self.names(|m| silent(m) && !m.leaving);
         names.retain(|name| !heard.contains(name));
         names
     }
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -291,8 +291,9 @@
         for frame in frames {
             bytes.extend_from_slice(&encode(frame));
         }
-        let now = self.kernel.clock.now();
-        self.kernel.control.budget().spend(now, purpose, bytes.len() + OVERHEAD_BYTES);
+        let (now, on_wire) = (self.kernel.clock.now(), bytes.len() + OVERHEAD_BYTES);
+        self.kernel.control.budget().spend(now, purpose, on_wire);
+        self.kernel.observer.metrics.control_bytes.inc_by(on_wire as u64);
         timeout(SEND_TIMEOUT, send_all(&mut self.stream, bytes.freeze())).await?
     }
 }
--- a/src/plan/accept.rs
+++ b/src/plan/accept.rs
@@ -62,7 +62,10 @@
 /// What to do next.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Step {
-    /// Read the change's row, then the head row.
+    /// Read the head row, then the change's row.
+    ///
+    /// In this order, a head that has moved on and a change that is absent show that no earlier submission
+    /// of the change took effect or will.
     Read,
     /// Put the plan into the object store if no object has the name.
     PutBody {
@@ -95,7 +98,9 @@
     Conflict(Option<Head>),
     /// The change id made a version with another sheet; nothing took effect.
     ChangeIdReused(PlanVersion),
-    /// The store could not be reached or refused; nothing took effect.
+    /// The store could not be reached or refused; nothing of this submission took effect.
+    ///
+    /// An earlier one of the same change id that ended as [`Verdict::Unknown`] is not settled by this.
     NothingWritten,
     /// The change may have taken effect or may yet; submitting it again settles it.
     Unknown,
@@ -201,8 +206,11 @@
                 let version = self.submission.plan.version;
                 Step::Done(Verdict::Committed { version, repeated: false })
             }
-            WriteResult::Conflict(_) => {
-                self.lost = true;
+            WriteResult::Conflict(rows) => {
+                // The change's own row is there if an earlier submission of it took effect.
+                let repeated = rows.contains(&change_key(&self.submission.change_id));
+                self.maybe_written |= repeated;
+                self.lost |= !repeated;
                 if now >= self.deadline { self.give_up() } else { Step::Read }
             }
             WriteResult::Refused => self.retry(now),
--- a/src/plan/commit.rs
+++ b/src/plan/commit.rs
@@ -49,8 +49,8 @@
 
 async fn read_rows(platform: &Platform, change_id: &ChangeId) -> Result<Option<Rows>> {
     let read = |key: RowKey| (platform.get)(key);
-    let Ok(change) = read(change_key(change_id)).await else { return Ok(None) };
     let Ok(head) = read(head_key()).await else { return Ok(None) };
+    let Ok(change) = read(change_key(change_id)).await else { return Ok(None) };
     let change = change.as_ref().map(from_row).transpose()?;
     let head = head.map(|row| from_row(&row).map(|head| (head, row.version))).transpose()?;
     Ok(Some(Rows { head, change }))
--- a/src/plan/follow.rs
+++ b/src/plan/follow.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     membership::table::Headcount,
@@ -33,8 +34,9 @@
 pub const PAUSE_LIMIT: Duration = Duration::from_secs(3);
 
 /// Whether the plan in force is known to be current.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display, Serialize, Deserialize)]
 #[display(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
 pub enum Standing {
     /// Not yet known since the start or since waking from a pause.
     Starting,
--- a/src/plan/poll.rs
+++ b/src/plan/poll.rs
@@ -11,8 +11,9 @@
 use crate::{
     collections::HashMap,
     error::Result,
-    kernel::{Kernel, unix_s},
+    kernel::Kernel,
     membership::table::Change,
+    observe::unix_s,
     peer::{budget::OVERHEAD_BYTES, state::LoadSample},
     platform::ListedInstance,
     units::{InstanceId, MonoTime, PlanVersion, ServiceName},
@@ -102,7 +103,7 @@
         let due = kernel.control.follower().next_poll();
         sleep_until(kernel.clock.instant(due)).await;
         let began = kernel.clock.now();
-        let (read, ()) = tokio::join!(read_plan(kernel), read_list(kernel));
+        let (read, _) = tokio::join!(read_plan(kernel), read_list(kernel));
         let now = kernel.clock.now();
         kernel.control.follower().poll_ended(began, now, read);
         kernel.observer.note_store(read.is_some());
@@ -110,14 +111,16 @@
     }
 }
 
-async fn read_list(kernel: &Kernel) {
+/// Reads the instance list; returns whether it could be read.
+pub async fn read_list(kernel: &Kernel) -> bool {
     let Ok(list) = (kernel.platform.list_instances)(()).await else {
-        return;
+        return false;
     };
     let told_to_leave = kernel.members.lock().listed(kernel.clock.now(), &list);
     if told_to_leave {
         kernel.leave();
     }
+    true
 }
 
 /// Reads the head row and, if it names a newer version, the plan; returns the version in the row.
--- a/tests/membership_table.rs
+++ b/tests/membership_table.rs
@@ -62,7 +62,11 @@
     assert!(!table.listed(at(0), &[line("own", 1, false), line("peer", 2, false)]));
     assert_eq!(table.all().count(), 1, "this run is no member of its own table");
     assert_eq!(trust(&table, 2, at(0)), Some(Trust::Unheard));
-    assert_eq!(table.unheard(at(0)), [name("peer")]);
+    assert_eq!(table.without(1.into(), at(0)), [name("peer")], "it may be live and is waited for");
+    assert_eq!(table.unheard(at(0)), []);
+    let later = at(0) + REMOVE_AFTER;
+    assert_eq!(table.without(1.into(), later), []);
+    assert_eq!(table.unheard(later), [name("peer")]);
 }
 
 #[test]
--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -191,8 +191,7 @@
     let large = stage.sheet_with(&drains.collect::<Vec<_>>().join("\n"));
     wait_until("the mute peer is linked", || links.load(std::sync::atomic::Ordering::SeqCst) >= 2).await;
     let accepted = stage.submit("large", &large).await;
-    assert_eq!(accepted.without, [], "live instances have it");
-    assert_eq!(accepted.unheard, ["mute".parse().expect("a name")]);
+    assert_eq!(accepted.without, ["mute".parse().expect("a name")], "it is named, and the live one is not");
     let before = links.load(std::sync::atomic::Ordering::SeqCst);
     wait_until("its links are dropped and opened anew", || {
         links.load(std::sync::atomic::Ordering::SeqCst) > before
--- a/tests/plan_accept.rs
+++ b/tests/plan_accept.rs
@@ -6,7 +6,7 @@
     plan::{
         IntendedAction, Intention, Plan,
         accept::{Acceptance, Event, RETRY_PAUSE, Rows, Step, Submission, Verdict},
-        record::{Body, CHANGE_ROWS, ChangeRecord, HEAD_ROW, Head, digest},
+        record::{Body, CHANGE_ROWS, ChangeRecord, HEAD_ROW, Head, change_key, digest, head_key},
     },
     platform::{Condition, RowWrite, WriteResult},
     units::{ChangeId, MonoTime, PlanVersion},
@@ -99,7 +99,7 @@
     use Expected::{Committed, Conflict, TriesAgain, WritesAgain};
     use ReadBack::{Mine, Unchanged, Unreadable, Winner};
     let took = || WriteResult::TookEffect(vec![50, 51]);
-    let lost = || WriteResult::Conflict(vec![]);
+    let lost = || WriteResult::Conflict(vec![head_key()]);
     let table = [
         (took(), Unreadable, Committed),
         (lost(), Winner, Conflict),
@@ -159,7 +159,8 @@
     let table = [
         (WriteResult::Refused, Verdict::NothingWritten),
         (WriteResult::Unknown, Verdict::Unknown),
-        (WriteResult::Conflict(vec![]), Verdict::Conflict(None)),
+        (WriteResult::Conflict(vec![head_key()]), Verdict::Conflict(None)),
+        (WriteResult::Conflict(vec![head_key(), change_key(&change("mine"))]), Verdict::Unknown),
     ];
     for (written, expected) in table {
         let mut acceptance = Acceptance::new(submission(None), at(DEADLINE_MS));
--- a/tests/plan_schedules.rs
+++ b/tests/plan_schedules.rs
@@ -44,17 +44,17 @@
 fn any_fault(g: &mut Gen) -> Fault {
     let who = within(g, INSTANCES);
     let for_ms = 200 + u64::arbitrary(g) % 25_000;
-    match within(g, 12) {
-        0..=3 => Fault::Submit { at: who, leave: None },
-        4 => Fault::Submit { at: who, leave: Some(within(g, INSTANCES)) },
-        5 | 6 => Fault::Kill { who, for_ms },
-        7 => Fault::Pause { who, for_ms },
-        8 => {
+    match within(g, 16) {
+        0..=4 => Fault::Submit { at: who, leave: None },
+        5 => Fault::Submit { at: who, leave: Some(within(g, INSTANCES)) },
+        6 | 7 => Fault::Kill { who, for_ms },
+        8 | 9 => Fault::Pause { who, for_ms },
+        10..=12 => {
             let count = 1 + within(g, 8);
             Fault::Partition { first: within(g, INSTANCES), count, with_store: bool::arbitrary(g), for_ms }
         }
-        9 => Fault::StoreDown { for_ms },
-        10 => Fault::LoseReplies { for_ms },
+        13 => Fault::StoreDown { for_ms },
+        14 => Fault::LoseReplies { for_ms },
         _ => Fault::StaleReads { for_ms },
     }
 }
@@ -79,6 +79,27 @@
     QuickCheck::new().rng(rng).tests(30).max_tests(30).quickcheck(holds as fn(Schedule) -> TestResult);
 }
 
+#[test]
+fn a_minority_without_the_store_withdraws() {
+    let cut = Fault::Partition { first: 0, count: 5, with_store: false, for_ms: 25_000 };
+    let submit = Fault::Submit { at: 9, leave: None };
+    let faults = vec![(5_000, submit.clone()), (10_000, cut), (12_000, submit)];
+    let cluster = run(&Schedule { seed: 1, faults });
+    assert_eq!(cluster.broken, Vec::<String>::new());
+    assert_eq!(cluster.accepted, 2);
+}
+
+#[test]
+fn a_paused_instance_wakes_without_serving_by_its_old_plan() {
+    let submit = Fault::Submit { at: 9, leave: None };
+    let pause = Fault::Pause { who: 3, for_ms: 20_000 };
+    let down = Fault::StoreDown { for_ms: 20_000 };
+    let faults = vec![(5_000, submit.clone()), (10_000, pause), (12_000, submit), (20_000, down)];
+    let cluster = run(&Schedule { seed: 1, faults });
+    assert_eq!(cluster.broken, Vec::<String>::new());
+    assert_eq!(cluster.accepted, 2);
+}
+
 #[test]
 fn the_schedules_accept_plans_and_see_leaves() {
     let mut g = Gen::from_size_and_seed(100, 7);
--- a/tests/schedules/mod.rs
+++ b/tests/schedules/mod.rs
@@ -29,6 +29,7 @@
 const CONFIRM_MS: u64 = 5_000;
 /// Letters that wait for a paused node; its peers drop it beyond that.
 const KEPT_LETTERS: usize = 60;
+const KEPT_FINDINGS: usize = 20;
 const LEAVE_LIMIT_MS: u64 = 3_000;
 /// Time of day at which every schedule starts, in seconds since the Unix epoch.
 const MORNING_UNIX_S: u64 = 1_800_000_000;
@@ -77,7 +78,7 @@
     inbox: VecDeque<Letter>,
 }
 
-/// What an operator was told, and when.
+/// What an operator was told, and when it was committed.
 #[derive(Debug, Clone)]
 struct Told {
     version: PlanVersion,
@@ -101,6 +102,8 @@
     node: usize,
     run: RunId,
     acceptance: Acceptance,
+    /// Whether an earlier submission of the change ended without an answer.
+    unsure: bool,
     /// When the running step ends, and what comes of it.
     due: Option<(u64, Event)>,
     committed: Option<(PlanVersion, u64)>,
@@ -205,6 +208,8 @@
 
     fn step(&mut self) {
         self.now += STEP_MS;
+        // The first broken property tells most; the others often follow from it.
+        self.broken.truncate(KEPT_FINDINGS);
         if self.now >= self.partition_until && self.second_side.contains(&true) {
             self.second_side = vec![false; INSTANCES];
             self.nodes.iter_mut().for_each(|n| n.steady_since = self.now);
@@ -445,10 +450,10 @@
         let leave = leave
             .map(|n| Intention { at_unix_s: 0, action: IntendedAction::Leave(self.nodes[n].id.clone()) });
         let plan = Plan { intentions: leave.into_iter().collect(), ..Plan::default() };
-        self.operate(change_id, plan, node);
+        self.operate(change_id, plan, node, false);
     }
 
-    fn operate(&mut self, change_id: ChangeId, plan: Plan, node: usize) {
+    fn operate(&mut self, change_id: ChangeId, plan: Plan, node: usize, unsure: bool) {
         let submission = Submission {
             plan: plan.clone(),
             change_id: change_id.clone(),
@@ -463,6 +468,7 @@
             plan,
             node,
             run,
+            unsure,
             acceptance,
             due: Some((self.now, Event::Paused)),
             committed: None,
@@ -475,7 +481,7 @@
             if !node.alive || node.run != operation.run {
                 // The operator's connection broke: the same change goes through another instance.
                 let elsewhere = self.rng.random_range(0..INSTANCES);
-                self.operate(operation.change_id, operation.plan, elsewhere);
+                self.operate(operation.change_id, operation.plan, elsewhere, true);
             } else if !self.is_running(operation.node) || self.advance(&mut operation) {
                 self.operations.push(operation);
             }
@@ -505,6 +511,8 @@
         match step {
             Step::Read if !reached => (self.now + 500, Event::Read(None)),
             Step::Read => {
+                let list = self.store.instances();
+                self.nodes[operation.node].table.listed(mono(self.now), &list);
                 let change = self.store.get(&change_key(&operation.change_id));
                 let change = change.map(|row| from_row(&row).expect("a change record"));
                 let head = self.store.get(&head_key());
@@ -544,13 +552,15 @@
                 }
                 true
             }
-            Verdict::Unknown => {
+            Verdict::Unknown | Verdict::NothingWritten
+                if operation.unsure || *verdict == Verdict::Unknown =>
+            {
                 // Told to submit it again, the operator does.
                 let elsewhere = self.rng.random_range(0..INSTANCES);
-                self.operate(operation.change_id.clone(), operation.plan.clone(), elsewhere);
+                self.operate(operation.change_id.clone(), operation.plan.clone(), elsewhere, true);
                 false
             }
-            Verdict::Conflict(_) | Verdict::NothingWritten => {
+            Verdict::Conflict(_) | Verdict::NothingWritten | Verdict::Unknown => {
                 self.told_nothing.push(operation.change_id.clone());
                 false
             }
@@ -572,7 +582,7 @@
         }
         self.accepted += 1;
         self.check_told(n, version, since, &without);
-        self.told.push(Told { version, at: self.now });
+        self.told.push(Told { version, at: since });
         false
     }
 
