--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod client;
 pub mod control;
 pub mod deployment;
+pub mod flood;
 pub mod http;
+pub mod observe_cost;
 pub mod plan_size;
 pub mod platform;
 pub mod process;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,7 +4,8 @@
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
 use arbutusshelf_bench::{
-    control, plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour,
+    control, flood, observe_cost, plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn,
+    tour,
 };
 use argh::FromArgs;
 
@@ -26,6 +27,8 @@
     StoreOutage(store_outage::Args),
     PlanSize(plan_size::Args),
     Control(control::Args),
+    ObserveCost(observe_cost::Args),
+    Flood(flood::Args),
     Platform(Platform),
     Target(Target),
 }
@@ -86,6 +89,14 @@
             plan_size::run(&args)?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Flood(args) => {
+            flood::run(&args).await?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::ObserveCost(args) => {
+            observe_cost::run(&args)?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::StoreOutage(args) => {
             store_outage::run(&args).await?;
             Ok(ExitCode::SUCCESS)
