--- a/bench/src/gateway.rs
+++ b/bench/src/gateway.rs
@@ -4,7 +4,8 @@
 
 use arbutusshelf::{
     error::Result,
-    kernel::{Kernel, unix_s},
+    kernel::Kernel,
+    observe::unix_s,
     plan::{
         Budgets, InstanceSpec, Objective, Plan, Priority, RequestKind, RouteSpec, ServiceSpec, TargetSpec,
         accept::Submission, commit::commit,
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins, load, trace replay and experiments for arbutusshelf; not shipped.
 
 pub mod client;
+pub mod control;
 pub mod deployment;
 pub mod flood;
 pub mod gateway;
@@ -8,6 +9,7 @@
 pub mod observe_cost;
 pub mod plan_size;
 pub mod platform;
+pub mod process;
 pub mod scripted;
 pub mod store_outage;
 pub mod target;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,7 +4,8 @@
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
 use arbutusshelf_bench::{
-    flood, observe_cost, plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour,
+    control, flood, observe_cost, plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn,
+    tour,
 };
 use argh::FromArgs;
 
@@ -25,6 +26,7 @@
     Tour(Tour),
     StoreOutage(store_outage::Args),
     PlanSize(plan_size::Args),
+    Control(control::Args),
     ObserveCost(observe_cost::Args),
     Flood(flood::Args),
     Platform(Platform),
@@ -99,6 +101,10 @@
             store_outage::run(&args).await?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Control(args) => {
+            control::run(&args).await?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Platform(args) => {
             let stand_in =
                 PlatformStandIn::start(args.listen, args.seed).await.map_err(|e| unavailable(&e))?;
