--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,11 +1,13 @@
 //! Stand-ins, load, trace replay and experiments for arbutusshelf; not shipped.
 
+pub mod allocations;
 pub mod client;
 pub mod control;
 pub mod deployment;
 pub mod flood;
 pub mod gateway;
 pub mod http;
+pub mod latency;
 pub mod observe_cost;
 pub mod plan_size;
 pub mod platform;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,13 +4,13 @@
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
 use arbutusshelf_bench::{
-    control, flood, observe_cost, plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn,
-    tour,
+    allocations::CountingAllocator, control, flood, latency, observe_cost, plan_size,
+    platform::PlatformStandIn, store_outage, target::TargetStandIn, tour,
 };
 use argh::FromArgs;
 
 #[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+static ALLOCATOR: CountingAllocator = CountingAllocator;
 
 /// Stand-ins, load, trace replay and experiments for arbutusshelf.
 #[derive(Debug, FromArgs)]
@@ -29,6 +29,7 @@
     Control(control::Args),
     ObserveCost(observe_cost::Args),
     Flood(flood::Args),
+    Latency(latency::Args),
     Platform(Platform),
     Target(Target),
 }
@@ -105,6 +106,10 @@
             control::run(&args).await?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Latency(args) => {
+            latency::run(&args).await?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Platform(args) => {
             let stand_in =
                 PlatformStandIn::start(args.listen, args.seed).await.map_err(|e| unavailable(&e))?;
--- a/bench/src/target.rs
+++ b/bench/src/target.rs
@@ -286,7 +286,11 @@
     let cold = state.ran.fetch_add(1, Ordering::Relaxed) < COLD_REQUESTS;
     let factor = behaviour.slowdown * if cold { behaviour.cold_factor } else { 1.0 };
     let work_us = query(&request, "work_us").and_then(|t| t.parse().ok()).unwrap_or(behaviour.service_us);
-    tokio::time::sleep(Duration::from_micros(work_us).mul_f64(factor)).await;
+    let work = Duration::from_micros(work_us).mul_f64(factor);
+    // Even an empty sleep would last until the timer's next millisecond.
+    if !work.is_zero() {
+        tokio::time::sleep(work).await;
+    }
     let size = query(&request, "bytes").and_then(|t| t.parse::<usize>().ok());
     if let Some(size) = size {
         return Ok(ranged(&request, size, &behaviour));
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod clock;
 pub mod in_progress;
+pub mod mailbox;
 pub mod pools;
 pub mod registry;
 
--- a/src/kernel/pools.rs
+++ b/src/kernel/pools.rs
@@ -8,9 +8,12 @@
     time::Duration,
 };
 
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::Notify;
 
-use super::clock::Clock;
+use super::{
+    clock::Clock,
+    mailbox::{Directives, Mailbox},
+};
 use crate::{
     collections::HashMap,
     decide::{
@@ -56,7 +59,7 @@
 struct CellState {
     pool: Pool,
     /// Calls that wait for directives; a call that closed is absent.
-    calls: HashMap<CallId, mpsc::UnboundedSender<Directive>>,
+    calls: HashMap<CallId, Mailbox>,
     /// Reused between events to spare allocations; empty between two events.
     actions: Vec<Action>,
     choices: ChoiceRing,
@@ -87,12 +90,13 @@
     }
 
     /// Brings a call in and returns where its directives arrive.
-    pub fn begin(&self, call: Call) -> mpsc::UnboundedReceiver<Directive> {
-        let (sender, receiver) = mpsc::unbounded_channel();
+    pub fn begin(&self, call: Call) -> Directives {
+        let mailbox = Mailbox::default();
+        let directives = mailbox.directives();
         let mut state = self.lock();
-        state.calls.insert(call.id, sender);
+        state.calls.insert(call.id, mailbox);
         self.step(&mut state, Event::Arrived(call));
-        receiver
+        directives
     }
 
     /// Takes an event and carries its actions to the calls.
@@ -155,7 +159,7 @@
 fn carry_out(
     pool: &Pool,
     choices: &mut ChoiceRing,
-    calls: &HashMap<CallId, mpsc::UnboundedSender<Directive>>,
+    calls: &HashMap<CallId, Mailbox>,
     actions: &mut Vec<Action>,
     now: MonoTime,
 ) -> Option<Event> {
@@ -177,7 +181,7 @@
     unheard
 }
 
-fn deliver(spec: &ServiceSpec, calls: &HashMap<CallId, mpsc::UnboundedSender<Directive>>, action: &Action) {
+fn deliver(spec: &ServiceSpec, calls: &HashMap<CallId, Mailbox>, action: &Action) {
     let target = |index: TargetIndex| spec.targets[index.0].clone();
     let (call, directive) = match *action {
         Action::Send { call, attempt, target: index } => {
@@ -188,9 +192,8 @@
         Action::Cancel { call, attempt } => (call, Directive::Cancel { attempt }),
         Action::Probe(_) => return,
     };
-    if let Some(sender) = calls.get(&call) {
-        // A call that has just ended no longer listens; its close event follows.
-        let _closing = sender.send(directive);
+    if let Some(mailbox) = calls.get(&call) {
+        mailbox.push(directive);
     }
 }
 
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -8,7 +8,6 @@
 };
 
 use futures::future::{BoxFuture, FutureExt};
-use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::{
     answer::{Answer, whole},
@@ -19,7 +18,10 @@
 use crate::{
     decide::Attempt,
     error::{ErrorKind, Outcome},
-    kernel::pools::{Directive, PoolCell},
+    kernel::{
+        mailbox::Directives,
+        pools::{Directive, PoolCell},
+    },
     units::CallId,
 };
 
@@ -80,10 +82,10 @@
 
 /// Follows the pool's directives until an answer has begun or the call is refused.
 pub async fn follow_sends(context: &CallContext, parts: &RequestParts) -> Followed {
-    let mut directives = context.cell.begin(context.call.clone());
+    let directives = context.cell.begin(context.call.clone());
     let _close = CloseGuard { cell: &context.cell, call: context.call.id };
     let mut sends = Sends { context, parts, running: Vec::new(), failed: None, refused: None };
-    poll_fn(|cx| sends.poll(cx, &mut directives)).await
+    poll_fn(|cx| sends.poll(cx, &directives)).await
 }
 
 /// One send in progress; dropping it cancels it.
@@ -111,11 +113,7 @@
 }
 
 impl Sends<'_> {
-    fn poll(
-        &mut self,
-        cx: &mut Context<'_>,
-        directives: &mut UnboundedReceiver<Directive>,
-    ) -> Poll<Followed> {
+    fn poll(&mut self, cx: &mut Context<'_>, directives: &Directives) -> Poll<Followed> {
         loop {
             if let Some(head) = self.poll_running(cx) {
                 return Poll::Ready(Followed::Began(head));
@@ -123,7 +121,7 @@
             if let Some(refusal) = self.refused.filter(|_| self.running.is_empty()) {
                 return Poll::Ready(self.refuse(refusal));
             }
-            let Poll::Ready(directive) = directives.poll_recv(cx) else { return Poll::Pending };
+            let Poll::Ready(directive) = directives.poll_next(cx) else { return Poll::Pending };
             if let Some(followed) = self.take(directive) {
                 return Poll::Ready(followed);
             }
@@ -148,9 +146,9 @@
         None
     }
 
-    fn take(&mut self, directive: Option<Directive>) -> Option<Followed> {
+    fn take(&mut self, directive: Directive) -> Option<Followed> {
         match directive {
-            Some(Directive::Send { attempt, target }) => {
+            Directive::Send { attempt, target } => {
                 if self.parts.is_spent() {
                     return Some(Followed::Refused(ErrorKind::TargetRefused, None));
                 }
@@ -158,16 +156,15 @@
                 self.running.push(Running { attempt, result });
                 None
             }
-            Some(Directive::Cancel { attempt }) => {
+            Directive::Cancel { attempt } => {
                 self.running.retain(|r| r.attempt != attempt);
                 None
             }
-            Some(Directive::Deliver { .. }) => self.failed.take().map(Followed::Failed),
-            Some(Directive::Refuse { kind, retry_after }) => {
+            Directive::Deliver { .. } => self.failed.take().map(Followed::Failed),
+            Directive::Refuse { kind, retry_after } => {
                 self.refused = Some(Refusal { kind, retry_after });
                 None
             }
-            None => Some(Followed::Refused(ErrorKind::Overloaded, None)),
         }
     }
 
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -18,7 +18,7 @@
     },
     observe::tally::CallEnd,
     plan::{Priority, RequestKind, ServiceSpec},
-    units::{MonoTime, ServiceName},
+    units::{MonoTime, ServiceName, TargetId},
 };
 
 /// What is known of a call before it is decided on.
@@ -42,6 +42,8 @@
     service_deadline: Duration,
     /// Time within which an answer must begin to count as useful.
     useful_within: Duration,
+    /// Target that this call is not sent to.
+    pub(super) avoided: Option<TargetId>,
     /// Whether it continues the answer of a call whose target failed.
     pub(super) continues: bool,
     /// Names the request while it is in progress.
@@ -89,12 +91,13 @@
             refusal_means_not_run: service.refusal_means_not_run,
             service_deadline: Duration::from_millis(service.deadline_ms),
             useful_within: Duration::from_millis(service.objective.latency_ms),
+            avoided: None,
             continues: false,
         })
     }
 
-    /// Returns a call that continues this one's answer on another target.
-    pub(super) fn continued(&self) -> Self {
+    /// Returns a call that continues this one's answer, on any target but the one to avoid.
+    pub(super) fn continued(&self, avoided: Option<TargetId>) -> Self {
         let arrived = self.kernel.clock.now();
         let deadline = arrived + self.service_deadline.min(self.progress_timeout());
         let id = self.kernel.next_call();
@@ -110,6 +113,7 @@
             refusal_means_not_run: self.refusal_means_not_run,
             service_deadline: self.service_deadline,
             useful_within: self.useful_within,
+            avoided,
             continues: true,
             named: self.named.clone(),
         }
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -33,7 +33,7 @@
     send::{Head, SendGuard},
     upload::RequestParts,
 };
-use crate::{decide::AttemptEnd, kernel::in_progress::InProgress, plan::RequestKind};
+use crate::{decide::AttemptEnd, kernel::in_progress::InProgress, plan::RequestKind, units::TargetId};
 
 /// Pieces of an answer that are read ahead of the caller; each has at most [`READ_BUFFER_BYTES`].
 const READ_AHEAD_PIECES: usize = 4;
@@ -51,10 +51,13 @@
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
 /// Tries to continue an answer end after this many times the progress timeout.
-const RESUME_WINDOW_PARTS: u32 = 2;
+const RESUME_WINDOW_PARTS: u32 = 4;
+
+/// Tries that leave out the target that failed; later ones take it if the pool has no better.
+const AVOIDING_TRIES: u32 = 4;
 
 /// The first piece of a continued answer is waited for during the progress timeout over this.
-const FIRST_PIECE_PART: u32 = 8;
+const FIRST_PIECE_PART: u32 = 2;
 
 /// Passes on an answer that has begun.
 pub fn pass_on(context: CallContext, parts: RequestParts, head: Head) -> Answer {
@@ -76,7 +79,17 @@
         _in_progress: context.kernel.enter(),
     };
     let source = Some(Source { body, guard: head.guard, skip: 0 });
-    let relay = Relay { context, parts, validator, source, offset: 0, resume_until: None, failure };
+    let relay = Relay {
+        context,
+        parts,
+        validator,
+        source,
+        offset: 0,
+        resume_until: None,
+        tries: 0,
+        failed_target: None,
+        failure,
+    };
     tokio::spawn(relay.run(sender));
     Answer::ran(answer_head, relayed.boxed())
 }
@@ -139,6 +152,10 @@
     offset: u64,
     /// When tries to continue the answer end; set from the first try until a piece has come.
     resume_until: Option<Instant>,
+    /// Tries to continue the answer since the last piece.
+    tries: u32,
+    /// Target that failed last, unless the caller was the reason.
+    failed_target: Option<TargetId>,
     /// Why the answer ended early, set before the channel closes.
     failure: Arc<OnceLock<BodyError>>,
 }
@@ -180,6 +197,7 @@
             match self.next_piece().await {
                 Ok(Some(bytes)) => {
                     self.resume_until = None;
+                    self.tries = 0;
                     self.offset += bytes.len() as u64;
                     permit.send(Piece::Data(bytes));
                 }
@@ -205,6 +223,8 @@
 
     fn end_source(&mut self, end: AttemptEnd) {
         if let Some(source) = self.source.take() {
+            let target = source.guard.target().clone();
+            self.failed_target = (end == AttemptEnd::Lost).then_some(target);
             source.guard.end(end);
         }
     }
@@ -261,7 +281,9 @@
         let until = *self.resume_until.get_or_insert_with(|| Instant::now() + window);
         let Some(parts) = resumed_request(&self.parts, validator, self.offset) else { return false };
         while Instant::now() < until {
-            let context = self.context.continued();
+            self.tries += 1;
+            let avoided = self.failed_target.clone().filter(|_| self.tries <= AVOIDING_TRIES);
+            let context = self.context.continued(avoided);
             if let Followed::Began(head) = follow_sends(&context, &parts).await {
                 let Some(skip) = continuation(validator, self.offset, &head) else { return false };
                 log::info!("event=transfer-resumed call={} offset={}", context.request_id(), self.offset);
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -34,6 +34,7 @@
 /// One send in progress; reports its end exactly once.
 #[derive(Debug)]
 pub struct SendGuard {
+    target: TargetId,
     cell: Arc<PoolCell>,
     call: CallId,
     attempt: Attempt,
@@ -47,8 +48,9 @@
 }
 
 impl SendGuard {
-    fn new(context: &CallContext, attempt: Attempt) -> Self {
+    fn new(context: &CallContext, attempt: Attempt, target: &TargetSpec) -> Self {
         Self {
+            target: target.id.clone(),
             cell: Arc::clone(&context.cell),
             call: context.call.id,
             attempt,
@@ -59,6 +61,11 @@
         }
     }
 
+    /// Returns the target that it was sent to.
+    pub fn target(&self) -> &TargetId {
+        &self.target
+    }
+
     fn began(&self, report: LoadReport) {
         if !self.reported {
             self.cell.handle(Event::AnswerBegan { call: self.call, attempt: self.attempt, report });
@@ -136,7 +143,7 @@
     attempt: Attempt,
     target: TargetSpec,
 ) -> SendResult {
-    let mut guard = SendGuard::new(context, attempt);
+    let mut guard = SendGuard::new(context, attempt, &target);
     match exchange(context, parts, attempt, &target, &mut guard).await {
         Ok(response) => take_answer(context, &target.id, guard, response).await,
         Err(end) => {
@@ -153,6 +160,9 @@
     target: &TargetSpec,
     guard: &mut SendGuard,
 ) -> Result<Response<Incoming>, AttemptEnd> {
+    if context.avoided.as_ref() == Some(&target.id) {
+        return Err(AttemptEnd::Unsent);
+    }
     let connection = timeout(context.remaining(), checkout(context, attempt, target)).await;
     let Ok(Some(mut connection)) = connection else { return Err(AttemptEnd::Unsent) };
     let body = parts.take_body().ok_or(AttemptEnd::Unsent)?;
