--- a/src/logging/limit.rs
+++ b/src/logging/limit.rs
@@ -1,6 +1,6 @@
 //! Limits the lines of each module and event, and counts what it holds back.
 //!
-//! Pure: time is passed in. Memory is bounded by [`MAX_EVENTS`].
+//! Pure: time is passed in. Memory is bounded by `MAX_EVENTS`.
 
 use std::time::Duration;
 
