Decide at-most-once claims in a pure state machine

A claim that was given up used to be deleted, which a late insert could undo, and a claim over a lost reply was read back a fixed number of times. The claim is now a machine of its own: rows change in place, a released row stays, so that no insert that the table applies late takes effect, and nothing is sent unless the table shows the row open under the token.

--- /dev/null
+++ b/src/decide/claim/mod.rs
@@ -0,0 +1,428 @@
+//! At most once: the claim of one call on one idempotency key, as a pure state machine.
+//!
+//! A claim is a conditional write of the key's row with a token of its own. The request is sent only while
+//! the table is known to show the row open under that token. Rows change in place: a claim that is given up
+//! is *released*, not deleted, so that no insert which the table applies late can bring it back.
+//!
+//! No claim is ever taken over, whatever the time: a holder may be paused and unaware of it.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use arbutusshelf::{
+//!     decide::claim::{Action, Claim, ClaimSpec, Event, Fingerprint, Token, Version, Wrote},
+//!     units::MonoTime,
+//! };
+//!
+//! let now = MonoTime::default();
+//! let mut claim = Claim::new(ClaimSpec {
+//!     token: Token { run: 7.into(), number: 1 },
+//!     fingerprint: Fingerprint::from("POST /mietkasse/charges".to_owned()),
+//!     deadline: now + Duration::from_secs(5),
+//!     repeated: false,
+//!     written_hour: 0,
+//! });
+//! let mut actions = Vec::new();
+//! claim.handle(now, Event::Start, &mut actions);
+//! assert!(matches!(actions[..], [Action::Write(_)]));
+//!
+//! // The reply is lost, so nothing is sent until the row was read back.
+//! actions.clear();
+//! claim.handle(now, Event::Wrote(Wrote::Unknown), &mut actions);
+//! assert_eq!(actions, [Action::Read]);
+//!
+//! // There is no row: the insert is tried again, and this time its reply arrives.
+//! actions.clear();
+//! claim.handle(now, Event::Read(Ok(None)), &mut actions);
+//! assert!(matches!(actions[..], [Action::Write(_)]));
+//! actions.clear();
+//! claim.handle(now, Event::Wrote(Wrote::TookEffect(Version(1))), &mut actions);
+//! assert_eq!(actions, [Action::Send]);
+//! ```
+
+mod message;
+mod retention;
+mod row;
+mod rules;
+
+use std::time::Duration;
+
+pub use self::{
+    message::{
+        Action, ClaimSpec, ClaimWrite, Event, FoundRow, NotRead, RowCondition, SendEnd, Verdict, Wrote,
+    },
+    retention::{HourCount, RETENTION_MARGIN_H, is_expired},
+    row::{ClaimRow, ClaimState, Fingerprint, StoredAnswer, StoredBody, Token, TokenError, Version},
+    rules::Rules,
+};
+use crate::{error::ErrorKind, units::MonoTime};
+
+/// First pause before an operation on the table is tried again; doubles with each failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest pause while a caller waits.
+const MAX_PAUSE: Duration = Duration::from_millis(320);
+
+/// Longest pause once the caller has its answer.
+const MAX_BACKGROUND_PAUSE: Duration = Duration::from_secs(5);
+
+/// What the machine is doing; at most one operation on the table is in progress.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Phase {
+    /// Wants the row.
+    Claiming,
+    /// Another claim has had the row open, at this version, at least since this time.
+    Waiting(Version, MonoTime),
+    /// Holds the row; the request may be sent.
+    Sending,
+    /// Holds the row and brings it to its last state.
+    Settling(ClaimState),
+    /// Never sends again; makes sure that no claim of its token stays or comes back.
+    Releasing,
+    Finished,
+}
+
+/// Operation on the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// Write the row open under the own token.
+    Claim,
+    /// Write the row's last state.
+    Settle,
+    Read,
+}
+
+/// What the claim has learned of the key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum KeyKnowledge {
+    /// Nothing yet.
+    Nothing,
+    /// No request with the key had run when the row was read.
+    Free,
+    /// A request with the key may have run.
+    MayHaveRun,
+}
+
+/// One call's claim on its key.
+#[derive(Debug, Clone)]
+pub struct Claim {
+    spec: ClaimSpec,
+    rules: Rules,
+    phase: Phase,
+    /// Condition of the next or latest write.
+    condition: RowCondition,
+    /// Whether a claim under `condition` may have taken effect, or may yet; ones under earlier conditions
+    /// can't, since the row has moved on.
+    in_doubt: bool,
+    in_progress: Option<Step>,
+    /// Step to take at a time; `None` while an operation is in progress.
+    due: Option<(MonoTime, Step)>,
+    pause: Duration,
+    knowledge: KeyKnowledge,
+}
+
+impl Claim {
+    /// Creates a claim that has done nothing yet.
+    pub fn new(spec: ClaimSpec) -> Self {
+        Self::with_rules(spec, Rules::default())
+    }
+
+    /// Creates a claim with rules relaxed, for checks that must notice it.
+    pub fn with_rules(spec: ClaimSpec, rules: Rules) -> Self {
+        Self {
+            spec,
+            rules,
+            phase: Phase::Claiming,
+            condition: RowCondition::Absent,
+            in_doubt: false,
+            in_progress: None,
+            due: None,
+            pause: FIRST_PAUSE,
+            knowledge: KeyKnowledge::Nothing,
+        }
+    }
+
+    /// Returns the claim's token.
+    pub fn token(&self) -> Token {
+        self.spec.token
+    }
+
+    /// Returns whether nothing is left to do.
+    pub fn is_finished(&self) -> bool {
+        self.phase == Phase::Finished
+    }
+
+    /// Returns when [`Event::Tick`] is due at the latest, if ever.
+    pub fn next_wake(&self) -> Option<MonoTime> {
+        let deadline = self.wants_row().then_some(self.spec.deadline);
+        let due = self.due.map(|(at, _)| at);
+        deadline.into_iter().chain(due).min()
+    }
+
+    /// Takes one event and adds the actions that follow from it.
+    pub fn handle(&mut self, now: MonoTime, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Start => self.begin(Step::Claim, actions),
+            Event::Wrote(result) => self.wrote(now, result, actions),
+            Event::Read(result) => self.read(now, result, actions),
+            Event::SendEnded(end) => self.send_ended(end, actions),
+            Event::CallerGone => self.caller_gone(actions),
+            Event::Wake => self.wake(actions),
+            Event::Tick => {}
+        }
+        self.expire(now, actions);
+        self.run_due(now, actions);
+    }
+
+    fn wants_row(&self) -> bool {
+        matches!(self.phase, Phase::Claiming | Phase::Waiting(..))
+    }
+
+    fn wrote(&mut self, now: MonoTime, result: Wrote, actions: &mut Vec<Action>) {
+        match self.in_progress.take() {
+            Some(Step::Claim) => self.claim_wrote(now, result, actions),
+            Some(Step::Settle) => self.settle_wrote(now, result, actions),
+            Some(Step::Read) | None => {}
+        }
+    }
+
+    fn claim_wrote(&mut self, now: MonoTime, result: Wrote, actions: &mut Vec<Action>) {
+        let given_up = self.phase == Phase::Releasing;
+        match result {
+            Wrote::TookEffect(version) => self.won(now, version, actions),
+            // A write that the network doubled conflicts with itself, so only reading the row tells.
+            Wrote::Conflict => {
+                self.in_doubt = true;
+                self.knowledge = KeyKnowledge::MayHaveRun;
+                self.begin(Step::Read, actions);
+            }
+            Wrote::Unknown => {
+                self.in_doubt = true;
+                self.begin(Step::Read, actions);
+            }
+            Wrote::Refused if !given_up => self.retry(now, Step::Claim),
+            Wrote::Refused if self.in_doubt => self.begin(Step::Read, actions),
+            Wrote::Refused => self.finish(actions),
+        }
+    }
+
+    fn settle_wrote(&mut self, now: MonoTime, result: Wrote, actions: &mut Vec<Action>) {
+        match result {
+            Wrote::TookEffect(_) => self.finish(actions),
+            Wrote::Conflict => self.begin(Step::Read, actions),
+            Wrote::Refused => self.retry(now, Step::Settle),
+            Wrote::Unknown => self.retry(now, Step::Read),
+        }
+    }
+
+    /// The table shows the row open under the own token.
+    fn won(&mut self, now: MonoTime, version: Version, actions: &mut Vec<Action>) {
+        self.condition = RowCondition::VersionIs(version);
+        self.in_doubt = false;
+        let given_up = self.phase == Phase::Releasing;
+        if given_up && !self.rules.send_after_release {
+            self.begin(Step::Settle, actions);
+            return;
+        }
+        if now >= self.spec.deadline && !given_up {
+            actions.push(Action::Answer(Verdict::Refused(self.given_up_kind())));
+            self.phase = Phase::Releasing;
+            self.begin(Step::Settle, actions);
+            return;
+        }
+        self.phase = Phase::Sending;
+        actions.push(Action::Send);
+    }
+
+    fn read(&mut self, now: MonoTime, result: Result<Option<FoundRow>, NotRead>, actions: &mut Vec<Action>) {
+        if self.in_progress != Some(Step::Read) {
+            return;
+        }
+        self.in_progress = None;
+        let Ok(found) = result else {
+            self.retry(now, Step::Read);
+            return;
+        };
+        match self.phase {
+            Phase::Claiming | Phase::Waiting(..) => self.found_while_claiming(now, found, actions),
+            Phase::Settling(_) => self.found_while_settling(found, actions),
+            Phase::Releasing => self.found_while_releasing(found, actions),
+            Phase::Sending | Phase::Finished => {}
+        }
+    }
+
+    fn found_while_claiming(&mut self, now: MonoTime, found: Option<FoundRow>, actions: &mut Vec<Action>) {
+        let Some(found) = found else {
+            self.claim_under(RowCondition::Absent, actions);
+            return;
+        };
+        if found.row.is_open_for(self.spec.token) {
+            self.won(now, found.version, actions);
+            return;
+        }
+        if self.condition != RowCondition::VersionIs(found.version) {
+            self.in_doubt = false;
+        }
+        if found.row.state == ClaimState::Released {
+            self.claim_under(RowCondition::VersionIs(found.version), actions);
+            return;
+        }
+        if found.row.fingerprint != self.spec.fingerprint {
+            self.finish_with(Verdict::Refused(ErrorKind::KeyReused), actions);
+            return;
+        }
+        match found.row.state {
+            ClaimState::Done(answer) => self.finish_with(Verdict::Stored(answer), actions),
+            ClaimState::Unsettled => {
+                self.finish_with(Verdict::Refused(ErrorKind::KeyUnsettled), actions);
+            }
+            ClaimState::Open | ClaimState::Released => self.wait(now, found.version, actions),
+        }
+    }
+
+    fn claim_under(&mut self, condition: RowCondition, actions: &mut Vec<Action>) {
+        self.in_doubt &= self.condition == condition;
+        self.condition = condition;
+        self.knowledge = KeyKnowledge::Free;
+        self.phase = Phase::Claiming;
+        self.begin(Step::Claim, actions);
+    }
+
+    fn wait(&mut self, now: MonoTime, version: Version, actions: &mut Vec<Action>) {
+        self.knowledge = KeyKnowledge::MayHaveRun;
+        let since = match self.phase {
+            Phase::Waiting(seen, since) if seen == version => since,
+            _ => now,
+        };
+        if self.rules.takeover_after.is_some_and(|limit| now.since(since) >= limit) {
+            self.claim_under(RowCondition::VersionIs(version), actions);
+            return;
+        }
+        self.phase = Phase::Waiting(version, since);
+        self.retry(now, Step::Read);
+    }
+
+    fn found_while_settling(&mut self, found: Option<FoundRow>, actions: &mut Vec<Action>) {
+        match found {
+            Some(found) if found.row.is_open_for(self.spec.token) => {
+                self.condition = RowCondition::VersionIs(found.version);
+                self.begin(Step::Settle, actions);
+            }
+            _ => self.finish(actions),
+        }
+    }
+
+    /// Every way out of here leaves the row in a state in which no claim of the own token can take effect.
+    fn found_while_releasing(&mut self, found: Option<FoundRow>, actions: &mut Vec<Action>) {
+        let seen = found.as_ref().map_or(RowCondition::Absent, |f| RowCondition::VersionIs(f.version));
+        if found.is_some_and(|f| f.row.is_open_for(self.spec.token)) {
+            self.condition = seen;
+            self.in_doubt = false;
+            self.begin(Step::Settle, actions);
+            return;
+        }
+        if self.in_doubt && self.condition == seen {
+            // The claim may be applied yet, so the row must move on first.
+            self.begin(Step::Settle, actions);
+            return;
+        }
+        self.finish(actions);
+    }
+
+    fn send_ended(&mut self, end: SendEnd, actions: &mut Vec<Action>) {
+        if self.phase != Phase::Sending {
+            return;
+        }
+        let (verdict, phase) = match end {
+            SendEnd::Answered(answer) => (Verdict::PassOn, Phase::Settling(ClaimState::Done(answer))),
+            SendEnd::Unsent(kind) => (Verdict::Refused(kind), Phase::Releasing),
+            SendEnd::MaybeSent(_) if self.rules.not_run_after_send => {
+                (Verdict::Refused(ErrorKind::Unsent), Phase::Releasing)
+            }
+            SendEnd::MaybeSent(kind) => (Verdict::Refused(kind), Phase::Settling(ClaimState::Unsettled)),
+        };
+        actions.push(Action::Answer(verdict));
+        self.phase = phase;
+        self.begin(Step::Settle, actions);
+    }
+
+    fn caller_gone(&mut self, actions: &mut Vec<Action>) {
+        if self.wants_row() {
+            self.give_up(actions);
+        }
+    }
+
+    fn wake(&mut self, actions: &mut Vec<Action>) {
+        if matches!(self.phase, Phase::Waiting(..)) && self.in_progress.is_none() {
+            self.begin(Step::Read, actions);
+        }
+    }
+
+    fn expire(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        if self.wants_row() && now >= self.spec.deadline {
+            actions.push(Action::Answer(Verdict::Refused(self.given_up_kind())));
+            self.give_up(actions);
+        }
+    }
+
+    fn given_up_kind(&self) -> ErrorKind {
+        match self.knowledge {
+            KeyKnowledge::MayHaveRun => ErrorKind::KeyUnsettled,
+            KeyKnowledge::Nothing if self.spec.repeated => ErrorKind::KeyUnsettled,
+            KeyKnowledge::Nothing | KeyKnowledge::Free => ErrorKind::StoreUnavailable,
+        }
+    }
+
+    /// From here on nothing is sent under the token.
+    fn give_up(&mut self, actions: &mut Vec<Action>) {
+        self.phase = Phase::Releasing;
+        match self.in_progress {
+            Some(Step::Claim) => {}
+            Some(Step::Read) if self.in_doubt => {}
+            None if self.in_doubt => self.begin(Step::Read, actions),
+            _ => self.finish(actions),
+        }
+    }
+
+    fn retry(&mut self, now: MonoTime, step: Step) {
+        self.due = Some((now + self.pause, step));
+        let longest = if self.wants_row() { MAX_PAUSE } else { MAX_BACKGROUND_PAUSE };
+        self.pause = longest.min(self.pause * 2);
+    }
+
+    fn run_due(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        if let Some((_, step)) = self.due.filter(|(at, _)| *at <= now) {
+            self.begin(step, actions);
+        }
+    }
+
+    fn begin(&mut self, step: Step, actions: &mut Vec<Action>) {
+        self.due = None;
+        self.in_progress = Some(step);
+        let state = match (step, &self.phase) {
+            (Step::Read, _) => {
+                actions.push(Action::Read);
+                return;
+            }
+            (Step::Claim, _) => ClaimState::Open,
+            (Step::Settle, Phase::Settling(state)) => state.clone(),
+            (Step::Settle, _) => ClaimState::Released,
+        };
+        let ClaimSpec { token, fingerprint, written_hour, .. } = &self.spec;
+        let row =
+            ClaimRow { token: *token, fingerprint: fingerprint.clone(), state, written_hour: *written_hour };
+        actions.push(Action::Write(ClaimWrite { condition: self.condition, row }));
+    }
+
+    fn finish_with(&mut self, verdict: Verdict, actions: &mut Vec<Action>) {
+        actions.push(Action::Answer(verdict));
+        self.finish(actions);
+    }
+
+    fn finish(&mut self, actions: &mut Vec<Action>) {
+        self.phase = Phase::Finished;
+        self.due = None;
+        self.in_progress = None;
+        actions.push(Action::Finish);
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing here reads a clock, a socket, a lock, a log or a thread-local generator, so every decision is
 //! replayed exactly from a trace and can be embedded without the daemon.
 
+pub mod claim;
 pub mod pool;
 
 use std::time::Duration;
