--- a/src/decide/claim/retention.rs
+++ b/src/decide/claim/retention.rs
@@ -14,7 +14,7 @@
 /// Covers writers whose last reading of the count is old.
 pub const RETENTION_MARGIN_H: u64 = 24;
 
-const HOUR: Duration = Duration::from_secs(3_600);
+const HOUR: Duration = Duration::from_hours(1);
 
 /// Watches the table's count of hours.
 #[derive(Debug, Clone, Copy, Default)]
--- a/tests/claim_interleavings.rs
+++ b/tests/claim_interleavings.rs
@@ -45,7 +45,7 @@
         let part =
             |n| scope.spawn(move || first_caught(Rules::default(), (n..SEQUENCES).step_by(THREADS as usize)));
         let parts = (0..THREADS).map(part).collect::<Vec<_>>();
-        parts.into_iter().filter_map(|p| p.join().expect("a check does not panic")).next()
+        parts.into_iter().find_map(|p| p.join().expect("a check does not panic"))
     });
     if let Some(bytes) = caught {
         panic!("{:?}: {:?}", check(Rules::default(), &bytes), script(&bytes));
--- a/tests/claim_model/mod.rs
+++ b/tests/claim_model/mod.rs
@@ -264,8 +264,8 @@
                 self.tell(index, Event::Read(read))
             }
             Some(Operation::Write(write)) => {
-                let wrote = self.write(write, fate);
-                self.tell(index, Event::Wrote(wrote))
+                let result = self.write(write, fate);
+                self.tell(index, Event::Wrote(result))
             }
             Some(Operation::Send) => self.send(index, fate),
         }
