Drive claims over the table with group commit

Reads come first for keys that the caller marks as repeated, and such a key is told unknown, not not-run, while the table can't be read.

--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -1,60 +1,83 @@
-//! At most once: one claim per idempotency key in the table service before the one send.
+//! At most once: drives the claims of this instance's callers over the table service.
+//!
+//! The rules are those of [`crate::decide::claim`]; this is the edge. Writes of all claims are committed in
+//! groups ([`commit`]); settled rows are removed by a sweep after their retention ([`sweep`]).
+//!
+//! Lock order: one of the watched keys, the commit queue and the hours at a time; no lock is held across an
+//! await.
 
-use std::time::Duration;
+pub mod answer;
+pub mod commit;
+mod drive;
+pub mod hours;
+pub mod sweep;
 
-use bytes::Bytes;
-use serde::{Deserialize, Serialize};
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use sha2::{Digest, Sha256};
+use tokio::sync::{Notify, mpsc, oneshot};
 
+pub use self::answer::WholeAnswer;
+use self::{
+    commit::{Commit, CommitCounts, CommitSettings},
+    drive::{Drive, DriveSpec, Input},
+    hours::Hours,
+};
 use crate::{
+    collections::HashMap,
+    decide::claim::{ClaimSpec, Fingerprint, StoredAnswer, Token},
     error::ErrorKind,
-    platform::{Condition, Platform, RowChange, RowKey, RowWrite, WriteResult},
-    units::{RunId, ServiceName},
+    kernel::clock::Clock,
+    plan::Priority,
+    platform::{Platform, RowKey},
+    units::{MonoTime, RunId, ServiceName},
 };
 
-/// Pause between two tries to read, record or release.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Calls of an instance that may wait for their claim; bookings and charges may take all of it.
+const MAX_WAITING: usize = 2_048;
 
-/// Tries to write a claim that the store refuses.
-const CLAIM_TRIES: u32 = 20;
+/// Calls of lower priority that may wait.
+const MAX_WAITING_OTHERS: usize = MAX_WAITING / 2;
 
-/// Tries to read a claim back before the caller is told that nothing ran.
-const READ_BACK_TRIES: u32 = 3;
+/// Pause before the count of hours is read again.
+const READ_PAUSE: Duration = Duration::from_millis(100);
 
-/// Tries to record an answer before the row stays open.
-const RECORD_TRIES: u32 = 100;
-
-/// Content of a claim's row.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimRow {
-    /// Unique to one try to claim.
-    pub token: String,
-    /// Digest of method, path and body; a repeated key with another one is refused.
-    pub fingerprint: String,
-    /// The answer, once the request ran.
-    pub stored: Option<StoredAnswer>,
-}
-
-/// An answer kept for repeated calls.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoredAnswer {
-    /// HTTP status.
-    pub status: u16,
-    /// `Content-Type`, if there was one.
-    pub content_type: Option<String>,
-    /// Body, as bytes.
-    pub body: Vec<u8>,
+/// One call that wants to run at most once.
+#[derive(Debug, Clone)]
+pub struct ClaimRequest {
+    /// Service, which scopes the key.
+    pub service: ServiceName,
+    /// `Idempotency-Key`.
+    pub key: String,
+    /// Digest of the request.
+    pub fingerprint: Fingerprint,
+    /// Who goes first.
+    pub priority: Priority,
+    /// Point by which the send must have begun.
+    pub deadline: MonoTime,
+    /// Whether the caller says that it sent this key before.
+    pub repeated: bool,
 }
 
-/// A claim that this instance holds.
+/// How the one send ended, as evidence.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Held {
-    key: RowKey,
-    version: u64,
-    row: ClaimRow,
+pub enum RunEnd {
+    /// The target answered whole.
+    Answered(WholeAnswer),
+    /// Provably nothing reached a target.
+    Unsent(ErrorKind),
+    /// It may have reached a target.
+    MaybeSent(ErrorKind),
 }
 
 /// What came of a try to claim.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum ClaimResult {
     /// Send the request, once.
     Won(Held),
@@ -64,111 +87,221 @@
     Refused(ErrorKind),
 }
 
-/// Takes, records and releases claims.
-#[derive(Debug, Clone)]
-pub struct Claims {
+/// The right to send one request once.
+///
+/// Dropped without an end, it counts as unsent before [`Held::begin`] and as maybe sent after it.
+#[derive(Debug)]
+pub struct Held {
+    sender: mpsc::UnboundedSender<Input>,
+    clock: Clock,
+    deadline: MonoTime,
+    begun: bool,
+    ended: bool,
+}
+
+impl Held {
+    fn new(sender: mpsc::UnboundedSender<Input>, clock: Clock, deadline: MonoTime) -> Self {
+        Self { sender, clock, deadline, begun: false, ended: false }
+    }
+
+    /// Returns whether there is still time to send; call it right before the send.
+    pub fn begin(&mut self) -> bool {
+        self.begun = self.clock.now() < self.deadline;
+        self.begun
+    }
+
+    /// Records how the send ended; the row is written in the background.
+    pub fn end(mut self, end: RunEnd) {
+        self.report(end);
+    }
+
+    fn report(&mut self, end: RunEnd) {
+        if !self.ended {
+            self.ended = true;
+            // The claim outlives every holder.
+            let _received = self.sender.send(Input::RunEnded(end));
+        }
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.report(if self.begun {
+            RunEnd::MaybeSent(ErrorKind::ConnectionLost)
+        } else {
+            RunEnd::Unsent(ErrorKind::Unsent)
+        });
+    }
+}
+
+/// State shared by the claims of one instance.
+#[derive(Debug)]
+struct Shared {
     platform: Platform,
+    commit: Commit,
+    clock: Clock,
+    hours: Hours,
+    /// Keys with claims on this instance, with their number, notified when one of them ends.
+    watched: Mutex<HashMap<RowKey, (usize, Arc<Notify>)>>,
+    waiting: AtomicUsize,
+}
+
+impl Shared {
+    fn watch(&self, key: &RowKey) -> Arc<Notify> {
+        let mut watched = self.watched.lock().unwrap_or_else(PoisonError::into_inner);
+        let (count, notify) = watched.entry(key.clone()).or_default();
+        *count += 1;
+        Arc::clone(notify)
+    }
+
+    fn unwatch(&self, key: &RowKey) {
+        let mut watched = self.watched.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((count, notify)) = watched.get_mut(key) {
+            *count -= 1;
+            notify.notify_waiters();
+            if *count == 0 {
+                watched.remove(key);
+            }
+        }
+    }
+}
+
+/// Claims of one instance.
+#[derive(Debug)]
+pub struct Claims {
+    shared: Arc<Shared>,
     run_id: RunId,
+    last_claim: AtomicU64,
+}
+
+/// Tells a claim that its caller left, unless the caller got its answer.
+struct CallerGuard {
+    sender: mpsc::UnboundedSender<Input>,
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        // A claim that has finished no longer listens.
+        let _finished = self.sender.send(Input::CallerGone);
+    }
+}
+
+/// One call among those that wait.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl Claims {
     /// Creates claims over a table.
-    pub fn new(platform: Platform, run_id: RunId) -> Self {
-        Self { platform, run_id }
-    }
-
-    /// Tries to claim `key` of a service.
-    pub async fn claim(&self, service: &ServiceName, key: &str, fingerprint: String) -> ClaimResult {
-        let token = format!("{}-{:016x}", self.run_id, rand::random::<u64>());
-        let row = ClaimRow { token, fingerprint, stored: None };
-        let key = RowKey(format!("claim/{service}/{key}"));
-        let write = RowWrite { key: key.clone(), condition: Condition::Absent, change: put(&row) };
-        let mut result = (self.platform.write)(vec![write.clone()]).await;
-        for _ in 0..CLAIM_TRIES {
-            if result != WriteResult::Refused {
-                break;
-            }
-            tokio::time::sleep(RETRY_PAUSE).await;
-            result = (self.platform.write)(vec![write.clone()]).await;
-        }
-        match result {
-            WriteResult::TookEffect(versions) => {
-                ClaimResult::Won(Held { key, version: versions.first().copied().unwrap_or(0), row })
-            }
-            WriteResult::Conflict(_) => self.read_winner(key, row).await,
-            WriteResult::Refused => ClaimResult::Refused(ErrorKind::StoreUnavailable),
-            WriteResult::Unknown => self.settle(key, row).await,
-        }
+    pub fn new(platform: Platform, run_id: RunId, clock: Clock) -> Self {
+        Self::with_settings(platform, run_id, clock, CommitSettings::default())
     }
 
-    async fn read_winner(&self, key: RowKey, own: ClaimRow) -> ClaimResult {
-        let Ok(Some(found)) = (self.platform.get)(key.clone()).await else {
-            return ClaimResult::Refused(ErrorKind::StoreUnavailable);
+    /// Creates claims whose writes are grouped as stated.
+    pub fn with_settings(platform: Platform, run_id: RunId, clock: Clock, settings: CommitSettings) -> Self {
+        let shared = Shared {
+            commit: Commit::new(Arc::clone(&platform.write), settings),
+            hours: Hours::new(clock),
+            platform,
+            clock,
+            watched: Mutex::default(),
+            waiting: AtomicUsize::new(0),
         };
-        let Ok(row) = serde_json::from_slice::<ClaimRow>(&found.value) else {
-            return ClaimResult::Refused(ErrorKind::KeyUnsettled);
+        Self { shared: Arc::new(shared), run_id, last_claim: AtomicU64::new(0) }
+    }
+
+    /// Claims a key; `work` is kept until the key's row is settled.
+    ///
+    /// Dropping the future means that the caller left: nothing is sent unless the claim was won before.
+    pub async fn claim(&self, request: ClaimRequest, work: impl Send + 'static) -> ClaimResult {
+        let Some(_waiting) = self.enter(request.priority) else {
+            return ClaimResult::Refused(not_claimed(&request, ErrorKind::Overloaded));
         };
-        if row.token == own.token {
-            return ClaimResult::Won(Held { key, version: found.version, row });
-        }
-        if row.fingerprint != own.fingerprint {
-            return ClaimResult::Refused(ErrorKind::KeyReused);
-        }
-        row.stored.map_or(ClaimResult::Refused(ErrorKind::KeyUnsettled), ClaimResult::Stored)
+        let Some(written_hour) = self.hour(request.deadline).await else {
+            return ClaimResult::Refused(not_claimed(&request, ErrorKind::StoreUnavailable));
+        };
+        let (verdict, decided) = oneshot::channel();
+        let number = self.last_claim.fetch_add(1, Ordering::Relaxed) + 1;
+        let claim = ClaimSpec {
+            token: Token { run: self.run_id, number },
+            fingerprint: request.fingerprint,
+            deadline: request.deadline,
+            repeated: request.repeated,
+            written_hour,
+        };
+        let key = row_key(&request.service, &request.key);
+        let spec = DriveSpec { claim, key, priority: request.priority, verdict };
+        let (drive, sender) = Drive::new(Arc::clone(&self.shared), spec);
+        let _caller = CallerGuard { sender };
+        tokio::spawn(async move {
+            drive.run().await;
+            drop(work);
+        });
+        // Only a panic of the claim drops the verdict; nothing was sent then, and its row tells of it.
+        decided.await.unwrap_or(ClaimResult::Refused(ErrorKind::KeyUnsettled))
     }
 
-    /// Reads back a claim whose reply was lost; gives it up and releases it when that fails.
-    async fn settle(&self, key: RowKey, own: ClaimRow) -> ClaimResult {
-        for _ in 0..READ_BACK_TRIES {
-            if let Ok(Some(_)) = (self.platform.get)(key.clone()).await {
-                return self.read_winner(key, own).await;
-            }
-            tokio::time::sleep(RETRY_PAUSE).await;
-        }
-        // Never sent under this token from here on, so the row may be deleted whenever it shows up.
-        tokio::spawn(release(self.platform.clone(), key, own.token));
-        ClaimResult::Refused(ErrorKind::StoreUnavailable)
-    }
-
-    /// Records the answer of a held claim; the row stays open when the store does not take it.
-    pub async fn record(&self, held: Held, answer: StoredAnswer) {
-        let row = ClaimRow { stored: Some(answer), ..held.row };
-        for _ in 0..RECORD_TRIES {
-            let condition = Condition::VersionIs(held.version);
-            let write = RowWrite { key: held.key.clone(), condition, change: put(&row) };
-            match (self.platform.write)(vec![write]).await {
-                WriteResult::TookEffect(_) | WriteResult::Conflict(_) => return,
-                WriteResult::Refused | WriteResult::Unknown => tokio::time::sleep(RETRY_PAUSE).await,
-            }
-        }
+    /// Reads a stored answer whole, from the object store if need be.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::KeyUnsettled`] when it can't be read by the deadline: it ran, but not even its status can
+    /// be told without its body.
+    pub async fn fetch(&self, stored: StoredAnswer, deadline: MonoTime) -> Result<WholeAnswer, ErrorKind> {
+        let deadline = self.shared.clock.instant(deadline);
+        let fetched = answer::fetch(&self.shared.platform, stored);
+        let fetched = tokio::time::timeout_at(deadline, fetched).await;
+        fetched.ok().flatten().ok_or(ErrorKind::KeyUnsettled)
     }
 
-    /// Releases a held claim whose request provably did not run.
-    pub fn release(&self, held: Held) {
-        tokio::spawn(release(self.platform.clone(), held.key, held.row.token));
+    /// Returns write calls and rows since the start.
+    pub fn commit_counts(&self) -> CommitCounts {
+        self.shared.commit.counts()
     }
-}
 
-fn put(row: &ClaimRow) -> RowChange {
-    RowChange::Put(serde_json::to_vec(row).map(Bytes::from).unwrap_or_default())
-}
+    fn enter(&self, priority: Priority) -> Option<Waiting<'_>> {
+        let limit = if priority == Priority::Critical { MAX_WAITING } else { MAX_WAITING_OTHERS };
+        let waiting = Waiting(&self.shared.waiting);
+        let before = self.shared.waiting.fetch_add(1, Ordering::AcqRel);
+        (before < limit).then_some(waiting)
+    }
 
-/// Deletes the row of `token` when it shows up.
-async fn release(platform: Platform, key: RowKey, token: String) {
-    for _ in 0..RECORD_TRIES {
-        if let Ok(Some(found)) = (platform.get)(key.clone()).await {
-            let of_token =
-                serde_json::from_slice::<ClaimRow>(&found.value).is_ok_and(|row| row.token == token);
-            if !of_token {
-                return;
+    /// Returns the table's count of hours, read again until the deadline if the last reading is old.
+    async fn hour(&self, deadline: MonoTime) -> Option<u64> {
+        loop {
+            if let Some(hour) = self.shared.hours.current() {
+                return Some(hour);
             }
-            let condition = Condition::VersionIs(found.version);
-            let write = RowWrite { key: key.clone(), condition, change: RowChange::Delete };
-            if matches!((platform.write)(vec![write]).await, WriteResult::TookEffect(_)) {
-                return;
+            if self.shared.clock.now() >= deadline {
+                return None;
+            }
+            let read = self.shared.hours.refresh(&self.shared.platform);
+            if !matches!(tokio::time::timeout_at(self.shared.clock.instant(deadline), read).await, Ok(Ok(_)))
+            {
+                tokio::time::sleep(READ_PAUSE).await;
             }
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
     }
-    log::warn!("event=claim-not-released key={}", crate::logging::Quoted(&key.0));
+}
+
+/// A repeated key may have run before, which only its row tells.
+fn not_claimed(request: &ClaimRequest, kind: ErrorKind) -> ErrorKind {
+    if request.repeated { ErrorKind::KeyUnsettled } else { kind }
+}
+
+/// Bits of a key's digest that spread the rows of a service over buckets, as hexadecimal digits.
+const BUCKET_DIGITS: usize = 4;
+
+/// Returns the key of the row that holds the claim on `key`.
+pub fn row_key(service: &ServiceName, key: &str) -> RowKey {
+    let digest = answer::hex(&Sha256::digest(key.as_bytes())[..BUCKET_DIGITS / 2]);
+    RowKey(format!("{}{key}", bucket_prefix(service, &digest)))
+}
+
+fn bucket_prefix(service: &ServiceName, bucket: &str) -> String {
+    format!("claim/{service}/{bucket}/")
 }
--- a/src/decide/claim/mod.rs
+++ b/src/decide/claim/mod.rs
@@ -31,9 +31,11 @@
 //! claim.handle(now, Event::Wrote(Wrote::Unknown), &mut actions);
 //! assert_eq!(actions, [Action::Read]);
 //!
-//! // There is no row: the insert is tried again, and this time its reply arrives.
-//! actions.clear();
+//! // There is no row: the insert is tried again after a pause, and this time its reply arrives.
 //! claim.handle(now, Event::Read(Ok(None)), &mut actions);
+//! let now = claim.next_wake().expect("the pause ends");
+//! actions.clear();
+//! claim.handle(now, Event::Tick, &mut actions);
 //! assert!(matches!(actions[..], [Action::Write(_)]));
 //! actions.clear();
 //! claim.handle(now, Event::Wrote(Wrote::TookEffect(Version(1))), &mut actions);
@@ -162,6 +164,8 @@
     /// Takes one event and adds the actions that follow from it.
     pub fn handle(&mut self, now: MonoTime, event: Event, actions: &mut Vec<Action>) {
         match event {
+            // A repeated key most likely has its row, and reads are cheaper than writes that conflict.
+            Event::Start if self.spec.repeated => self.begin(Step::Read, actions),
             Event::Start => self.begin(Step::Claim, actions),
             Event::Wrote(result) => self.wrote(now, result, actions),
             Event::Read(result) => self.read(now, result, actions),
@@ -253,7 +257,7 @@
 
     fn found_while_claiming(&mut self, now: MonoTime, found: Option<FoundRow>, actions: &mut Vec<Action>) {
         let Some(found) = found else {
-            self.claim_under(RowCondition::Absent, actions);
+            self.claim_under(now, RowCondition::Absent, actions);
             return;
         };
         if found.row.is_open_for(self.spec.token) {
@@ -264,7 +268,7 @@
             self.in_doubt = false;
         }
         if found.row.state == ClaimState::Released {
-            self.claim_under(RowCondition::VersionIs(found.version), actions);
+            self.claim_under(now, RowCondition::VersionIs(found.version), actions);
             return;
         }
         if found.row.fingerprint != self.spec.fingerprint {
@@ -280,12 +284,16 @@
         }
     }
 
-    fn claim_under(&mut self, condition: RowCondition, actions: &mut Vec<Action>) {
+    fn claim_under(&mut self, now: MonoTime, condition: RowCondition, actions: &mut Vec<Action>) {
         self.in_doubt &= self.condition == condition;
         self.condition = condition;
         self.knowledge = KeyKnowledge::Free;
         self.phase = Phase::Claiming;
-        self.begin(Step::Claim, actions);
+        if self.in_doubt {
+            self.retry(now, Step::Claim);
+        } else {
+            self.begin(Step::Claim, actions);
+        }
     }
 
     fn wait(&mut self, now: MonoTime, version: Version, actions: &mut Vec<Action>) {
@@ -295,7 +303,7 @@
             _ => now,
         };
         if self.rules.takeover_after.is_some_and(|limit| now.since(since) >= limit) {
-            self.claim_under(RowCondition::VersionIs(version), actions);
+            self.claim_under(now, RowCondition::VersionIs(version), actions);
             return;
         }
         self.phase = Phase::Waiting(version, since);
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -85,7 +85,7 @@
             members: Members::default(),
             pools: PoolTable::new(clock, config.data_centre.clone(), run_id.into()),
             connections: Connections::default(),
-            claims: Claims::new(store.view(Purpose::Claim), run_id),
+            claims: Claims::new(store.view(Purpose::Claim), run_id, clock),
             tally: Tally::default(),
             plan_current: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -14,7 +14,7 @@
     headers::{CAUSE, STORED, set_outcome},
 };
 use crate::{
-    claims::StoredAnswer,
+    claims::WholeAnswer,
     error::{ErrorKind, Outcome},
 };
 
@@ -46,8 +46,8 @@
 }
 
 /// Makes the answer that was stored when the request first ran.
-pub fn stored(answer: StoredAnswer, repeated: bool) -> Response<AnswerBody> {
-    let mut response = Response::new(whole(Bytes::from(answer.body)));
+pub fn stored(answer: WholeAnswer, repeated: bool) -> Response<AnswerBody> {
+    let mut response = Response::new(whole(answer.body));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
     set_outcome(headers, Outcome::Ran);
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -108,6 +108,16 @@
         format!("{}-{}", self.kernel.run_id, self.call.id)
     }
 
+    /// Returns who goes first.
+    pub fn priority(&self) -> Priority {
+        self.call.priority
+    }
+
+    /// Returns the sends before this one along the chain of calls, as the caller states them.
+    pub fn prior_attempts(&self) -> u32 {
+        self.call.prior_attempts
+    }
+
     fn remaining(&self) -> Duration {
         self.deadline.since(self.kernel.clock.now())
     }
--- a/src/proxy/once.rs
+++ b/src/proxy/once.rs
@@ -1,8 +1,5 @@
 //! At-most-once requests: claim, send once, record, answer.
 
-use std::fmt::Write;
-
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{Response, header};
 use sha2::{Digest, Sha256};
@@ -13,80 +10,96 @@
     headers::IDEMPOTENCY_KEY,
 };
 use crate::{
-    claims::{ClaimResult, Held, StoredAnswer},
+    claims::{ClaimRequest, ClaimResult, Held, RunEnd, WholeAnswer, answer::hex},
+    decide::claim::{Fingerprint, StoredAnswer},
     error::{ErrorKind, Outcome},
 };
 
 /// Longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 255;
 
-/// Runs an at-most-once request; goes on when the caller leaves, so that the answer is recorded.
+/// Runs an at-most-once request.
+///
+/// A caller that leaves before the send ends its request there; after it, the answer is still recorded.
 pub async fn run(context: CallContext, parts: RequestParts) -> Response<AnswerBody> {
-    let task = tokio::spawn(run_to_end(context, parts));
-    task.await.unwrap_or_else(|_panicked| refusal(ErrorKind::ConnectionLost, None))
-}
-
-async fn run_to_end(context: CallContext, parts: RequestParts) -> Response<AnswerBody> {
     let Some(key) = key(&parts) else {
         return context.refuse(ErrorKind::KeyMissing, None);
     };
-    match context.kernel.claims.claim(&context.service, &key, fingerprint(&parts)).await {
-        ClaimResult::Won(held) => send_held(context, parts, held).await,
-        ClaimResult::Stored(answer) => {
-            context.count(Outcome::Ran, None, true);
-            stored(answer, true)
+    let request = ClaimRequest {
+        service: context.service.clone(),
+        key,
+        fingerprint: fingerprint(&parts),
+        priority: context.priority(),
+        deadline: context.deadline,
+        repeated: context.prior_attempts() > 0,
+    };
+    let in_progress = context.kernel.enter();
+    match context.kernel.claims.claim(request, in_progress).await {
+        ClaimResult::Won(held) => {
+            let task = tokio::spawn(send_held(context, parts, held));
+            task.await.unwrap_or_else(|_panicked| refusal(ErrorKind::ConnectionLost, None))
         }
+        ClaimResult::Stored(answer) => repeat(&context, answer).await,
         ClaimResult::Refused(kind) => context.refuse(kind, None),
     }
 }
 
+async fn repeat(context: &CallContext, answer: StoredAnswer) -> Response<AnswerBody> {
+    match context.kernel.claims.fetch(answer, context.deadline).await {
+        Ok(answer) => {
+            context.count(Outcome::Ran, None, answer.status < 500);
+            stored(answer, true)
+        }
+        Err(kind) => context.refuse(kind, None),
+    }
+}
+
 fn key(parts: &RequestParts) -> Option<String> {
-    let text = parts.head.headers.get(IDEMPOTENCY_KEY)?.to_str().ok()?;
+    let mut values = parts.head.headers.get_all(IDEMPOTENCY_KEY).iter();
+    let text = values.next()?.to_str().ok()?;
     let usable = (1..=MAX_KEY_BYTES).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic());
-    usable.then(|| text.to_owned())
+    (usable && values.next().is_none()).then(|| text.to_owned())
 }
 
-fn fingerprint(parts: &RequestParts) -> String {
+fn fingerprint(parts: &RequestParts) -> Fingerprint {
     let mut digest = Sha256::new();
     digest.update(parts.head.method.as_str());
     digest.update([0]);
     digest.update(parts.head.uri.path_and_query().map_or("", |p| p.as_str()));
     digest.update([0]);
     digest.update(&parts.body);
-    hex(&digest.finalize())
+    Fingerprint(hex(&digest.finalize()))
 }
 
-async fn send_held(context: CallContext, parts: RequestParts, held: Held) -> Response<AnswerBody> {
+async fn send_held(context: CallContext, parts: RequestParts, mut held: Held) -> Response<AnswerBody> {
+    if !held.begin() {
+        held.end(RunEnd::Unsent(ErrorKind::DeadlineUnreachable));
+        return context.refuse(ErrorKind::DeadlineUnreachable, None);
+    }
     match follow(&context, &parts).await {
-        CallResult::Answer(response) => record(&context, response, held).await,
+        CallResult::Answer(response) => record(response, held).await,
         CallResult::Refused(kind, retry_after) => {
-            if kind.answer().outcome == Outcome::NotRun {
-                context.kernel.claims.release(held);
-            }
+            held.end(match kind.answer().outcome {
+                Outcome::NotRun => RunEnd::Unsent(kind),
+                Outcome::Ran | Outcome::Unknown => RunEnd::MaybeSent(kind),
+            });
             context.refuse(kind, retry_after)
         }
     }
 }
 
-async fn record(context: &CallContext, response: Response<AnswerBody>, held: Held) -> Response<AnswerBody> {
+async fn record(response: Response<AnswerBody>, held: Held) -> Response<AnswerBody> {
     let (parts, body) = response.into_parts();
     let Ok(body) = body.collect().await else {
+        held.end(RunEnd::MaybeSent(ErrorKind::BodyCut));
         return refusal(ErrorKind::BodyCut, None);
     };
-    let body: Bytes = body.to_bytes();
     let content_type = parts.headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
-    let answer = StoredAnswer {
+    let answer = WholeAnswer {
         status: parts.status.as_u16(),
         content_type: content_type.map(str::to_owned),
-        body: body.to_vec(),
+        body: body.to_bytes(),
     };
-    context.kernel.claims.record(held, answer.clone()).await;
+    held.end(RunEnd::Answered(answer.clone()));
     stored(answer, false)
 }
-
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().fold(String::new(), |mut text, byte| {
-        let _never_fails = write!(text, "{byte:02x}");
-        text
-    })
-}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    admin,
+    admin, claims,
     error::{Error, ErrorKind, Result},
     kernel::Kernel,
     logging, peer,
@@ -75,6 +75,7 @@
     let peers = tokio::spawn(peer::link::listen(Arc::clone(&kernel), listeners.peers));
     let links = tokio::spawn(peer::link::connect_all(Arc::clone(&kernel)));
     let polls = tokio::spawn(poll_platform(Arc::clone(&kernel)));
+    let sweep = tokio::spawn(claims::sweep::run(Arc::clone(&kernel)));
     let callers = tokio::spawn(proxy::listen(Arc::clone(&kernel), listeners.callers));
     kernel.wait_leaving().await;
     sleep(Duration::from_millis(kernel.config.balancer_lag_ms)).await;
@@ -82,7 +83,7 @@
     log::info!("event=refusing-new in_progress={}", kernel.in_progress());
     kernel.wait_idle().await;
     callers.abort();
-    for task in [admin, peers, links, polls] {
+    for task in [admin, peers, links, polls, sweep] {
         task.abort();
     }
     log::info!("event=left run={}", kernel.run_id);
--- /dev/null
+++ b/tests/claim_commit.rs
@@ -0,0 +1,151 @@
+//! Group commit: which rows share a write call, and what each row is told.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use arbutusshelf::{
+    claims::commit::{Commit, CommitSettings, Entry},
+    decide::claim::{Version, Wrote},
+    plan::Priority,
+    platform::{Condition, RowChange, RowKey, RowWrite, WriteResult},
+};
+use bytes::Bytes;
+use futures::future::join_all;
+use tokio::time::{Instant, sleep};
+
+const CALL_TIME: Duration = Duration::from_millis(10);
+
+/// Write calls seen, as the keys of each, and scripted results; without one a call takes effect.
+#[derive(Debug, Default)]
+struct Log {
+    calls: Vec<Vec<String>>,
+    results: VecDeque<WriteResult>,
+}
+
+fn commit(settings: CommitSettings, results: Vec<WriteResult>) -> (Commit, Arc<Mutex<Log>>) {
+    let log = Arc::new(Mutex::new(Log { calls: Vec::new(), results: results.into() }));
+    let shared = Arc::clone(&log);
+    let write = move |writes: Vec<RowWrite>| {
+        let mut log = shared.lock().unwrap();
+        log.calls.push(writes.iter().map(|w| w.key.0.clone()).collect());
+        let versions = (1..=writes.len() as u64).collect();
+        let result = log.results.pop_front().unwrap_or(WriteResult::TookEffect(versions));
+        let reply = async move {
+            sleep(CALL_TIME).await;
+            result
+        };
+        Box::pin(reply) as futures::future::BoxFuture<'static, WriteResult>
+    };
+    (Commit::new(Arc::new(write), settings), log)
+}
+
+fn entry(key: &str, priority: Priority) -> Entry {
+    let write = RowWrite {
+        key: RowKey(key.to_owned()),
+        condition: Condition::Absent,
+        change: RowChange::Put(Bytes::from_static(b"{}")),
+    };
+    Entry { write, priority, expires_at: None }
+}
+
+async fn write_all(commit: &Commit, keys: &[&str]) -> Vec<Wrote> {
+    join_all(keys.iter().map(|k| commit.write(entry(k, Priority::Critical)))).await
+}
+
+fn one_call() -> CommitSettings {
+    CommitSettings { max_calls: 1, ..CommitSettings::default() }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_idle_instance_writes_at_once() {
+    let (commit, log) = commit(CommitSettings::default(), Vec::new());
+    let asked_at = Instant::now();
+    assert_eq!(write_all(&commit, &["a"]).await, [Wrote::TookEffect(Version(1))]);
+    assert_eq!(asked_at.elapsed(), CALL_TIME);
+    assert_eq!(log.lock().unwrap().calls, [["a"]]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn rows_that_come_during_a_call_share_the_next_one() {
+    let (commit, log) = commit(CommitSettings::default(), Vec::new());
+    let first = tokio::spawn({
+        let commit = commit.clone();
+        async move { write_all(&commit, &["a"]).await }
+    });
+    sleep(Duration::from_millis(1)).await;
+    let rest = write_all(&commit, &["b", "c", "d"]).await;
+    assert_eq!(rest, [1, 2, 3].map(|v| Wrote::TookEffect(Version(v))));
+    first.await.expect("the write does not panic");
+    let calls = log.lock().unwrap().calls.clone();
+    assert_eq!(calls, [vec!["a"], vec!["b", "c", "d"]]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_conflict_drops_the_named_rows_and_tries_the_rest_again() {
+    let conflict = WriteResult::Conflict(vec![RowKey("b".to_owned())]);
+    let (commit, log) = commit(one_call(), vec![conflict]);
+    let told = write_all(&commit, &["a", "b", "c"]).await;
+    assert_eq!(told, [Wrote::TookEffect(Version(1)), Wrote::Conflict, Wrote::TookEffect(Version(2))]);
+    assert_eq!(log.lock().unwrap().calls, [vec!["a", "b", "c"], vec!["a", "c"]]);
+    let counts = commit.counts();
+    assert_eq!((counts.calls, counts.rows), (2, 5));
+}
+
+#[tokio::test(start_paused = true)]
+async fn every_row_of_a_group_shares_its_doubt() {
+    for (result, told) in [(WriteResult::Unknown, Wrote::Unknown), (WriteResult::Refused, Wrote::Refused)] {
+        let (commit, _) = commit(one_call(), vec![result]);
+        assert_eq!(write_all(&commit, &["a", "b"]).await, [told, told]);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_conflict_that_names_no_row_of_the_group_wrote_nothing() {
+    let conflict = WriteResult::Conflict(vec![RowKey("x".to_owned())]);
+    let (commit, _) = commit(one_call(), vec![conflict]);
+    assert_eq!(write_all(&commit, &["a", "b"]).await, [Wrote::Refused, Wrote::Refused]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_key_is_in_a_group_once() {
+    let (commit, log) = commit(one_call(), Vec::new());
+    write_all(&commit, &["a", "a", "b"]).await;
+    assert_eq!(log.lock().unwrap().calls, [vec!["a", "b"], vec!["a"]]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn bookings_and_charges_go_before_the_rest() {
+    let settings = CommitSettings { max_rows: 2, ..one_call() };
+    let (commit, log) = commit(settings, Vec::new());
+    let priorities = [Priority::Low, Priority::Normal, Priority::High, Priority::Critical];
+    let writes = priorities.map(|p| {
+        let commit = commit.clone();
+        async move { commit.write(entry(&p.to_string(), p)).await }
+    });
+    join_all(writes).await;
+    assert_eq!(log.lock().unwrap().calls, [["critical", "high"], ["normal", "low"]]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_past_its_deadline_is_refused_unsent() {
+    let (commit, log) = commit(one_call(), Vec::new());
+    let late = async {
+        sleep(Duration::from_millis(1)).await;
+        let expires_at = Some(Instant::now() + CALL_TIME / 2);
+        commit.write(Entry { expires_at, ..entry("late", Priority::Critical) }).await
+    };
+    let (_, told) = tokio::join!(write_all(&commit, &["a"]), late);
+    assert_eq!(told, Wrote::Refused);
+    assert_eq!(log.lock().unwrap().calls, [["a"]]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_group_is_bounded_in_rows_and_bytes() {
+    let settings = CommitSettings { max_rows: 3, max_bytes: 4, ..one_call() };
+    let (commit, log) = commit(settings, Vec::new());
+    write_all(&commit, &["a", "b", "c"]).await;
+    assert_eq!(log.lock().unwrap().calls, [vec!["a", "b"], vec!["c"]]);
+}
