--- a/bench/src/client.rs
+++ b/bench/src/client.rs
@@ -72,6 +72,15 @@
             request = request.header(IDEMPOTENCY_KEY, key);
         }
         let request = request.body(Full::new(body)).map_err(|e| NoAnswer(e.to_string()))?;
+        self.send(request).await
+    }
+
+    /// Sends a request as it is.
+    ///
+    /// # Errors
+    ///
+    /// As [`Caller::call`].
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Received, NoAnswer> {
         let exchange = async {
             let response = self.client.request(request).await.map_err(|e| NoAnswer(format!("{e:?}")))?;
             let (head, body) = response.into_parts();
--- a/bench/src/deployment.rs
+++ b/bench/src/deployment.rs
@@ -85,7 +85,7 @@
 
     /// Returns how often a key ran at all targets together.
     pub fn runs_of(&self, key: &str) -> u32 {
-        self.stand_ins.iter().map(|(_, t)| t.runs().get(key).copied().unwrap_or(0)).sum()
+        self.stand_ins.iter().map(|(_, t)| t.runs_of(key)).sum()
     }
 }
 
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,8 +2,10 @@
 
 pub mod client;
 pub mod deployment;
+pub mod fault_run;
 pub mod http;
 pub mod platform;
+pub mod relay;
 pub mod store_outage;
 pub mod target;
 pub mod tour;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, process::ExitCode};
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
-use arbutusshelf_bench::{platform::PlatformStandIn, store_outage, target::TargetStandIn, tour};
+use arbutusshelf_bench::{fault_run, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour};
 use argh::FromArgs;
 
 #[global_allocator]
@@ -22,6 +22,7 @@
 enum Command {
     Tour(Tour),
     StoreOutage(store_outage::Args),
+    FaultRun(fault_run::Args),
     Platform(Platform),
     Target(Target),
 }
@@ -82,6 +83,10 @@
             store_outage::run(&args).await?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::FaultRun(args) => {
+            let counts = fault_run::run(&args).await?;
+            Ok(if counts.broken().is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
         Command::Platform(args) => {
             let stand_in =
                 PlatformStandIn::start(args.listen, args.seed).await.map_err(|e| unavailable(&e))?;
--- a/bench/src/platform.rs
+++ b/bench/src/platform.rs
@@ -37,6 +37,12 @@
     pub lose_write_replies: f64,
     /// Share of writes that are refused with 503 and no effect, 0.0 to 1.0.
     pub refuse_writes: f64,
+    /// Share of writes whose reply is lost at once and that take effect later, 0.0 to 1.0.
+    pub delay_writes: f64,
+    /// Time after which delayed writes take effect, in milliseconds.
+    pub delay_ms: u64,
+    /// Share of writes that are tried twice, the second try's reply told, 0.0 to 1.0.
+    pub double_writes: f64,
     /// The instance list no longer changes.
     pub stale_list: bool,
     /// Time by which the instance list lags, in milliseconds.
@@ -54,6 +60,9 @@
             slow_ms: 0,
             lose_write_replies: 0.0,
             refuse_writes: 0.0,
+            delay_writes: 0.0,
+            delay_ms: 1_000,
+            double_writes: 0.0,
             stale_list: false,
             list_lag_ms: 0,
             max_writes_per_s: 400,
@@ -153,11 +162,10 @@
     if !admit(&state, is_write) {
         return Ok(no_effect(StatusCode::TOO_MANY_REQUESTS));
     }
-    let chance = |share: f64| share > 0.0 && lock(&state).rng.random_bool(share);
-    if is_write && chance(faults.refuse_writes) {
+    if is_write && chance(&state, faults.refuse_writes) {
         return Ok(no_effect(StatusCode::SERVICE_UNAVAILABLE));
     }
-    let lose = is_write && chance(faults.lose_write_replies);
+    let lose = is_write && chance(&state, faults.lose_write_replies);
     let answer = route(&state, request).await?;
     if lose { Err(Cut) } else { Ok(answer) }
 }
@@ -200,7 +208,7 @@
     serde_json::from_slice(&body).map_err(|_malformed| Cut)
 }
 
-async fn route(state: &Mutex<State>, request: Request<Incoming>) -> Result<Answer, Cut> {
+async fn route(state: &Arc<Mutex<State>>, request: Request<Incoming>) -> Result<Answer, Cut> {
     let path = request.uri().path().to_owned();
     match (request.method().clone(), path.as_str()) {
         (Method::GET, "/table/row") => Ok(get_row(state, &request)),
@@ -240,7 +248,7 @@
     }
 }
 
-async fn write_rows(state: &Mutex<State>, request: Request<Incoming>) -> Result<Answer, Cut> {
+async fn write_rows(state: &Arc<Mutex<State>>, request: Request<Incoming>) -> Result<Answer, Cut> {
     let request = read_json::<WriteRequest>(request).await?;
     let row_write = |w: arbutusshelf::platform::wire::WireWrite| RowWrite {
         key: w.key,
@@ -248,6 +256,18 @@
         change: w.value.map_or(RowChange::Delete, |v| RowChange::Put(Bytes::from(v))),
     };
     let writes = request.writes.into_iter().map(row_write).collect::<Vec<_>>();
+    let Faults { delay_writes, delay_ms, double_writes, .. } = lock(state).faults;
+    if chance(state, delay_writes) {
+        let state = Arc::clone(state);
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            lock(&state).store.write(&writes);
+        });
+        return Err(Cut);
+    }
+    if chance(state, double_writes) {
+        lock(state).store.write(&writes);
+    }
     Ok(match lock(state).store.write(&writes) {
         WriteResult::TookEffect(versions) => json(StatusCode::OK, &WriteReply { versions }),
         WriteResult::Conflict(conflicts) => json(StatusCode::CONFLICT, &ConflictReply { conflicts }),
@@ -255,6 +275,10 @@
     })
 }
 
+fn chance(state: &Mutex<State>, share: f64) -> bool {
+    share > 0.0 && lock(state).rng.random_bool(share)
+}
+
 fn get_object(state: &Mutex<State>, name: &str) -> Answer {
     let Some(object) = lock(state).store.get_object(name) else {
         return whole(StatusCode::NOT_FOUND, "");
--- a/bench/src/target.rs
+++ b/bench/src/target.rs
@@ -102,6 +102,11 @@
         lock(&self.state.runs).clone()
     }
 
+    /// Returns how often one idempotency key ran here.
+    pub fn runs_of(&self, key: &str) -> u32 {
+        lock(&self.state.runs).get(key).copied().unwrap_or(0)
+    }
+
     /// Returns how many requests ran here.
     pub fn ran(&self) -> u32 {
         self.state.ran.load(Ordering::Relaxed)
