Measure claims under load and around an outage

Cause: nothing told what claims cost a call, the store, or callers during an outage. Change: the bench command claim-load; a check that no request is sent once its deadline has passed, because a timeout polls once even when no time is left.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, load, trace replay and experiments for arbutusshelf; not shipped.
 
+pub mod claim_load;
 pub mod client;
 pub mod deployment;
 pub mod fault_run;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, process::ExitCode};
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
-use arbutusshelf_bench::{fault_run, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour};
+use arbutusshelf_bench::{
+    claim_load, fault_run, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour,
+};
 use argh::FromArgs;
 
 #[global_allocator]
@@ -23,6 +25,7 @@
     Tour(Tour),
     StoreOutage(store_outage::Args),
     FaultRun(fault_run::Args),
+    ClaimLoad(claim_load::Args),
     Platform(Platform),
     Target(Target),
 }
@@ -87,6 +90,10 @@
             let counts = fault_run::run(&args).await?;
             Ok(if counts.broken().is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
+        Command::ClaimLoad(args) => {
+            claim_load::run(&args).await?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Platform(args) => {
             let stand_in =
                 PlatformStandIn::start(args.listen, args.seed).await.map_err(|e| unavailable(&e))?;
--- a/bench/src/platform.rs
+++ b/bench/src/platform.rs
@@ -47,6 +47,8 @@
     pub stale_list: bool,
     /// Time by which the instance list lags, in milliseconds.
     pub list_lag_ms: u64,
+    /// Whether every row of a write call counts as a write, rather than the call.
+    pub count_rows: bool,
     /// Writes taken in any second.
     pub max_writes_per_s: usize,
     /// Reads taken in any second.
@@ -65,6 +67,7 @@
             double_writes: 0.0,
             stale_list: false,
             list_lag_ms: 0,
+            count_rows: false,
             max_writes_per_s: 400,
             max_reads_per_s: 2_000,
         }
@@ -256,6 +259,9 @@
         change: w.value.map_or(RowChange::Delete, |v| RowChange::Put(Bytes::from(v))),
     };
     let writes = request.writes.into_iter().map(row_write).collect::<Vec<_>>();
+    if !admit_further_rows(state, writes.len().saturating_sub(1)) {
+        return Ok(no_effect(StatusCode::TOO_MANY_REQUESTS));
+    }
     let Faults { delay_writes, delay_ms, double_writes, .. } = lock(state).faults;
     if chance(state, delay_writes) {
         let state = Arc::clone(state);
@@ -275,6 +281,21 @@
     })
 }
 
+/// Counts the rows after a call's first one where rows are what counts.
+fn admit_further_rows(state: &Mutex<State>, rows: usize) -> bool {
+    let mut state = lock(state);
+    if !state.faults.count_rows {
+        return true;
+    }
+    if state.recent_writes.len() + rows > state.faults.max_writes_per_s {
+        state.counts.throttled += 1;
+        return false;
+    }
+    let now = Instant::now();
+    state.recent_writes.extend(std::iter::repeat_n(now, rows));
+    true
+}
+
 fn chance(state: &Mutex<State>, share: f64) -> bool {
     share > 0.0 && lock(state).rng.random_bool(share)
 }
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -332,6 +332,11 @@
         guard.end(AttemptEnd::Unsent);
         return SendResult::Nothing;
     };
+    // A timeout polls once even when no time is left, which could send.
+    if context.remaining().is_zero() {
+        guard.end(AttemptEnd::Unsent);
+        return SendResult::Nothing;
+    }
     let sent = tokio::time::timeout(context.remaining(), connection.send(request)).await;
     let response = match sent {
         Ok(Sent::Answered(response)) => response,
