--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,7 +4,8 @@
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
 use arbutusshelf_bench::{
-    claim_load, fault_run, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour,
+    claim_load, fault_run, flood, observe_cost, plan_size, platform::PlatformStandIn, store_outage,
+    target::TargetStandIn, tour,
 };
 use argh::FromArgs;
 
@@ -26,6 +27,9 @@
     StoreOutage(store_outage::Args),
     FaultRun(fault_run::Args),
     ClaimLoad(claim_load::Args),
+    PlanSize(plan_size::Args),
+    ObserveCost(observe_cost::Args),
+    Flood(flood::Args),
     Platform(Platform),
     Target(Target),
 }
@@ -82,6 +86,18 @@
             let findings = tour::run().await?;
             Ok(if findings.broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
+        Command::PlanSize(args) => {
+            plan_size::run(&args)?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Flood(args) => {
+            flood::run(&args).await?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::ObserveCost(args) => {
+            observe_cost::run(&args)?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::StoreOutage(args) => {
             store_outage::run(&args).await?;
             Ok(ExitCode::SUCCESS)
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -132,7 +132,16 @@
     pub fn count(&self, outcome: Outcome, cause: Option<ErrorKind>, answered_well: bool) {
         let latency = self.kernel.clock.now().since(self.arrived);
         let useful = answered_well && latency <= self.useful_within;
-        self.kernel.tally.record(CallEnd { service: self.service.clone(), outcome, cause, useful, latency });
+        self.kernel.tally.record(CallEnd {
+            service: Some(self.service.clone()),
+            kind: self.kind,
+            outcome,
+            cause,
+            useful,
+            latency,
+            queue_wait: Duration::ZERO,
+            head_of_line: Duration::ZERO,
+        });
     }
 }
 
@@ -354,7 +363,11 @@
         }
     };
     guard.connection = Some(connection);
-    guard.began(load_report(&response));
+    let report = load_report(&response);
+    if report.draining {
+        context.kernel.target_said_draining(&target.id);
+    }
+    guard.began(report);
     let status = response.status();
     if context.refusal_means_not_run && is_stated_refusal(&response) {
         guard.end(AttemptEnd::Refused);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -29,6 +29,9 @@
     /// Where other instances connect.
     pub peers_address: SocketAddr,
 
+    /// Addresses of other instances to greet at the start, for when the platform's list can't be read.
+    pub peer_seeds: Vec<SocketAddr>,
+
     /// Platform driver by name, `embedded` or `http`.
     pub platform_driver: String,
 
@@ -65,6 +68,9 @@
     /// Threads of the worker pool; 0 for one a processor.
     pub workers: usize,
 
+    /// Lines a second that each module and event may log, in the long run.
+    pub log_lines_per_s: u64,
+
     /// Least severe level that is logged.
     pub log_level: LevelFilter,
 
@@ -100,7 +106,7 @@
         let Value::Object(fields) = value else {
             return Err(Error::new(ErrorKind::Settings, "settings must be one JSON object"));
         };
-        let mut reader = Reader { fields, faults: Vec::new() };
+        let mut reader = Reader { fields, ..Reader::default() };
         let config = read_config(&mut reader);
         reader.refuse_unknown();
         match config {
@@ -110,14 +116,56 @@
     }
 }
 
+/// One field of a settings file, as the reader takes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsField {
+    /// Name.
+    pub name: String,
+    /// Whether it must be present.
+    pub required: bool,
+    /// Least and greatest value and the value when absent, of numbers.
+    pub number: Option<NumberRange>,
+}
+
+/// Range of a number in a settings file.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NumberRange {
+    /// Least value.
+    pub min: u64,
+    /// Greatest value.
+    pub max: u64,
+    /// Value when the field is absent.
+    pub default: u64,
+}
+
+/// Returns every field of a settings file, in the order in which they are read.
+pub fn fields() -> Vec<SettingsField> {
+    let mut reader = Reader::default();
+    // Reading an empty object asks for every field.
+    let _incomplete = read_config(&mut reader);
+    reader.asked
+}
+
 /// Takes fields out of an object and collects faults.
+#[derive(Default)]
 struct Reader {
     fields: Map<String, Value>,
     faults: Vec<String>,
+    /// Fields that were asked for.
+    asked: Vec<SettingsField>,
 }
 
 impl Reader {
+    fn ask(&mut self, name: &str, required: bool, number: Option<NumberRange>) {
+        self.asked.push(SettingsField { name: name.to_owned(), required, number });
+    }
+
     fn optional<T: DeserializeOwned>(&mut self, name: &str) -> Option<T> {
+        self.ask(name, false, None);
+        self.take(name)
+    }
+
+    fn take<T: DeserializeOwned>(&mut self, name: &str) -> Option<T> {
         let value = self.fields.remove(name)?;
         if value.is_null() {
             return None;
@@ -132,16 +180,18 @@
     }
 
     fn required<T: DeserializeOwned>(&mut self, name: &str) -> Option<T> {
+        self.ask(name, true, None);
         if self.fields.get(name).is_none_or(Value::is_null) {
             self.fields.remove(name);
             self.faults.push(format!("{name}: required"));
             return None;
         }
-        self.optional(name)
+        self.take(name)
     }
 
     fn ranged(&mut self, name: &str, default: u64, range: std::ops::RangeInclusive<u64>) -> u64 {
-        let value = self.optional(name).unwrap_or(default);
+        self.ask(name, false, Some(NumberRange { min: *range.start(), max: *range.end(), default }));
+        let value = self.take(name).unwrap_or(default);
         if !range.contains(&value) {
             self.faults.push(format!("{name}: expected {} to {}, got {value}", range.start(), range.end()));
         }
@@ -184,6 +234,7 @@
     let callers_address = reader.required("callers_address");
     let admin_address = reader.required::<SocketAddr>("admin_address");
     let peers_address = reader.required("peers_address");
+    let peer_seeds = reader.optional("peer_seeds").unwrap_or_default();
     let platform_driver = reader.optional("platform_driver").unwrap_or_else(|| "embedded".to_owned());
     let platform_address = reader.optional("platform_address");
     if platform_driver == "http" && platform_address.is_none() {
@@ -198,10 +249,11 @@
     let platform_timeout_ms = reader.ranged("platform_timeout_ms", 500, 10..=60_000);
     let head_timeout_ms = reader.ranged("head_timeout_ms", 10_000, 100..=600_000);
     let progress_timeout_ms = reader.ranged("progress_timeout_ms", 5_000, 100..=600_000);
-    let balancer_lag_ms = reader.ranged("balancer_lag_ms", 3_000, 0..=60_000);
+    let balancer_lag_ms = reader.ranged("balancer_lag_ms", 2_000, 0..=60_000);
     let cut_off_after_ms = reader.ranged("cut_off_after_ms", 30_000, 1_000..=3_600_000);
     let confirm_timeout_ms = reader.ranged("confirm_timeout_ms", 5_000, 100..=60_000);
     let workers = reader.ranged("workers", 0, 0..=256) as usize;
+    let log_lines_per_s = reader.ranged("log_lines_per_s", 10, 1..=100_000);
     let log_level = reader.level("log_level").unwrap_or(LevelFilter::Info);
     let log_levels = reader.levels("log_levels");
     Some(Config {
@@ -210,6 +262,7 @@
         callers_address: callers_address?,
         admin_address: admin_address?,
         peers_address: peers_address?,
+        peer_seeds,
         platform_driver,
         platform_address,
         platform_timeout_ms,
@@ -222,6 +275,7 @@
         cut_off_after_ms,
         confirm_timeout_ms,
         workers,
+        log_lines_per_s,
         log_level,
         log_levels,
     })
--- /dev/null
+++ b/tests/plan_schedules.rs
@@ -0,0 +1,88 @@
+//! Random schedules of submits and faults on eighteen instances in virtual time.
+
+mod schedules;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use schedules::{Cluster, Fault, INSTANCES};
+
+/// Faults come from the 5th second on, and the last 15 s of a schedule are quiet.
+const FAULTS_MS: std::ops::Range<u64> = 5_000..45_000;
+
+/// A schedule with the seed of its network and store.
+#[derive(Debug, Clone)]
+struct Schedule {
+    seed: u64,
+    faults: Vec<(u64, Fault)>,
+}
+
+fn within(g: &mut Gen, bound: usize) -> usize {
+    usize::arbitrary(g) % bound
+}
+
+impl Arbitrary for Schedule {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let faults = (0..4 + within(g, 24)).map(|_| (any_time(g), any_fault(g)));
+        let mut faults = faults.collect::<Vec<_>>();
+        faults.sort_by_key(|(at, _)| *at);
+        Self { seed: u64::arbitrary(g), faults }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let schedule = self.clone();
+        Box::new((0..self.faults.len()).map(move |skipped| {
+            let mut shorter = schedule.clone();
+            shorter.faults.remove(skipped);
+            shorter
+        }))
+    }
+}
+
+fn any_time(g: &mut Gen) -> u64 {
+    FAULTS_MS.start + u64::arbitrary(g) % (FAULTS_MS.end - FAULTS_MS.start)
+}
+
+fn any_fault(g: &mut Gen) -> Fault {
+    let who = within(g, INSTANCES);
+    let for_ms = 200 + u64::arbitrary(g) % 25_000;
+    match within(g, 12) {
+        0..=3 => Fault::Submit { at: who, leave: None },
+        4 => Fault::Submit { at: who, leave: Some(within(g, INSTANCES)) },
+        5 | 6 => Fault::Kill { who, for_ms },
+        7 => Fault::Pause { who, for_ms },
+        8 => {
+            let count = 1 + within(g, 8);
+            Fault::Partition { first: within(g, INSTANCES), count, with_store: bool::arbitrary(g), for_ms }
+        }
+        9 => Fault::StoreDown { for_ms },
+        10 => Fault::LoseReplies { for_ms },
+        _ => Fault::StaleReads { for_ms },
+    }
+}
+
+fn run(schedule: &Schedule) -> Cluster {
+    let mut cluster = Cluster::new(schedule.seed);
+    cluster.run(&schedule.faults);
+    cluster
+}
+
+#[expect(clippy::needless_pass_by_value, reason = "quickcheck passes schedules by value")]
+fn holds(schedule: Schedule) -> TestResult {
+    match run(&schedule).broken.first() {
+        None => TestResult::passed(),
+        Some(broken) => TestResult::error(broken.as_str()),
+    }
+}
+
+#[test]
+fn plans_hold_over_random_schedules() {
+    let rng = Gen::from_size_and_seed(100, 6);
+    QuickCheck::new().rng(rng).tests(30).max_tests(30).quickcheck(holds as fn(Schedule) -> TestResult);
+}
+
+#[test]
+fn the_schedules_accept_plans_and_see_leaves() {
+    let mut g = Gen::from_size_and_seed(100, 7);
+    let clusters = (0..6).map(|_| run(&Schedule::arbitrary(&mut g))).collect::<Vec<_>>();
+    assert!(clusters.iter().map(|c| c.accepted).sum::<usize>() >= 6, "plans were accepted");
+    assert!(clusters.iter().map(|c| c.left).sum::<usize>() >= 1, "instances left by plan");
+}
