--- a/bench/src/claim_load.rs
+++ b/bench/src/claim_load.rs
@@ -156,7 +156,11 @@
     let instances = (0..args.instances as u64).map(|n| {
         let store = GuardedPlatform::new(http::driver(platform.server.address, PLATFORM_TIMEOUT), clock, n);
         store.follow(&Budgets::default());
-        Arc::new(Claims::with_settings(store.view(Purpose::Claim), n.into(), clock, settings))
+        let claims = Claims::with_settings(store.view(Purpose::Claim), n.into(), clock, settings);
+        if grouped {
+            claims.follow(&Budgets::default());
+        }
+        Arc::new(claims)
     });
     let instances = instances.collect::<Vec<_>>();
     join_all(instances.iter().map(|i| i.refresh_hour())).await;
--- /dev/null
+++ b/examples/at_most_once.rs
@@ -0,0 +1,81 @@
+//! Coordinates at-most-once work over a table of one's own, without the daemon.
+//!
+//! Two workers get the same order. Each drives one claim on it: the machine decides, this program carries out.
+//!
+//! ```text
+//! cargo run --example at_most_once
+//! ```
+
+use std::time::Duration;
+
+use arbutusshelf::{
+    decide::claim::{
+        Action, Claim, ClaimSpec, ClaimWrite, Event, Fingerprint, FoundRow, RowCondition, SendEnd,
+        StoredAnswer, StoredBody, Token, Verdict, Version, Wrote,
+    },
+    units::MonoTime,
+};
+
+/// Any table with conditional writes will do; this one has a single row.
+#[derive(Debug, Default)]
+struct Table {
+    row: Option<FoundRow>,
+    writes: u64,
+}
+
+impl Table {
+    fn write(&mut self, write: ClaimWrite) -> Wrote {
+        let seen = self.row.as_ref().map_or(RowCondition::Absent, |f| RowCondition::VersionIs(f.version));
+        if seen != write.condition {
+            return Wrote::Conflict;
+        }
+        self.writes += 1;
+        let version = Version(self.writes);
+        self.row = Some(FoundRow { version, row: write.row });
+        Wrote::TookEffect(version)
+    }
+}
+
+/// Runs one worker's claim to its end and returns what its caller is told.
+fn run_worker(worker: u64, table: &mut Table, shipped: &mut u32) -> Option<Verdict> {
+    let now = MonoTime::default();
+    let mut claim = Claim::new(ClaimSpec {
+        token: Token { run: worker.into(), number: 1 },
+        fingerprint: Fingerprint::from("ship order 17".to_owned()),
+        deadline: now + Duration::from_secs(5),
+        repeated: false,
+        written_hour: 0,
+    });
+    let mut told = None;
+    let mut event = Some(Event::Start);
+    while let Some(next) = event.take() {
+        let mut actions = Vec::new();
+        claim.handle(now, next, &mut actions);
+        for action in actions {
+            match action {
+                Action::Write(write) => event = Some(Event::Wrote(table.write(write))),
+                Action::Read => event = Some(Event::Read(Ok(table.row.clone()))),
+                Action::Send => {
+                    *shipped += 1;
+                    let body = StoredBody::Text(format!("shipped by worker {worker}"));
+                    let answer = StoredAnswer { status: 200, content_type: None, body };
+                    event = Some(Event::SendEnded(SendEnd::Answered(answer)));
+                }
+                Action::Answer(verdict) => told = Some(verdict),
+                Action::Finish => {}
+            }
+        }
+    }
+    told
+}
+
+fn main() {
+    let mut table = Table::default();
+    let mut shipped = 0;
+    for worker in [1, 2] {
+        let told = run_worker(worker, &mut table, &mut shipped);
+        println!("worker {worker}: {told:?}");
+    }
+    println!("shipped {shipped} time(s)");
+    assert_eq!(shipped, 1, "the order is shipped once");
+}
--- a/src/claims/commit.rs
+++ b/src/claims/commit.rs
@@ -5,7 +5,8 @@
 //! the rest is tried again.
 //!
 //! While fewer than [`CommitSettings::max_calls`] calls are in progress, a group leaves after at most
-//! [`CommitSettings::gather`]; otherwise rows wait for the next one, so groups grow with the load.
+//! [`CommitSettings::gather`]; otherwise rows wait for the next one, so groups grow with the load. Calls are
+//! spaced once the instance has spent most of its share, so that no row waits for a whole window to pass.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -18,6 +19,8 @@
 
 use tokio::{sync::oneshot, time::Instant};
 
+use super::pace::Pace;
+
 use crate::{
     collections::HashSet,
     decide::claim::{Version, Wrote},
@@ -75,6 +78,7 @@
     waiting: BTreeMap<Priority, VecDeque<Queued>>,
     /// Calls in progress or about to be.
     calls: usize,
+    pace: Pace,
 }
 
 struct Shared {
@@ -118,6 +122,11 @@
         }
     }
 
+    /// Spaces calls for a rate; without one they are not spaced.
+    pub fn set_rate(&self, calls_per_s: f64) {
+        self.lock().pace.set_rate(calls_per_s);
+    }
+
     /// Writes one row; a write whose future is dropped before it was sent is not sent.
     pub async fn write(&self, entry: Entry) -> Wrote {
         let (reply, replied) = oneshot::channel();
@@ -138,6 +147,7 @@
         let waiting = queue.waiting.values().any(|q| !q.is_empty());
         if waiting && queue.calls < self.shared.settings.max_calls {
             let gather = if queue.calls == 0 { Duration::ZERO } else { self.shared.settings.gather };
+            let gather = gather.max(queue.pace.reserve(Instant::now()));
             queue.calls += 1;
             tokio::spawn(self.clone().call(gather));
         }
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -10,6 +10,7 @@
 pub mod commit;
 mod drive;
 pub mod hours;
+mod pace;
 pub mod sweep;
 
 use std::{
@@ -34,7 +35,7 @@
     decide::claim::{ClaimSpec, Fingerprint, StoredAnswer, Token},
     error::ErrorKind,
     kernel::clock::Clock,
-    plan::Priority,
+    plan::{Budgets, Priority},
     platform::{Platform, RowKey},
     units::{MonoTime, RunId, ServiceName},
 };
@@ -45,6 +46,10 @@
 /// Calls of lower priority that may wait.
 const MAX_WAITING_OTHERS: usize = MAX_WAITING / 2;
 
+/// Part of the instance's share of writes at which calls are spaced; the rest absorbs bursts, retries and what
+/// other purposes have reserved.
+const PACED_PART: f64 = 0.75;
+
 /// Pause before the count of hours is read again.
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
@@ -214,6 +219,12 @@
         Self { shared: Arc::new(shared), run_id, last_claim: AtomicU64::new(0) }
     }
 
+    /// Follows the budgets of a new plan.
+    pub fn follow(&self, budgets: &Budgets) {
+        let share_per_s = f64::from(budgets.store_writes_per_s) / f64::from(budgets.max_instances.max(1));
+        self.shared.commit.set_rate(share_per_s * PACED_PART);
+    }
+
     /// Claims a key; `work` is kept until the key's row is settled.
     ///
     /// Dropping the future means that the caller left: nothing is sent unless the claim was won before.
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -178,6 +178,7 @@
         self.pools.apply(&plan);
         self.apply_intentions(unix_s());
         self.store.follow(&plan.budgets);
+        self.claims.follow(&plan.budgets);
         log::info!("event=plan-in-force version={version}");
         true
     }
--- a/tests/claim_commit.rs
+++ b/tests/claim_commit.rs
@@ -142,6 +142,23 @@
     assert_eq!(log.lock().unwrap().calls, [["a"]]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn calls_are_spaced_once_a_burst_is_spent() {
+    let (commit, log) = commit(one_call(), Vec::new());
+    commit.set_rate(10.0);
+    let started = Instant::now();
+    for key in ["a", "b", "c", "d", "e", "f", "g"] {
+        write_all(&commit, &[key]).await;
+    }
+    assert_eq!(log.lock().unwrap().calls.len(), 7);
+    let took = started.elapsed();
+    assert!((Duration::from_millis(300)..=Duration::from_millis(400)).contains(&took), "{took:?}");
+    sleep(Duration::from_secs(1)).await;
+    let idle = Instant::now();
+    write_all(&commit, &["h"]).await;
+    assert_eq!(idle.elapsed(), CALL_TIME);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_group_is_bounded_in_rows_and_bytes() {
     let settings = CommitSettings { max_rows: 3, max_bytes: 4, ..one_call() };
--- /dev/null
+++ b/tests/claim_run.rs
@@ -0,0 +1,46 @@
+//! At-most-once calls over real sockets: a small fault run, and a route's key.
+
+use arbutusshelf_bench::{
+    client::Caller,
+    deployment::{ANY_PORT, Deployment, LocalInstance, Targets},
+    fault_run::{Args, run},
+    platform::PlatformStandIn,
+};
+use bytes::Bytes;
+use hyper::Method;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_promise_breaks_under_all_faults_at_once() {
+    let counts =
+        run(&Args { calls: 120, seed: 7, instances: 3, callers: 24 }).await.expect("loopback has ports");
+    assert_eq!(counts.broken(), Vec::<&str>::new(), "{counts:?}");
+    assert!(counts.ran > 0 && counts.keys_run > 0, "{counts:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_route_that_needs_a_key_refuses_calls_without_a_usable_one() {
+    let platform = PlatformStandIn::start(ANY_PORT, 1).await.expect("loopback has a free port");
+    let targets = Targets::start(Deployment::Kremsau).await.expect("loopback has free ports");
+    let instance = LocalInstance::start("kremsau-01", "ost-a", platform.server.address).await;
+    let instance = instance.expect("loopback has free ports");
+    let sheet = Bytes::from(targets.sheet.clone());
+    arbutusshelf::admin::client::call::<arbutusshelf::admin::submit::Accepted>(
+        Method::POST,
+        instance.admin(),
+        "/plan/submit?change-id=first",
+        None,
+        sheet,
+    )
+    .await
+    .expect("the plan is accepted");
+    let caller = Caller::default();
+    let long = "k".repeat(256);
+    for key in [None, Some(""), Some("two words"), Some(long.as_str())] {
+        let path = "/mietkasse/charges";
+        let body = Bytes::from_static(b"{}");
+        let told = caller.call(Method::POST, instance.callers(), path, key, body).await.expect("an answer");
+        assert_eq!((told.status, told.outcome(), told.cause()), (400, "not-run", "key-missing"), "{key:?}");
+    }
+    let ran = targets.stand_ins.iter().map(|(_, t)| t.ran()).sum::<u32>();
+    assert_eq!(ran, 0);
+}
