--- a/src/claims/drive.rs
+++ b/src/claims/drive.rs
@@ -16,6 +16,7 @@
         Action, Claim, ClaimRow, ClaimSpec, ClaimState, ClaimWrite, Event, FoundRow, NotRead, RowCondition,
         SendEnd, Verdict, Version,
     },
+    logging::Quoted,
     plan::Priority,
     platform::{Condition, Row, RowChange, RowKey, RowWrite},
     units::MonoTime,
@@ -104,7 +105,10 @@
         match input {
             Input::CallerGone => Event::CallerGone,
             Input::RunEnded(RunEnd::Unsent(kind)) => Event::SendEnded(SendEnd::Unsent(kind)),
-            Input::RunEnded(RunEnd::MaybeSent(kind)) => Event::SendEnded(SendEnd::MaybeSent(kind)),
+            Input::RunEnded(RunEnd::MaybeSent(kind)) => {
+                log::warn!("event=key-unsettled row={} cause={kind}", Quoted(&self.key.0));
+                Event::SendEnded(SendEnd::MaybeSent(kind))
+            }
             Input::RunEnded(RunEnd::Answered(answer)) => {
                 let Recordable { stored, object } = recordable(answer, self.claim.token());
                 self.object = object;
--- a/tests/claim_faults.rs
+++ b/tests/claim_faults.rs
@@ -322,6 +322,31 @@
     assert_eq!(fetched, Ok(answer));
 }
 
+/// Writes the row's state as an operator does: the rest stays, under the version that was read.
+fn settle_by_hand(store: &SharedStore, state: &str) {
+    let mut store = store.lock().unwrap();
+    let found = store.get(&arbutusshelf::claims::row_key(&service(), "rent-17")).expect("the row is there");
+    let mut row = serde_json::from_slice::<serde_json::Value>(&found.value).expect("the row is JSON");
+    row["state"] = serde_json::from_str(state).expect("the state is JSON");
+    let change = RowChange::Put(Bytes::from(row.to_string()));
+    store.write(&[RowWrite { key: found.key, condition: Condition::VersionIs(found.version), change }]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_operator_settles_a_key_by_hand() {
+    let store = SharedStore::default();
+    let instance = Instance::new(&store, 1);
+    instance.win().await.end(RunEnd::MaybeSent(ErrorKind::AnswerTimeout));
+    assert_eq!(settled(&store).await, RowState::Unsettled);
+    settle_by_hand(&store, "\"released\"");
+    instance.win().await.end(RunEnd::MaybeSent(ErrorKind::AnswerTimeout));
+    assert_eq!(settled(&store).await, RowState::Unsettled);
+    let done = r#"{"done":{"status":200,"content_type":"application/json","body":{"text":"{}"}}}"#;
+    settle_by_hand(&store, done);
+    let ClaimResult::Stored(answer) = instance.claim().await else { panic!("it was settled as done") };
+    assert_eq!((answer.status, answer.body), (200, StoredBody::Text("{}".to_owned())));
+}
+
 fn set_hour(store: &SharedStore, hour: u64) {
     let mut store = store.lock().unwrap();
     let key = arbutusshelf::claims::hours::hour_row_key();
