--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod claim_load;
 pub mod client;
+pub mod control;
 pub mod deployment;
 pub mod fault_run;
 pub mod flood;
@@ -9,6 +10,7 @@
 pub mod observe_cost;
 pub mod plan_size;
 pub mod platform;
+pub mod process;
 pub mod relay;
 pub mod store_outage;
 pub mod target;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,8 +4,7 @@
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
 use arbutusshelf_bench::{
-    claim_load, fault_run, flood, observe_cost, plan_size, platform::PlatformStandIn, store_outage,
-    target::TargetStandIn, tour,
+    claim_load, control, fault_run, flood, observe_cost, plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour,
 };
 use argh::FromArgs;
 
@@ -28,6 +27,7 @@
     FaultRun(fault_run::Args),
     ClaimLoad(claim_load::Args),
     PlanSize(plan_size::Args),
+    Control(control::Args),
     ObserveCost(observe_cost::Args),
     Flood(flood::Args),
     Platform(Platform),
@@ -108,6 +108,8 @@
         }
         Command::ClaimLoad(args) => {
             claim_load::run(&args).await?;
+        Command::Control(args) => {
+            control::run(&args).await?;
             Ok(ExitCode::SUCCESS)
         }
         Command::Platform(args) => {
