--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,7 +4,8 @@
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
 use arbutusshelf_bench::{
-    claim_load, control, fault_run, flood, observe_cost, plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn, tour,
+    claim_load, control, fault_run, flood, observe_cost, plan_size, platform::PlatformStandIn, store_outage,
+    target::TargetStandIn, tour,
 };
 use argh::FromArgs;
 
@@ -108,6 +109,8 @@
         }
         Command::ClaimLoad(args) => {
             claim_load::run(&args).await?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Control(args) => {
             control::run(&args).await?;
             Ok(ExitCode::SUCCESS)
