--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -128,7 +128,7 @@
             pools: PoolTable::new(clock, config.data_centre.clone(), run_id.into()),
             connections: Connections::default(),
             head_times: HeadTimes::default(),
-            claims: Claims::new(store.view(Purpose::Claim), run_id),
+            claims: Claims::new(store.view(Purpose::Claim), run_id, clock),
             tally: Tally::default(),
             observer: Observer::new(run, store_calls),
             current_until_us: AtomicU64::new(0),
@@ -186,6 +186,7 @@
         self.pools.apply(&plan);
         self.apply_intentions(unix_s());
         self.store.follow(&plan.budgets);
+        self.claims.follow(&plan.budgets);
         log::info!("event=plan-in-force version={version}");
         true
     }
