Keep control bytes within the rate over ten seconds, and long requests known to peers

And a request in flight for minutes was told once and aged at the peers. Change: the bucket refills at 95% and gathers 100 ms; a full bucket lets one round go. Counts that stay as they are are told anew every 500 ms by a frame without counts. A test holds every ten seconds to the rate at 5 to 17 peers.

--- a/bench/src/control.rs
+++ b/bench/src/control.rs
@@ -16,7 +16,10 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use hyper::Method;
-use tokio::time::sleep;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::sleep,
+};
 
 use crate::{
     client::Caller,
@@ -33,6 +36,13 @@
 const STORE_UP: Duration = Duration::from_secs(3);
 const STORE_DOWN: Duration = Duration::from_secs(1);
 
+/// Budgets of control bytes a second with and without room for load counts.
+const BUDGET: u32 = 21_000;
+const LEAST_BUDGET: u32 = 1_000;
+
+/// Pause before a case is measured.
+const SETTLE: Duration = Duration::from_secs(2);
+
 /// Longest wait for all instances to hear each other.
 const MESH_LIMIT: Duration = Duration::from_secs(30);
 
@@ -72,12 +82,22 @@
 ///
 /// When a stand-in or an instance can't be started, or a plan was lost, doubled or taken back.
 pub async fn run(args: &Args) -> Result<()> {
+    let mut ended = signal(SignalKind::terminate()).map_err(|e| unavailable(&e))?;
+    // Returning drops the instances, which ends their processes.
+    tokio::select! {
+        result = measure(args) => result,
+        _ = tokio::signal::ctrl_c() => Ok(()),
+        _ = ended.recv() => Ok(()),
+    }
+}
+
+async fn measure(args: &Args) -> Result<()> {
     race(args).await?;
     if args.no_cost {
         return Ok(());
     }
     println!("per node: bytes/s by purpose, processor as a share of a core, resident memory");
-    println!("instances targets calls/s   urgent heartbeat    loads      sum  processor   memory");
+    println!("instances targets budget calls/s   urgent heartbeat    loads      sum  processor   memory");
     for instances in [6, 12, 18] {
         for targets in [32, 128, 500] {
             measure_cost(args, instances, targets).await?;
@@ -332,18 +352,27 @@
     let starts = join_all((0..targets).map(|_| TargetStandIn::start(ANY_PORT, 6))).await;
     let stand_ins = starts.into_iter().collect::<std::io::Result<Vec<_>>>().map_err(|e| unavailable(&e))?;
     let addresses = stand_ins.iter().map(|t| t.server.address).collect::<Vec<_>>();
-    submit(stage.instances[0].admin, "first", PlanVersion::default(), sheet_of(&addresses, None)).await?;
-    // Let the plan's own bytes and the instances' start pass.
-    sleep(Duration::from_secs(3)).await;
+    let first = sheet_of(&addresses, None);
+    let accepted = submit(stage.instances[0].admin, "first", PlanVersion::default(), first).await?;
     let measure = Duration::from_secs(args.measure_s);
-    for calls_per_s in [0, args.calls_per_s] {
+    // The least budget leaves nothing for load counts, so the difference to the next case is their cost.
+    let cases = [(BUDGET, 0), (LEAST_BUDGET, args.calls_per_s), (BUDGET, args.calls_per_s)];
+    let mut version = accepted.version;
+    for (budget, calls_per_s) in cases {
+        let sheet =
+            format!("{}[budgets]\nname,value\ncontrol_bytes_per_s,{budget}\n", sheet_of(&addresses, None));
+        let change_id = format!("budget-{budget}-{calls_per_s}");
+        version = submit(stage.instances[0].admin, &change_id, version, sheet).await?.version;
+        // Let the plan's own bytes pass.
+        sleep(SETTLE).await;
         let before = read(&stage).await?;
         tokio::select! {
             () = sleep(measure) => {}
             () = call_all(&stage, targets, calls_per_s) => {}
         }
         let after = read(&stage).await?;
-        print_cost(instances, targets, calls_per_s, &before, &after);
+        let case = Case { instances, targets, budget, calls_per_s };
+        print_cost(&case, &before, &after);
     }
     Ok(())
 }
@@ -367,7 +396,17 @@
     }
 }
 
-fn print_cost(instances: usize, targets: usize, calls_per_s: u64, before: &Reading, after: &Reading) {
+/// One case of cost.
+struct Case {
+    instances: usize,
+    targets: usize,
+    /// Bytes a second that the plan allows.
+    budget: u32,
+    calls_per_s: u64,
+}
+
+fn print_cost(case: &Case, before: &Reading, after: &Reading) {
+    let Case { instances, targets, budget, calls_per_s } = *case;
     let seconds = after.at.duration_since(before.at).as_secs_f64();
     let per_node = |read: fn(&SentBytes) -> u64| {
         let sum = |r: &Reading| r.sent.iter().map(read).sum::<u64>();
@@ -380,7 +419,7 @@
     let share = (processor(after) - processor(before)) / instances as f64 / seconds;
     let resident = after.usage.iter().map(|u| u.resident_bytes).sum::<u64>() as f64 / instances as f64;
     println!(
-        "{instances:9} {targets:7} {calls_per_s:7} {urgent:8.0} {heartbeat:9.0} {loads:8.0} {:8.0} {:9.2}% {:5.1} MB",
+        "{instances:9} {targets:7} {budget:6} {calls_per_s:7} {urgent:8.0} {heartbeat:9.0} {loads:8.0} {:8.0} {:9.2}% {:5.1} MB",
         urgent + heartbeat + loads,
         share * 100.0,
         resident / 1e6
--- a/src/peer/budget.rs
+++ b/src/peer/budget.rs
@@ -8,7 +8,11 @@
 pub const OVERHEAD_BYTES: usize = 9 + 32 + 20;
 
 /// Time over which unspent budget gathers.
-const BURST: Duration = Duration::from_millis(250);
+const BURST: Duration = Duration::from_millis(100);
+
+/// Part of the rate that refills the bucket; with the rest, a burst and a round of load counts to 19 peers
+/// stay within the rate over ten seconds.
+const REFILL_SHARE: f64 = 0.95;
 
 /// Longest time for which spending ahead holds back what comes after.
 const DEBT_LIMIT: Duration = Duration::from_secs(2);
@@ -37,6 +41,7 @@
 /// ```
 #[derive(Debug)]
 pub struct ByteBudget {
+    /// Refilled a second: the rate times [`REFILL_SHARE`].
     bytes_per_s: f64,
     /// Invariant: between minus [`DEBT_LIMIT`] and plus [`BURST`] at the rate.
     tokens: f64,
@@ -47,14 +52,14 @@
 impl ByteBudget {
     /// Creates a full bucket.
     pub fn new(now: MonoTime, bytes_per_s: u32) -> Self {
-        let bytes_per_s = f64::from(bytes_per_s);
+        let bytes_per_s = f64::from(bytes_per_s) * REFILL_SHARE;
         Self { bytes_per_s, tokens: bytes_per_s * BURST.as_secs_f64(), updated: now, spent: [0; 3] }
     }
 
     /// Changes the rate, as the plan states it.
     pub fn set_rate(&mut self, now: MonoTime, bytes_per_s: u32) {
         self.refill(now);
-        self.bytes_per_s = f64::from(bytes_per_s);
+        self.bytes_per_s = f64::from(bytes_per_s) * REFILL_SHARE;
     }
 
     fn refill(&mut self, now: MonoTime) {
@@ -65,10 +70,10 @@
         self.updated = self.updated.max(now);
     }
 
-    /// Returns whether `bytes` for load counts may be spent now.
+    /// Returns whether `bytes` for load counts may be spent now: they are there, or the bucket is full.
     pub fn affords(&mut self, now: MonoTime, bytes: usize) -> bool {
         self.refill(now);
-        self.tokens >= bytes as f64
+        self.tokens >= (bytes as f64).min(self.bytes_per_s * BURST.as_secs_f64())
     }
 
     /// Spends bytes that were sent.
--- a/src/peer/loads.rs
+++ b/src/peer/loads.rs
@@ -8,6 +8,12 @@
 /// Longest list of counts in one frame.
 pub const MAX_COUNTS: usize = 1_024;
 
+/// Time after which counts that did not change are told anew, so that their age stays small.
+pub const REFRESH_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time after which a receiver passes on also the counts that a frame leaves unchanged.
+const PASS_ON_PERIOD: Duration = Duration::from_millis(100);
+
 /// Time over which the fastest frame is remembered.
 const FASTEST_KEPT: Duration = Duration::from_mins(1);
 
@@ -26,10 +32,13 @@
 pub struct LoadSender {
     version: PlanVersion,
     told: Vec<u32>,
+    sent_at: MonoTime,
 }
 
 impl LoadSender {
-    /// Returns the counts that changed since the last call, or `None`.
+    /// Returns the counts that changed since the last frame, or `None`.
+    ///
+    /// A frame without counts says that all is as before; it is due every [`REFRESH_PERIOD`] unless all are 0.
     ///
     /// `in_flight` has one count for each target of plan `version`, in the order of the plan.
     pub fn changes(&mut self, version: PlanVersion, in_flight: &[u32], now: MonoTime) -> Option<Loads> {
@@ -47,9 +56,11 @@
             counts.push(LoadCount { skipped: (index - next) as u32, in_flight: *actual });
             next = index + 1;
         }
-        if counts.is_empty() {
+        let refresh = now.since(self.sent_at) >= REFRESH_PERIOD && self.told.iter().any(|n| *n > 0);
+        if counts.is_empty() && !refresh {
             return None;
         }
+        self.sent_at = now;
         Some(Loads { plan_version: version, sent_at_us: now.as_micros(), counts })
     }
 }
@@ -70,10 +81,18 @@
 pub struct LoadReceiver {
     /// Least difference between this clock at receipt and the peer's at sending, and since when it is kept.
     fastest: Option<(i128, MonoTime)>,
+    version: PlanVersion,
+    /// Counts in the order of the plan's targets.
+    held: Vec<u32>,
+    /// When all counts were last passed on.
+    passed_on_at: MonoTime,
 }
 
 impl LoadReceiver {
-    /// Takes a frame; counts for another plan than `version` or beyond `targets` give nothing.
+    /// Takes a frame and returns what it tells, in the order of the plan.
+    ///
+    /// Counts for another plan than `version` or beyond `targets` give nothing. A frame also shows that the
+    /// counts it leaves out are as before; those above 0 are returned with it every 100 ms.
     pub fn take(
         &mut self,
         now: MonoTime,
@@ -85,17 +104,34 @@
         if loads.plan_version != version {
             return Vec::new();
         }
-        let mut received = Vec::with_capacity(loads.counts.len().min(targets));
+        if self.version != version || self.held.len() != targets {
+            self.version = version;
+            self.held = vec![0; targets];
+        }
+        let changed = self.apply(loads);
+        let load = |index: usize| ReceivedLoad { index, in_flight: self.held[index], age };
+        if now.since(self.passed_on_at) < PASS_ON_PERIOD {
+            return changed.into_iter().map(load).collect();
+        }
+        self.passed_on_at = now;
+        let told = |index: &usize| self.held[*index] > 0 || changed.binary_search(index).is_ok();
+        (0..targets).filter(told).map(load).collect()
+    }
+
+    /// Takes the counts and returns the positions of those within the plan, rising.
+    fn apply(&mut self, loads: &Loads) -> Vec<usize> {
+        let mut changed = Vec::with_capacity(loads.counts.len().min(self.held.len()));
         let mut next = 0_usize;
         for count in &loads.counts {
             let index = next.saturating_add(count.skipped as usize);
-            if index >= targets {
-                return received;
-            }
-            received.push(ReceivedLoad { index, in_flight: count.in_flight, age });
+            let Some(held) = self.held.get_mut(index) else {
+                return changed;
+            };
+            *held = count.in_flight;
+            changed.push(index);
             next = index + 1;
         }
-        received
+        changed
     }
 
     fn age(&mut self, now: MonoTime, sent_at_us: u64) -> Duration {
--- a/src/plan/poll.rs
+++ b/src/plan/poll.rs
@@ -14,7 +14,7 @@
     kernel::Kernel,
     membership::table::Change,
     observe::unix_s,
-    peer::{budget::OVERHEAD_BYTES, state::LoadSample},
+    peer::{budget::OVERHEAD_BYTES, loads::REFRESH_PERIOD, state::LoadSample},
     platform::ListedInstance,
     units::{InstanceId, MonoTime, PlanVersion, ServiceName},
 };
@@ -187,7 +187,8 @@
         }
         let sample = take_sample(kernel, now);
         let changed = count_changes(&last, &sample);
-        if changed > 0 && affords_round(kernel, now, changed) {
+        let refresh = now.since(last.taken_at) >= REFRESH_PERIOD && sample.in_flight.iter().any(|n| *n > 0);
+        if (changed > 0 || refresh) && affords_round(kernel, now, changed) {
             last = sample.clone();
             kernel.control.publish_loads(sample);
         }
--- a/tests/plan_follow.rs
+++ b/tests/plan_follow.rs
@@ -5,7 +5,7 @@
 use arbutusshelf::{
     membership::table::Headcount,
     peer::{
-        budget::{ByteBudget, Purpose},
+        budget::{ByteBudget, OVERHEAD_BYTES, Purpose},
         frame::{Heartbeat, LoadCount, Loads, TargetSign},
         loads::{LoadReceiver, LoadSender},
         signs::SignBoard,
@@ -314,6 +314,37 @@
     assert!(budget.spent(Purpose::Loads) > 0);
 }
 
+#[test]
+fn heartbeats_and_loads_stay_within_the_rate_in_any_ten_seconds() {
+    let rate = 21_000;
+    for (peers, count_bytes) in [(5, 40), (11, 100), (17, 40), (17, 600)] {
+        let round = peers * (OVERHEAD_BYTES + 20 + count_bytes);
+        let mut budget = ByteBudget::new(at(0), rate);
+        let mut sent = Vec::new();
+        for ms in (0..60_000).step_by(5) {
+            let mut spend = |budget: &mut ByteBudget, purpose, bytes| {
+                budget.spend(at(ms), purpose, bytes);
+                sent.push((ms, bytes));
+            };
+            if ms % 500 == 0 {
+                spend(&mut budget, Purpose::Heartbeat, peers * (OVERHEAD_BYTES + 20));
+            }
+            if budget.affords(at(ms), round) {
+                spend(&mut budget, Purpose::Loads, round);
+            }
+        }
+        for from in (0..50_000).step_by(1_000) {
+            let window = sent.iter().filter(|(ms, _)| (from..from + 10_000).contains(ms));
+            let bytes = window.map(|(_, bytes)| bytes).sum::<usize>();
+            assert!(
+                bytes <= 10 * rate as usize,
+                "{peers} peers, {count_bytes} bytes: {bytes} from {from} ms"
+            );
+        }
+        assert!(budget.spent(Purpose::Loads) > 0, "{peers} peers get counts");
+    }
+}
+
 #[test]
 fn loads_arrive_as_they_are() {
     let mut sender = LoadSender::default();
@@ -333,6 +364,21 @@
     }
 }
 
+#[test]
+fn a_long_request_stays_known_without_changes() {
+    let mut sender = LoadSender::default();
+    let mut receiver = LoadReceiver::default();
+    let first = sender.changes(1.into(), &[1, 0], at(1_000)).expect("a change");
+    assert_eq!(receiver.take(at(1_000), 1.into(), 2, &first).len(), 1);
+    assert_eq!(sender.changes(1.into(), &[1, 0], at(1_499)), None);
+    let again = sender.changes(1.into(), &[1, 0], at(1_500)).expect("all is as before");
+    assert!(again.counts.is_empty());
+    let told = receiver.take(at(1_500), 1.into(), 2, &again);
+    assert_eq!(told.iter().map(|l| (l.index, l.in_flight)).collect::<Vec<_>>(), [(0, 1)]);
+    sender.changes(1.into(), &[0, 0], at(1_600)).expect("a change");
+    assert_eq!(sender.changes(1.into(), &[0, 0], at(9_000)), None, "nothing in flight needs no word");
+}
+
 #[test]
 fn loads_of_another_plan_or_beyond_its_targets_give_nothing() {
     let counts = vec![LoadCount { skipped: 0, in_flight: 1 }, LoadCount { skipped: u32::MAX, in_flight: 2 }];
