Let plans, intentions and signs reach the pools in one order

Cause: a drain worked out by one thread could be applied after a return worked out by another, and a plan's drains could reach the pools that it was about to replace. Change: one lock is held from the comparison of versions until the pools have it; a version counts as in force once the pools follow it.

--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -1,7 +1,7 @@
 //! The kernel: shared tables, plug-ins and the state of this instance.
 //!
-//! Lock order across the tables: members, services, one pool, one connection list. No lock is held across an
-//! await.
+//! Lock order across the tables: members, control state, services, one pool, one connection list. No lock
+//! is held across an await.
 
 pub mod clock;
 pub mod pools;
@@ -33,7 +33,7 @@
     peer::{frame::TargetSign, state::ControlState},
     plan::{
         Plan,
-        intentions::{DrainChange, must_leave},
+        intentions::{DrainChange, Intentions, must_leave},
         keeper::PlanInForce,
     },
     platform::{Platform, guard::GuardedPlatform, share::Purpose},
@@ -164,30 +164,36 @@
     /// Puts a plan in force if it is newer; returns whether it was.
     pub fn offer_plan(&self, plan: Plan) -> bool {
         let version = plan.version;
-        if !self.plan.offer(plan) {
+        // Held to the end, so that plans, intentions and signs reach the pools in one order.
+        let mut intentions = self.control.intentions();
+        if version <= self.plan.version() {
             return false;
         }
+        self.pools.apply(&plan);
         self.control.follower().rose(version);
-        let plan = self.plan.current();
         self.control.budget().set_rate(self.clock.now(), plan.budgets.control_bytes_per_s);
-        self.pools.apply(&plan);
-        self.apply_intentions(unix_s());
         self.store.follow(&plan.budgets);
+        self.plan.offer(plan);
+        self.carry_out(&mut intentions, unix_s());
         log::info!("event=plan-in-force version={version}");
         true
     }
 
     /// Carries out the intentions of the plan in force whose time has come.
     pub fn apply_intentions(&self, now_unix_s: u64) {
+        self.carry_out(&mut self.control.intentions(), now_unix_s);
+    }
+
+    fn carry_out(&self, intentions: &mut Intentions, now_unix_s: u64) {
         let plan = self.plan.current();
         if must_leave(&plan, &self.config.instance, self.started_unix_s, now_unix_s) {
             self.leave();
         }
-        let changes = self.control.intentions().follow(&plan, now_unix_s);
+        let changes = intentions.follow(&plan, now_unix_s);
         if changes.is_empty() {
             return;
         }
-        self.control.drop_outdated_signs();
+        self.control.drop_outdated_signs(intentions);
         for change in &changes {
             self.set_draining(change);
         }
@@ -208,8 +214,10 @@
 
     /// Takes a sign of draining and passes it on; returns whether it was news.
     pub fn sign_draining(&self, sign: &TargetSign) -> bool {
-        let change = self.control.intentions().sign(sign);
-        let Some(change) = change else { return false };
+        let mut intentions = self.control.intentions();
+        let Some(change) = intentions.sign(sign) else {
+            return false;
+        };
         self.set_draining(&change);
         self.control.add_sign(sign.clone());
         true
--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -40,7 +40,7 @@
 
 /// State of the control plane that the edges share; each lock is held for one step.
 ///
-/// Lock order: members, then one of these, then the table of services.
+/// Lock order: members, intentions, any one of the others, the table of services.
 #[derive(Debug)]
 pub struct ControlState {
     follower: Mutex<Follower>,
@@ -133,8 +133,7 @@
     }
 
     /// Drops the signs from before the latest return of their targets.
-    pub fn drop_outdated_signs(&self) {
-        let intentions = self.intentions();
+    pub fn drop_outdated_signs(&self, intentions: &Intentions) {
         let outdated =
             |sign: &TargetSign| sign.after_return_unix_s < intentions.returned_unix_s(&sign.target);
         lock(&self.signs).drop_where(outdated);
