--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,9 +1,11 @@
 //! Stand-ins, load, trace replay and experiments for arbutusshelf; not shipped.
 
 pub mod allocations;
+pub mod claim_load;
 pub mod client;
 pub mod control;
 pub mod deployment;
+pub mod fault_run;
 pub mod flood;
 pub mod gateway;
 pub mod http;
@@ -12,6 +14,7 @@
 pub mod plan_size;
 pub mod platform;
 pub mod process;
+pub mod relay;
 pub mod scripted;
 pub mod store_outage;
 pub mod target;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,7 +4,7 @@
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
 use arbutusshelf_bench::{
-    allocations::CountingAllocator, control, flood, latency, observe_cost, plan_size,
+    allocations::CountingAllocator, claim_load, control, fault_run, flood, latency, observe_cost, plan_size,
     platform::PlatformStandIn, store_outage, target::TargetStandIn, tour,
 };
 use argh::FromArgs;
@@ -25,6 +25,8 @@
 enum Command {
     Tour(Tour),
     StoreOutage(store_outage::Args),
+    FaultRun(fault_run::Args),
+    ClaimLoad(claim_load::Args),
     PlanSize(plan_size::Args),
     Control(control::Args),
     ObserveCost(observe_cost::Args),
@@ -102,6 +104,14 @@
             store_outage::run(&args).await?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::FaultRun(args) => {
+            let counts = fault_run::run(&args).await?;
+            Ok(if counts.broken().is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
+        Command::ClaimLoad(args) => {
+            claim_load::run(&args).await?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Control(args) => {
             control::run(&args).await?;
             Ok(ExitCode::SUCCESS)
