Follow requests through the logs by their identifier; count what is refused before it is a call

Cause: refusals left no line and, before a call was known, no count; a caller's identifier went nowhere. Change: one line for each refused request or call, with the caller's own identifier if well-formed; it goes to the target and back to the caller; time to the first send is the queue wait; claims log a digest in place of the key. Figures: six hostile requests against the binary leave one plain line each, without key or body.

--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -170,5 +170,5 @@
         }
         tokio::time::sleep(RETRY_PAUSE).await;
     }
-    log::warn!("event=claim-not-released key={}", crate::logging::Quoted(&key.0));
+    log::warn!("event=claim-not-released key={}", crate::logging::escape::Hidden(&key.0));
 }
--- /dev/null
+++ b/src/observe/calls.rs
@@ -0,0 +1,79 @@
+//! What the call path tells: why a request was refused, and how long a call waited.
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use hyper::http::request::Parts;
+
+use super::{request_id::RequestId, tally::CallEnd};
+use crate::{
+    error::ErrorKind,
+    kernel::Kernel,
+    logging::Quoted,
+    plan::RequestKind,
+    units::{CallId, MonoTime, ServiceName},
+};
+
+/// Takes over or makes the identifier of a call, and keeps a caller's own for questions about it.
+pub fn identify(kernel: &Kernel, given: Option<&[u8]>, call: CallId) -> RequestId {
+    let id = RequestId::new(given, kernel.run_id, call);
+    let own = given.is_some_and(|given| given == id.as_str().as_bytes());
+    if own {
+        kernel.observer.caller_names.note(id.as_str(), call);
+    }
+    id
+}
+
+/// Logs and counts a request that was refused before it became a call.
+pub fn refused_early(kernel: &Kernel, head: &Parts, cause: ErrorKind) {
+    let path = head.uri.path();
+    log::info!(
+        "event=request-refused cause={cause} method={} path={}",
+        Quoted(head.method.as_str()),
+        Quoted(path)
+    );
+    let plan = kernel.plan.current();
+    let service = plan.service_for_path(path);
+    let route = service.and_then(|s| s.route(head.method.as_str(), path));
+    kernel.tally.record(CallEnd {
+        service: service.map(|s| s.name.clone()),
+        kind: route.map_or(RequestKind::Unstated, |r| r.kind),
+        outcome: cause.answer().outcome,
+        cause: Some(cause),
+        useful: false,
+        latency: Duration::ZERO,
+        queue_wait: Duration::ZERO,
+        head_of_line: Duration::ZERO,
+    });
+}
+
+/// Logs a call that ends without a whole answer of a target.
+pub fn refused(request: &RequestId, service: &ServiceName, cause: ErrorKind) {
+    let outcome = cause.answer().outcome;
+    log::info!("event=call-refused request={request} service={service} outcome={outcome} cause={cause}");
+}
+
+/// When a call was first sent, if it was.
+#[derive(Debug, Default)]
+pub struct FirstSend {
+    /// Microseconds on the process's clock; 0 until the first send.
+    at_us: AtomicU64,
+}
+
+impl FirstSend {
+    /// Notes a send; later ones change nothing.
+    pub fn note(&self, now: MonoTime) {
+        let at_us = now.as_micros().max(1);
+        let _earlier = self.at_us.compare_exchange(0, at_us, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    /// Returns the time from `arrived` to the first send, or to `now` for a call that was never sent.
+    pub fn queue_wait(&self, arrived: MonoTime, now: MonoTime) -> Duration {
+        match self.at_us.load(Ordering::Relaxed) {
+            0 => now.since(arrived),
+            at_us => MonoTime::from(at_us).since(arrived),
+        }
+    }
+}
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -1,5 +1,6 @@
 //! Seeing what the instance does: counts, roll-ups, metrics and the burn report.
 
+pub mod calls;
 pub mod choices;
 pub mod counts;
 pub mod coverage;
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -29,7 +29,11 @@
         InProgress, Kernel,
         pools::{Directive, PoolCell},
     },
-    observe::tally::CallEnd,
+    observe::{
+        calls::{self, FirstSend},
+        request_id::RequestId,
+        tally::CallEnd,
+    },
     plan::{Priority, RequestKind, ServiceSpec, TargetSpec},
     units::{CallId, MonoTime, ServiceName},
 };
@@ -62,6 +66,9 @@
     /// Time within which an answer must begin to count as useful.
     useful_within: Duration,
     refusal_means_not_run: bool,
+    /// Follows the call to the target and through the logs.
+    pub request_id: RequestId,
+    first_send: FirstSend,
 }
 
 impl CallContext {
@@ -82,8 +89,10 @@
         let position = route.and_then(|r| service.routes.iter().position(|other| other == r));
         let kind = route.map_or(RequestKind::Unstated, |r| r.kind);
         let deadline = arrived + super::deadline(service, head)?;
+        let id = kernel.next_call();
+        let given = head.headers.get(headers::REQUEST_ID).map(HeaderValue::as_bytes);
         let call = Call {
-            id: kernel.next_call(),
+            id,
             route: position.map_or(RouteKey::UNLISTED, |p| RouteKey(p as u32)),
             kind,
             priority: route.map_or(Priority::Normal, |r| r.priority),
@@ -100,14 +109,11 @@
             call,
             useful_within: Duration::from_millis(service.objective.latency_ms),
             refusal_means_not_run: service.refusal_means_not_run,
+            request_id: calls::identify(kernel, given, id),
+            first_send: FirstSend::default(),
         })
     }
 
-    /// Returns the identifier that follows the call to the target and through the logs.
-    pub fn request_id(&self) -> String {
-        format!("{}-{}", self.kernel.run_id, self.call.id)
-    }
-
     fn remaining(&self) -> Duration {
         self.deadline.since(self.kernel.clock.now())
     }
@@ -115,12 +121,14 @@
     /// Counts the end of the call and makes an answer for `kind`.
     pub fn refuse(&self, kind: ErrorKind, retry_after: Option<Duration>) -> Response<AnswerBody> {
         self.count(kind.answer().outcome, Some(kind), false);
+        calls::refused(&self.request_id, &self.service, kind);
         refusal(kind, retry_after)
     }
 
     /// Counts the end of the call.
     pub fn count(&self, outcome: Outcome, cause: Option<ErrorKind>, answered_well: bool) {
-        let latency = self.kernel.clock.now().since(self.arrived);
+        let now = self.kernel.clock.now();
+        let latency = now.since(self.arrived);
         let useful = answered_well && latency <= self.useful_within;
         self.kernel.tally.record(CallEnd {
             service: Some(self.service.clone()),
@@ -129,7 +137,7 @@
             cause,
             useful,
             latency,
-            queue_wait: Duration::ZERO,
+            queue_wait: self.first_send.queue_wait(self.arrived, now),
             head_of_line: Duration::ZERO,
         });
     }
@@ -276,6 +284,7 @@
     ) -> Option<CallResult> {
         match directive {
             Some(Directive::Send { attempt, target }) => {
+                context.first_send.note(context.kernel.clock.now());
                 let (cancel, cancelled) = tokio::sync::oneshot::channel();
                 self.cancels.push((attempt, cancel));
                 let sent = send(context, parts, attempt, target);
@@ -405,7 +414,7 @@
     fields.insert(headers::DEADLINE_MS, HeaderValue::from(remaining_ms));
     let attempts = context.call.prior_attempts.saturating_add(attempt.0);
     fields.insert(headers::ATTEMPT, HeaderValue::from(attempts));
-    fields.insert(headers::REQUEST_ID, HeaderValue::from_str(&context.request_id()).ok()?);
+    fields.insert(headers::REQUEST_ID, HeaderValue::from_str(context.request_id.as_str()).ok()?);
     Some(request)
 }
 
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -5,7 +5,10 @@
     header::{self, HeaderName, HeaderValue},
 };
 
-use crate::error::{ErrorKind, Outcome};
+use crate::{
+    error::{ErrorKind, Outcome},
+    observe::request_id::RequestId,
+};
 
 /// What a caller is told about its request.
 pub const OUTCOME: HeaderName = HeaderName::from_static("arbutusshelf-outcome");
@@ -105,6 +108,13 @@
     headers.insert(OUTCOME, HeaderValue::from_static(text));
 }
 
+/// Tells a caller the identifier of its request.
+pub fn set_request_id<B>(response: &mut Response<B>, id: &RequestId) {
+    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+        response.headers_mut().insert(REQUEST_ID, value);
+    }
+}
+
 /// Tells a caller on HTTP/1.1 to open a new connection for its next request.
 pub fn announce_close<B>(response: &mut Response<B>) {
     if response.version() == Version::HTTP_11 {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -29,7 +29,9 @@
 use crate::{
     error::ErrorKind,
     kernel::Kernel,
+    observe::calls,
     plan::{RequestKind, ServiceSpec},
+    units::MonoTime,
 };
 
 /// Pause after a failed accept, such as for lack of file descriptors.
@@ -84,7 +86,12 @@
 async fn handle(kernel: Arc<Kernel>, request: Request<Incoming>) -> Response<AnswerBody> {
     let _in_progress = kernel.enter();
     let mut response = match prepare(&kernel, request).await {
-        Ok((context, parts)) => run(context, parts).await,
+        Ok((context, parts)) => {
+            let id = context.request_id.clone();
+            let mut response = run(context, parts).await;
+            headers::set_request_id(&mut response, &id);
+            response
+        }
         Err(kind) => refusal(kind, None),
     };
     if kernel.is_leaving() {
@@ -99,13 +106,29 @@
     request: Request<Incoming>,
 ) -> Result<(CallContext, RequestParts), ErrorKind> {
     let arrived = kernel.clock.now();
-    kernel.admit()?;
     let (head, body) = request.into_parts();
+    let checked = check(kernel, &head, arrived, body).await;
+    match checked {
+        Ok((context, body)) => Ok((context, RequestParts { head, body })),
+        Err(cause) => {
+            calls::refused_early(kernel, &head, cause);
+            Err(cause)
+        }
+    }
+}
+
+async fn check(
+    kernel: &Arc<Kernel>,
+    head: &hyper::http::request::Parts,
+    arrived: MonoTime,
+    body: Incoming,
+) -> Result<(CallContext, Bytes), ErrorKind> {
+    kernel.admit()?;
     let plan = kernel.plan.current();
     let service = plan.service_for_path(head.uri.path()).ok_or(ErrorKind::UnknownService)?;
-    let context = CallContext::new(kernel, service, arrived, &head)?;
+    let context = CallContext::new(kernel, service, arrived, head)?;
     let body = collect(kernel, body).await?;
-    Ok((context, RequestParts { head, body }))
+    Ok((context, body))
 }
 
 async fn collect(kernel: &Kernel, body: Incoming) -> Result<Bytes, ErrorKind> {
--- a/tests/observe_admin.rs
+++ b/tests/observe_admin.rs
@@ -132,3 +132,52 @@
     let _ended = stream.read_to_end(&mut answer);
     String::from_utf8_lossy(&answer).into_owned()
 }
+
+/// Requests with text that would forge a line or a key if it could, and with a key and a body to keep out.
+const HOSTILE: [&str; 6] = [
+    "GET /no-such/%0aat_ms=1%20level=ERROR%20event=forged HTTP/1.1\r\nhost: a\r\n\r\n",
+    "GET /hallenplan/x HTTP/1.1\r\nhost: a\r\narbutusshelf-request-id: x event=forged y\r\n\r\n",
+    "GET /hallenplan/x HTTP/1.1\r\nhost: a\r\narbutusshelf-request-id: abcdefgh\u{2028}event=forged\r\n\r\n",
+    "GET /hallenplan/x HTTP/1.1\r\nhost: a\r\narbutusshelf-deadline-ms: 1 event=forged\r\n\r\n",
+    "POST /mietkasse/charges HTTP/1.1\r\nhost: a\r\nidempotency-key: card-4711\r\ncontent-length: 11\r\n\r\nsecret-body",
+    "GET /hallenplan/\u{2028}event=forged HTTP/1.1\r\nhost: a\r\n\r\n",
+];
+
+#[test]
+fn hostile_requests_leave_one_plain_line_each_and_no_key_or_body() {
+    let env = TestEnv::new();
+    let mut instance =
+        env.serve("kremsau-01", &serde_json::json!({"log_levels": {"arbutusshelf::proxy": "debug"}}));
+    // No target of the example listens, so every call that is well-formed ends as not run.
+    let sheet = env.write("sheet.csv", include_str!("../examples/kremsau.csv"));
+    let admin = instance.admin.to_string();
+    let output = env.run(&["plan", "submit", &sheet, "--to", &admin, "--change-id", "first"]);
+    assert_eq!(output.status.code(), Some(0), "{}", testenv::stderr(&output));
+    for request in HOSTILE {
+        let request = request.replacen("host: a\r\n", "host: a\r\nconnection: close\r\n", 1);
+        exchange(instance.callers, request.as_bytes());
+    }
+    let own = "GET /hallenplan/x HTTP/1.1\r\nhost: a\r\nconnection: close\r\narbutusshelf-request-id: order-4711-a\r\n\r\n";
+    let answer = exchange(instance.callers, own.as_bytes());
+    assert!(answer.contains("arbutusshelf-request-id: order-4711-a"), "{answer}");
+    exchange(instance.admin, b"POST /leave HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    let lines = instance.log_until("event=left");
+    for line in &lines {
+        let body = line.strip_suffix('\n').expect("a line ends");
+        assert!(body.starts_with("at_ms="), "{line:?}");
+        assert!(
+            !body.contains(|c: char| c.is_control() || ('\u{2028}'..='\u{202e}').contains(&c)),
+            "{line:?}"
+        );
+        let unquoted = body.split('"').step_by(2).collect::<String>();
+        let events = unquoted.split(' ').filter(|pair| pair.starts_with("event=")).collect::<Vec<_>>();
+        assert_eq!(events.len(), 1, "{line:?}");
+        assert_ne!(events[0], "event=forged", "{line:?}");
+        assert!(!line.contains("card-4711") && !line.contains("secret-body"), "{line:?}");
+    }
+    let refused = lines.iter().filter(|l| l.contains("event=request-refused")).count();
+    assert!(refused >= 2, "unknown service and bad deadline are refused before they are calls: {lines:?}");
+    let followed =
+        lines.iter().any(|l| l.contains("event=call-refused") && l.contains("request=order-4711-a"));
+    assert!(followed, "the caller's own identifier is in its line: {lines:?}");
+}
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -122,6 +122,18 @@
         line
     }
 
+    /// Reads the log up to and with a line that contains `text`.
+    pub fn log_until(&mut self, text: &str) -> Vec<String> {
+        let mut lines = Vec::<String>::new();
+        while !lines.last().is_some_and(|line| line.contains(text)) {
+            let mut line = String::new();
+            let read = self.log.read_line(&mut line).expect("the log is text");
+            assert!(read > 0, "the log ended before {text:?}");
+            lines.push(line);
+        }
+        lines
+    }
+
     /// Waits for the end of the process.
     pub fn wait_end(&mut self) -> Option<i32> {
         let started = Instant::now();
