--- a/bench/src/http.rs
+++ b/bench/src/http.rs
@@ -1,6 +1,16 @@
 //! The little HTTP serving that both stand-ins share.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
@@ -8,7 +18,8 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use tokio::{
-    net::TcpListener,
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::{TcpListener, TcpStream},
     task::{JoinHandle, JoinSet},
 };
 
@@ -20,11 +31,116 @@
 /// Answer of a stand-in.
 pub type Answer = Response<BoxBody<Bytes, Cut>>;
 
+/// How a server treats its connections.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectionLimits {
+    /// Connections it accepts at once; further ones are closed at once.
+    pub max_connections: usize,
+    /// Time to open one.
+    pub open_time: Duration,
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> Self {
+        Self { max_connections: usize::MAX, open_time: Duration::ZERO }
+    }
+}
+
+/// Connections of a server, for faults and counts.
+#[derive(Debug, Default)]
+pub struct ConnectionTable {
+    /// Switches of the open connections; true for frozen.
+    open: Mutex<Vec<Weak<AtomicBool>>>,
+    accepted: AtomicUsize,
+    refused: AtomicUsize,
+}
+
+impl ConnectionTable {
+    /// Freezes every open connection: nothing more is read or written, and none is closed.
+    pub fn freeze_open(&self) {
+        for switch in self.lock().iter().filter_map(Weak::upgrade) {
+            switch.store(true, Ordering::Release);
+        }
+    }
+
+    /// Returns the number of open connections.
+    pub fn open(&self) -> usize {
+        self.lock().iter().filter(|s| s.strong_count() > 0).count()
+    }
+
+    /// Returns the number of connections ever accepted.
+    pub fn accepted(&self) -> usize {
+        self.accepted.load(Ordering::Acquire)
+    }
+
+    /// Returns the number of connections closed at once because there were too many.
+    pub fn refused(&self) -> usize {
+        self.refused.load(Ordering::Acquire)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Weak<AtomicBool>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn accept(&self, limits: ConnectionLimits) -> Option<Arc<AtomicBool>> {
+        let mut open = self.lock();
+        open.retain(|s| s.strong_count() > 0);
+        if open.len() >= limits.max_connections {
+            self.refused.fetch_add(1, Ordering::AcqRel);
+            return None;
+        }
+        let switch = Arc::new(AtomicBool::new(false));
+        open.push(Arc::downgrade(&switch));
+        self.accepted.fetch_add(1, Ordering::AcqRel);
+        Some(switch)
+    }
+}
+
+/// A stream that goes silent once its switch is set.
+struct Freezable {
+    inner: TcpStream,
+    frozen: Arc<AtomicBool>,
+}
+
+impl Freezable {
+    fn poll<T>(self: Pin<&mut Self>, poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<T>) -> Poll<T> {
+        let this = self.get_mut();
+        // Nothing wakes a frozen stream: it stays silent for good.
+        if this.frozen.load(Ordering::Acquire) { Poll::Pending } else { poll(Pin::new(&mut this.inner)) }
+    }
+}
+
+impl AsyncRead for Freezable {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        self.poll(|inner| inner.poll_read(cx, buffer))
+    }
+}
+
+impl AsyncWrite for Freezable {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<std::io::Result<usize>> {
+        self.poll(|inner| inner.poll_write(cx, bytes))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        self.poll(|inner| inner.poll_flush(cx))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        self.poll(|inner| inner.poll_shutdown(cx))
+    }
+}
+
 /// A server that stops, with its connections, when dropped.
 #[derive(Debug)]
 pub struct Server {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Its connections.
+    pub connections: Arc<ConnectionTable>,
     task: JoinHandle<()>,
 }
 
@@ -42,6 +158,23 @@
 ///
 /// The I/O error of binding.
 pub async fn serve<F, R>(address: SocketAddr, handle: F) -> std::io::Result<Server>
+where
+    F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
+    R: Future<Output = Result<Answer, Cut>> + Send + 'static,
+{
+    serve_limited(address, ConnectionLimits::default(), handle).await
+}
+
+/// Serves as [`serve`] does, within limits for connections.
+///
+/// # Errors
+///
+/// The I/O error of binding.
+pub async fn serve_limited<F, R>(
+    address: SocketAddr,
+    limits: ConnectionLimits,
+    handle: F,
+) -> std::io::Result<Server>
 where
     F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
     R: Future<Output = Result<Answer, Cut>> + Send + 'static,
@@ -49,20 +182,27 @@
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let handle = Arc::new(handle);
+    let table = Arc::new(ConnectionTable::default());
+    let connections = Arc::clone(&table);
     let task = tokio::spawn(async move {
-        let mut connections = JoinSet::new();
+        let mut served = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
+            let Some(frozen) = table.accept(limits) else { continue };
             let _best_effort = stream.set_nodelay(true);
+            let stream = Freezable { inner: stream, frozen };
             let handle = Arc::clone(&handle);
             let service = service_fn(move |request| handle(request));
-            connections.spawn(async move {
+            served.spawn(async move {
+                if !limits.open_time.is_zero() {
+                    tokio::time::sleep(limits.open_time).await;
+                }
                 // A cut connection is a fault that was asked for.
                 let _cut = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
             });
-            while connections.try_join_next().is_some() {}
+            while served.try_join_next().is_some() {}
         }
     });
-    Ok(Server { address, task })
+    Ok(Server { address, connections, task })
 }
 
 /// Makes an answer of whole bytes.
