--- a/bench/src/fault_run.rs
+++ b/bench/src/fault_run/mod.rs
@@ -1,5 +1,8 @@
 //! At-most-once calls under faults of the store, the targets and their connections at once.
 
+mod charge;
+mod counts;
+
 use std::{
     sync::{
         Arc, Mutex, PoisonError,
@@ -13,23 +16,24 @@
     claims::row_key,
     decide::claim::{ClaimRow, ClaimState},
     error::{Error, ErrorKind, Result},
-    proxy::headers::{ATTEMPT, IDEMPOTENCY_KEY},
     units::ServiceName,
 };
 use argh::FromArgs;
 use bytes::Bytes;
-use derive_more::AddAssign;
 use futures::future::join_all;
-use http_body_util::Full;
-use hyper::{Method, Request};
+use hyper::Method;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
+pub use self::counts::Counts;
+use self::{
+    charge::Charge,
+    counts::{KeyLog, note},
+};
 use crate::{
-    client::{Caller, Received},
+    client::Caller,
     deployment::{ANY_PORT, Deployment, LocalInstance, Targets},
     platform::{Faults, PlatformStandIn},
     relay::{LinkFault, Relay},
-    target::content,
 };
 
 /// Time for which one set of faults is in force.
@@ -47,9 +51,6 @@
 /// Share of keys whose first call is sent to two instances at once.
 const SHARE_AT_ONCE: f64 = 0.3;
 
-/// Bytes of the larger answers; beyond what a row holds.
-const LARGE_BYTES: usize = 40_000;
-
 /// Run at-most-once calls under all faults at once and check the promises by the targets' logs.
 #[derive(Debug, Clone, FromArgs)]
 #[argh(subcommand, name = "fault-run")]
@@ -68,59 +69,6 @@
     pub callers: usize,
 }
 
-/// What was counted.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, AddAssign)]
-pub struct Counts {
-    /// Calls sent.
-    pub calls: u64,
-    /// Calls told ran.
-    pub ran: u64,
-    /// Of these, answers that were stored.
-    pub stored: u64,
-    /// Calls told not-run.
-    pub not_run: u64,
-    /// Calls told unknown.
-    pub unknown: u64,
-    /// Calls that got no whole answer.
-    pub no_answer: u64,
-    /// Keys that ran more than once.
-    pub double_runs: u64,
-    /// Answers not-run to a call whose key had run before the call began.
-    pub not_run_after_run: u64,
-    /// Keys that ran and whose every call was told not-run.
-    pub not_run_only: u64,
-    /// Answers not-run to a call beside which another call of the key, begun before its end, ran.
-    pub not_run_beside_run: u64,
-    /// Keys told ran with a success that never ran.
-    pub ran_without_run: u64,
-    /// Answers told ran with a body that is not the target's.
-    pub wrong_bodies: u64,
-    /// Keys whose row is open after the limit.
-    pub open_keys: u64,
-    /// Keys whose last call, after the faults, was told nothing final.
-    pub unsettled_calls: u64,
-    /// Keys whose row says that they were sent without an answer.
-    pub unsettled_rows: u64,
-    /// Keys that ran.
-    pub keys_run: u64,
-}
-
-impl Counts {
-    /// Returns the names of the promises that were broken.
-    pub fn broken(&self) -> Vec<&'static str> {
-        let promises = [
-            ("double runs", self.double_runs),
-            ("not-run for a key that had run", self.not_run_after_run),
-            ("not-run alone for a key that ran", self.not_run_only),
-            ("ran for a key that did not run", self.ran_without_run),
-            ("wrong bodies", self.wrong_bodies),
-            ("open keys", self.open_keys),
-            ("keys without a final answer", self.unsettled_calls),
-        ];
-        promises.into_iter().filter(|(_, count)| *count > 0).map(|(name, _)| name).collect()
-    }
-}
-
 /// Runs the experiment and prints its counts.
 ///
 /// # Errors
@@ -149,20 +97,6 @@
     Error::new(ErrorKind::AddressUnavailable, e.to_string())
 }
 
-/// One key with what its calls were told.
-#[derive(Debug, Clone, Default)]
-struct KeyLog {
-    /// Calls told ran.
-    ran: u64,
-    not_run: u64,
-    others: u64,
-    /// Whether a call was passed a success of the target.
-    succeeded: bool,
-    counts: Counts,
-    /// Whether the call after the faults was told ran or that the key is unsettled for good.
-    last_outcome: String,
-}
-
 struct Stage {
     args: Args,
     platform: PlatformStandIn,
@@ -175,52 +109,6 @@
     ended: AtomicBool,
 }
 
-/// One at-most-once request.
-struct Charge {
-    service: &'static str,
-    number: usize,
-    path: String,
-    body_bytes: Option<usize>,
-}
-
-impl Charge {
-    fn new(number: usize, seed: u64) -> Self {
-        let mut rng = SmallRng::seed_from_u64(seed ^ (number as u64) << 20);
-        let service = if rng.random_bool(0.5) { "mietkasse" } else { "paarbuch" };
-        let route = if service == "mietkasse" { "charges" } else { "confirmations" };
-        let body_bytes = match rng.random_range(0..10) {
-            0 => Some(LARGE_BYTES),
-            1..=3 => Some(rng.random_range(1..2_000)),
-            _ => None,
-        };
-        let query = body_bytes.map_or_else(String::new, |n| format!("&bytes={n}"));
-        let work_us = rng.random_range(200..4_000);
-        let path = format!("/{service}/{route}/{number}?work_us={work_us}{query}");
-        Self { service, number, path, body_bytes }
-    }
-
-    fn key(&self) -> String {
-        format!("key-{}", self.number)
-    }
-
-    fn expected(&self) -> Bytes {
-        let path = self.path.split('?').next().unwrap_or_default();
-        match self.body_bytes {
-            Some(size) => content(path, size),
-            None => Bytes::from(format!("\"{path}\"")),
-        }
-    }
-
-    fn request(&self, instance: &LocalInstance, attempt: u32) -> Option<Request<Full<Bytes>>> {
-        let request = Request::builder()
-            .method(Method::POST)
-            .uri(format!("http://{}{}", instance.callers(), self.path))
-            .header(IDEMPOTENCY_KEY, self.key());
-        let request = if attempt > 0 { request.header(ATTEMPT, attempt) } else { request };
-        request.body(Full::new(Bytes::from(format!("{{\"amount\":{}}}", self.number)))).ok()
-    }
-}
-
 impl Stage {
     async fn start(args: &Args) -> Result<Self> {
         let platform = PlatformStandIn::start(ANY_PORT, args.seed).await.map_err(|e| unavailable(&e))?;
@@ -425,27 +313,6 @@
     }
 }
 
-fn note(log: &mut KeyLog, charge: &Charge, received: &Received) {
-    match received.outcome() {
-        "ran" => {
-            log.ran += 1;
-            log.counts.ran += 1;
-            log.counts.stored += u64::from(received.headers.contains_key("arbutusshelf-stored"));
-            let is_answer = received.status == 200;
-            log.succeeded |= is_answer;
-            log.counts.wrong_bodies += u64::from(is_answer && received.body != charge.expected());
-        }
-        "not-run" => {
-            log.not_run += 1;
-            log.counts.not_run += 1;
-        }
-        _ => {
-            log.others += 1;
-            log.counts.unknown += 1;
-        }
-    }
-}
-
 fn store_faults(rng: &mut SmallRng) -> Faults {
     let mut share = |likely: f64, share: f64| if rng.random_bool(likely) { share } else { 0.0 };
     let (lost, refused) = (share(0.4, 0.3), share(0.3, 0.3));
--- a/src/decide/claim/mod.rs
+++ b/src/decide/claim/mod.rs
@@ -43,12 +43,14 @@
 //! ```
 
 mod message;
+mod phase;
 mod retention;
 mod row;
 mod rules;
 
 use std::time::Duration;
 
+use self::phase::{KeyKnowledge, Phase, Step};
 pub use self::{
     message::{
         Action, ClaimSpec, ClaimWrite, Event, FoundRow, NotRead, RowCondition, SendEnd, Verdict, Wrote,
@@ -68,43 +70,6 @@
 /// Longest pause once the caller has its answer.
 const MAX_BACKGROUND_PAUSE: Duration = Duration::from_secs(5);
 
-/// What the machine is doing; at most one operation on the table is in progress.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Phase {
-    /// Wants the row.
-    Claiming,
-    /// Another claim has had the row open, at this version, at least since this time.
-    Waiting(Version, MonoTime),
-    /// Holds the row; the request may be sent.
-    Sending,
-    /// Holds the row and brings it to its last state.
-    Settling(ClaimState),
-    /// Never sends again; makes sure that no claim of its token stays or comes back.
-    Releasing,
-    Finished,
-}
-
-/// Operation on the table.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Step {
-    /// Write the row open under the own token.
-    Claim,
-    /// Write the row's last state.
-    Settle,
-    Read,
-}
-
-/// What the claim has learned of the key.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum KeyKnowledge {
-    /// Nothing yet.
-    Nothing,
-    /// No request with the key had run when the row was read.
-    Free,
-    /// A request with the key may have run.
-    MayHaveRun,
-}
-
 /// One call's claim on its key.
 #[derive(Debug, Clone)]
 pub struct Claim {
