--- a/bench/src/target.rs
+++ b/bench/src/target.rs
@@ -1,6 +1,8 @@
 //! Stand-in of a target: slots, queue, load reports, faults, and a log of what ran.
 
 use std::{
+    collections::VecDeque,
+    fmt::Write,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -11,19 +13,32 @@
 
 use arbutusshelf::{
     collections::HashMap,
-    proxy::headers::{IDEMPOTENCY_KEY, LOAD, TARGET_STATE},
+    proxy::headers::{DEADLINE_MS, IDEMPOTENCY_KEY, LOAD, TARGET_STATE},
 };
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, StreamBody, combinators::BoxBody};
 use hyper::{
-    Request, StatusCode,
-    body::Incoming,
-    header::{self, HeaderValue},
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::{Frame, Incoming},
+    header::{self, HeaderName, HeaderValue},
 };
 use serde::{Deserialize, Serialize};
-use tokio::sync::Semaphore;
+use sha2::{Digest, Sha256};
+use tokio::sync::{Semaphore, SemaphorePermit};
 
-use crate::http::{Answer, Cut, Server, json, query, serve, whole};
+use crate::http::{Answer, ConnectionLimits, Cut, Server, json, query, serve_limited, whole};
+
+/// Length and SHA-256 of the body that a target received, on its answers.
+pub const RECEIVED: HeaderName = HeaderName::from_static("stand-in-received");
+
+/// Requests that a target is cold for.
+pub const COLD_REQUESTS: u32 = 20;
+
+/// Requests that a target remembers.
+const MAX_SEEN: usize = 1_000;
+
+/// Bytes of one piece of an answer.
+const PIECE_BYTES: usize = 16 << 10;
 
 /// Time to answer a probe.
 const PROBE_TIME: Duration = Duration::from_millis(6);
@@ -42,11 +57,67 @@
     pub fail_fast: bool,
     /// Every request is answered 503 with `Retry-After` and does not run.
     pub shed: bool,
+    /// Further factor on the service time of the first [`COLD_REQUESTS`] requests.
+    pub cold_factor: f64,
+    /// Answers of a stated size stop for good at this byte of the content.
+    pub stall_at: Option<u64>,
+    /// Answers of a stated size are cut at this byte of the content.
+    pub cut_at: Option<u64>,
+    /// How the end of answers of a stated size is told.
+    pub framing: Framing,
+    /// Validator of answers of a stated size.
+    pub etag: EtagKind,
+}
+
+/// How a target tells the end of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Framing {
+    /// By `Content-Length`.
+    Length,
+    /// By chunks.
+    Chunked,
+}
+
+/// Which validator a target's downloads carry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum EtagKind {
+    /// The same at every target, from the content.
+    Strong,
+    /// Another at every target, as if the content differed.
+    Differing,
+    /// Weak.
+    Weak,
+    /// None.
+    Absent,
+}
+
+/// One request as a target saw it.
+#[derive(Debug, Clone)]
+pub struct SeenRequest {
+    /// Method.
+    pub method: Method,
+    /// Path with query.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
 }
 
 impl Default for Behaviour {
     fn default() -> Self {
-        Self { service_us: 1_000, slowdown: 1.0, draining: false, fail_fast: false, shed: false }
+        Self {
+            service_us: 1_000,
+            slowdown: 1.0,
+            draining: false,
+            fail_fast: false,
+            shed: false,
+            cold_factor: 1.0,
+            stall_at: None,
+            cut_at: None,
+            framing: Framing::Length,
+            etag: EtagKind::Strong,
+        }
     }
 }
 
@@ -59,6 +130,32 @@
     runs: Mutex<HashMap<String, u32>>,
     /// Requests that ran, with or without a key.
     ran: AtomicU32,
+    /// Requests whose work was broken off because the other end left.
+    cancelled: AtomicU32,
+    /// The latest requests, at most [`MAX_SEEN`].
+    seen: Mutex<VecDeque<SeenRequest>>,
+}
+
+/// Counts a request in flight until it is answered or broken off.
+struct InFlight {
+    state: Arc<State>,
+    answered: bool,
+}
+
+impl InFlight {
+    fn new(state: &Arc<State>) -> Self {
+        state.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self { state: Arc::clone(state), answered: false }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.state.in_flight.fetch_sub(1, Ordering::Relaxed);
+        if !self.answered {
+            self.state.cancelled.fetch_add(1, Ordering::Relaxed);
+        }
+    }
 }
 
 /// A running stand-in of a target.
@@ -80,15 +177,31 @@
     ///
     /// The I/O error of binding.
     pub async fn start(address: SocketAddr, slots: usize) -> std::io::Result<Self> {
+        Self::start_limited(address, slots, ConnectionLimits::default()).await
+    }
+
+    /// Starts a target with a number of slots and limits for its connections.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error of binding.
+    pub async fn start_limited(
+        address: SocketAddr,
+        slots: usize,
+        limits: ConnectionLimits,
+    ) -> std::io::Result<Self> {
         let state = Arc::new(State {
             slots: Semaphore::new(slots),
             in_flight: AtomicU32::new(0),
             behaviour: Mutex::default(),
             runs: Mutex::default(),
             ran: AtomicU32::new(0),
+            cancelled: AtomicU32::new(0),
+            seen: Mutex::default(),
         });
         let shared = Arc::clone(&state);
-        let server = serve(address, move |request| handle(Arc::clone(&shared), request)).await?;
+        let server =
+            serve_limited(address, limits, move |request| handle(Arc::clone(&shared), request)).await?;
         Ok(Self { server, state })
     }
 
@@ -111,6 +224,33 @@
     pub fn ran(&self) -> u32 {
         self.state.ran.load(Ordering::Relaxed)
     }
+
+    /// Returns how many requests were broken off here.
+    pub fn cancelled(&self) -> u32 {
+        self.state.cancelled.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many requests are running or queued here.
+    pub fn in_flight(&self) -> u32 {
+        self.state.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Returns the latest requests, the oldest first.
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        lock(&self.state.seen).iter().cloned().collect()
+    }
+}
+
+fn log_seen(state: &State, request: &Request<Incoming>) {
+    let mut seen = lock(&state.seen);
+    if seen.len() == MAX_SEEN {
+        seen.pop_front();
+    }
+    seen.push_back(SeenRequest {
+        method: request.method().clone(),
+        path: request.uri().to_string(),
+        headers: request.headers().clone(),
+    });
 }
 
 async fn handle(state: Arc<State>, request: Request<Incoming>) -> Result<Answer, Cut> {
@@ -123,9 +263,11 @@
         tokio::time::sleep(PROBE_TIME).await;
         return Ok(with_report(&state, whole(StatusCode::OK, "")));
     }
-    state.in_flight.fetch_add(1, Ordering::Relaxed);
+    log_seen(&state, &request);
+    let mut in_flight = InFlight::new(&state);
     let answer = run(&state, request).await;
-    state.in_flight.fetch_sub(1, Ordering::Relaxed);
+    in_flight.answered = true;
+    drop(in_flight);
     answer.map(|answer| with_report(&state, answer))
 }
 
@@ -139,19 +281,63 @@
         answer.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
         return Ok(answer);
     }
-    let _slot = state.slots.acquire().await.map_err(|_closed| Cut)?;
+    let Some(_slot) = acquire_slot(state, &request).await else {
+        return Ok(whole(StatusCode::SERVICE_UNAVAILABLE, "the deadline passed in the queue"));
+    };
     let key = request.headers().get(IDEMPOTENCY_KEY).and_then(|v| v.to_str().ok()).map(str::to_owned);
     if let Some(key) = key {
         *lock(&state.runs).entry(key).or_default() += 1;
     }
-    state.ran.fetch_add(1, Ordering::Relaxed);
+    let cold = state.ran.fetch_add(1, Ordering::Relaxed) < COLD_REQUESTS;
+    let factor = behaviour.slowdown * if cold { behaviour.cold_factor } else { 1.0 };
     let work_us = query(&request, "work_us").and_then(|t| t.parse().ok()).unwrap_or(behaviour.service_us);
-    tokio::time::sleep(Duration::from_micros(work_us).mul_f64(behaviour.slowdown)).await;
+    tokio::time::sleep(Duration::from_micros(work_us).mul_f64(factor)).await;
     let size = query(&request, "bytes").and_then(|t| t.parse::<usize>().ok());
-    match size {
-        Some(size) => Ok(ranged(&request, size)),
-        None => Ok(json(StatusCode::OK, &request.uri().path())),
+    if let Some(size) = size {
+        return Ok(ranged(&request, size, &behaviour));
+    }
+    if let Some(status) = query(&request, "status").and_then(|t| t.parse::<StatusCode>().ok()) {
+        return Ok(whole(status, "as asked"));
+    }
+    let path = request.uri().path().to_owned();
+    let received = digest(request.into_body()).await?;
+    let mut answer = json(StatusCode::OK, &path);
+    let text = format!("{}:{}", received.bytes, received.sha256);
+    answer.headers_mut().insert(RECEIVED, HeaderValue::from_str(&text).map_err(|_never| Cut)?);
+    Ok(answer)
+}
+
+/// Waits for a slot until the request's deadline.
+async fn acquire_slot<'a>(state: &'a State, request: &Request<Incoming>) -> Option<SemaphorePermit<'a>> {
+    let stated_ms = request.headers().get(DEADLINE_MS).and_then(|v| v.to_str().ok()?.parse().ok());
+    let deadline = stated_ms.map_or(Duration::from_hours(1), Duration::from_millis);
+    tokio::time::timeout(deadline, state.slots.acquire()).await.ok()?.ok()
+}
+
+/// What came of a request's body.
+struct Digested {
+    bytes: usize,
+    sha256: String,
+}
+
+async fn digest(mut body: Incoming) -> Result<Digested, Cut> {
+    let mut digest = Sha256::new();
+    let mut bytes = 0;
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.map_err(|_cut| Cut)?.into_data() {
+            bytes += data.len();
+            digest.update(&data);
+        }
     }
+    Ok(Digested { bytes, sha256: hex(&digest.finalize()) })
+}
+
+/// Returns bytes as hexadecimal text.
+pub fn hex(bytes: &[u8]) -> String {
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        let _never_fails = write!(text, "{byte:02x}");
+        text
+    })
 }
 
 fn with_report(state: &State, mut answer: Answer) -> Answer {
@@ -169,28 +355,65 @@
     (0..size as u32).map(|i| (i.wrapping_mul(2_654_435_761).wrapping_add(seed) >> 13) as u8).collect()
 }
 
-fn ranged(request: &Request<Incoming>, size: usize) -> Answer {
+fn ranged(request: &Request<Incoming>, size: usize, behaviour: &Behaviour) -> Answer {
     let path = request.uri().path();
-    let whole_content = content(path, size);
-    let etag = format!("\"{size}-{}\"", path.len());
+    let content = content(path, size);
+    let etag = etag(behaviour.etag, &format!("{size}-{}", path.len()));
     let range = request.headers().get(header::RANGE).and_then(|v| v.to_str().ok());
     let start = range.and_then(|r| r.strip_prefix("bytes=")?.strip_suffix('-')?.parse::<usize>().ok());
     let if_range = request.headers().get(header::IF_RANGE).and_then(|v| v.to_str().ok());
-    let applies = if_range.is_none_or(|given| given == etag);
-    let mut answer = match start.filter(|s| applies && *s < size) {
-        Some(start) => {
-            let mut answer = whole(StatusCode::PARTIAL_CONTENT, whole_content.slice(start..));
-            let text = format!("bytes {start}-{}/{size}", size - 1);
-            if let Ok(value) = HeaderValue::from_str(&text) {
-                answer.headers_mut().insert(header::CONTENT_RANGE, value);
-            }
-            answer
-        }
-        None => whole(StatusCode::OK, whole_content),
-    };
-    if let Ok(value) = HeaderValue::from_str(&etag) {
-        answer.headers_mut().insert(header::ETAG, value);
+    let applies = if_range.is_none_or(|given| Some(given) == etag.as_deref());
+    let start = start.filter(|s| applies && *s < size);
+    let mut answer =
+        Response::new(faulty(content.slice(start.unwrap_or(0)..), start.unwrap_or(0), behaviour));
+    if let Some(start) = start {
+        *answer.status_mut() = StatusCode::PARTIAL_CONTENT;
+        insert(&mut answer, header::CONTENT_RANGE, &format!("bytes {start}-{}/{size}", size - 1));
+    }
+    if behaviour.framing == Framing::Length {
+        insert(&mut answer, header::CONTENT_LENGTH, &(size - start.unwrap_or(0)).to_string());
+    }
+    if let Some(etag) = etag {
+        insert(&mut answer, header::ETAG, &etag);
     }
-    answer.headers_mut().insert(header::ACCEPT_RANGES, HeaderValue::from_static("bytes"));
+    insert(&mut answer, header::ACCEPT_RANGES, "bytes");
     answer
 }
+
+fn etag(kind: EtagKind, content: &str) -> Option<String> {
+    match kind {
+        EtagKind::Strong => Some(format!("\"{content}\"")),
+        EtagKind::Differing => Some(format!("\"{content}-{}\"", rand::random::<u32>())),
+        EtagKind::Weak => Some(format!("W/\"{content}\"")),
+        EtagKind::Absent => None,
+    }
+}
+
+fn insert(answer: &mut Answer, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        answer.headers_mut().insert(name, value);
+    }
+}
+
+/// A body that stalls or is cut at a byte of the content, as the behaviour says.
+fn faulty(content: Bytes, start: usize, behaviour: &Behaviour) -> BoxBody<Bytes, Cut> {
+    let (stall_at, cut_at) = (behaviour.stall_at, behaviour.cut_at);
+    let content_end = start + content.len();
+    let pieces = futures::stream::unfold(content, move |mut rest| async move {
+        if rest.is_empty() {
+            return None;
+        }
+        let piece = rest.split_to(PIECE_BYTES.min(rest.len()));
+        let reached = (content_end - rest.len()) as u64;
+        if stall_at.is_some_and(|at| reached > at) {
+            std::future::pending::<()>().await;
+        }
+        if cut_at.is_some_and(|at| reached > at) {
+            // Gives the server a turn to write what came before.
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            return Some((Err(Cut), Bytes::new()));
+        }
+        Some((Ok(Frame::data(piece)), rest))
+    });
+    BodyExt::boxed(StreamBody::new(pieces))
+}
--- a/src/kernel/pools.rs
+++ b/src/kernel/pools.rs
@@ -14,13 +14,13 @@
 use crate::{
     collections::HashMap,
     decide::{
-        Action, Attempt, Call, Event, TargetIndex,
+        Action, Attempt, AttemptEnd, Call, Event, TargetIndex,
         pool::{Pool, PoolSettings},
     },
     error::ErrorKind,
     observe::choices::{ChoiceRing, ChoiceView},
     plan::{Plan, ServiceSpec, TargetSpec},
-    units::{CallId, DataCentre, RunId, ServiceName, TargetId},
+    units::{CallId, DataCentre, MonoTime, RunId, ServiceName, TargetId},
 };
 
 /// What one call must do next.
@@ -123,11 +123,8 @@
         let now = self.clock.now();
         let wake_before = pool.next_wake();
         pool.handle(now, event, actions);
-        for action in actions.drain(..) {
-            if let Action::Send { call, attempt, target } = action {
-                choices.note(now, call, attempt, target, pool);
-            }
-            deliver(pool.spec(), calls, &action);
+        while let Some(unheard) = carry_out(pool, choices, calls, actions, now) {
+            pool.handle(now, unheard, actions);
         }
         if pool.next_wake() != wake_before {
             self.rewake.notify_one();
@@ -152,6 +149,34 @@
     }
 }
 
+/// Hands actions to their calls; a send for a call that has closed ends at once, so that its slot is free.
+///
+/// Returns the end of such a send, and leaves the actions after it.
+fn carry_out(
+    pool: &Pool,
+    choices: &mut ChoiceRing,
+    calls: &HashMap<CallId, mpsc::UnboundedSender<Directive>>,
+    actions: &mut Vec<Action>,
+    now: MonoTime,
+) -> Option<Event> {
+    let mut unheard = None;
+    actions.retain(|action| {
+        if unheard.is_some() {
+            return true;
+        }
+        if let Action::Send { call, attempt, target } = *action {
+            choices.note(now, call, attempt, target, pool);
+            if !calls.contains_key(&call) {
+                unheard = Some(Event::Ended { call, attempt, end: AttemptEnd::Cancelled });
+                return false;
+            }
+        }
+        deliver(pool.spec(), calls, action);
+        false
+    });
+    unheard
+}
+
 fn deliver(spec: &ServiceSpec, calls: &HashMap<CallId, mpsc::UnboundedSender<Directive>>, action: &Action) {
     let target = |index: TargetIndex| spec.targets[index.0].clone();
     let (call, directive) = match *action {
--- a/src/proxy/once.rs
+++ b/src/proxy/once.rs
@@ -1,11 +1,11 @@
 //! At-most-once requests: claim, send once, record, answer.
 
 use http_body_util::BodyExt;
-use hyper::{Response, header};
+use hyper::header;
 use sha2::{Digest, Sha256};
 
 use super::{
-    answer::{AnswerBody, refusal, stored},
+    answer::{Answer, refusal, stored},
     call::{CallContext, CallResult, RequestParts, follow},
     headers::IDEMPOTENCY_KEY,
 };
@@ -21,7 +21,7 @@
 /// Runs an at-most-once request.
 ///
 /// A caller that leaves before the send ends its request there; after it, the answer is still recorded.
-pub async fn run(context: CallContext, parts: RequestParts) -> Response<AnswerBody> {
+pub async fn run(context: CallContext, parts: RequestParts) -> Answer {
     let Some(key) = key(&parts) else {
         return context.refuse(ErrorKind::KeyMissing, None);
     };
@@ -44,7 +44,7 @@
     }
 }
 
-async fn repeat(context: &CallContext, answer: StoredAnswer) -> Response<AnswerBody> {
+async fn repeat(context: &CallContext, answer: StoredAnswer) -> Answer {
     match context.kernel.claims.fetch(answer, context.deadline).await {
         Ok(answer) => {
             context.count(Outcome::Ran, None, answer.status < 500);
@@ -71,7 +71,7 @@
     Fingerprint(hex(&digest.finalize()))
 }
 
-async fn send_held(context: CallContext, parts: RequestParts, mut held: Held) -> Response<AnswerBody> {
+async fn send_held(context: CallContext, parts: RequestParts, mut held: Held) -> Answer {
     if !held.begin() {
         held.end(RunEnd::Unsent(ErrorKind::DeadlineUnreachable));
         return context.refuse(ErrorKind::DeadlineUnreachable, None);
@@ -88,7 +88,7 @@
     }
 }
 
-async fn record(response: Response<AnswerBody>, held: Held) -> Response<AnswerBody> {
+async fn record(response: Answer, held: Held) -> Answer {
     let (parts, body) = response.into_parts();
     let Ok(body) = body.collect().await else {
         held.end(RunEnd::MaybeSent(ErrorKind::BodyCut));
