--- a/bench/src/target.rs
+++ b/bench/src/target.rs
@@ -46,6 +46,7 @@
 /// Behaviour of a target; changed by `POST /behaviour` or [`TargetStandIn::set_behaviour`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
+#[expect(clippy::struct_excessive_bools, reason = "each is an independent switch of the stand-in")]
 pub struct Behaviour {
     /// Time a short request takes, in microseconds.
     pub service_us: u64,
