Check that a lost data centre withdraws, heals within 5 s, and that bad frames are named in the log

Cause: schedules had partitions of up to 25 s only, and no test read the log line of a closed link. Change: ten minutes without a data centre of 6 in 18 instances and ten accepted plans; a real process's log line.

--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -154,6 +154,18 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_malformed_frame_is_named_in_the_log() {
+    let env = TestEnv::new();
+    let mut instance = env.serve("kremsau-01", &serde_json::json!({}));
+    let own = "127.0.0.1:1".parse().expect("an address");
+    let bytes = [encode(&hello("fake", 99, own)).to_vec(), encode_raw(2, &[251]).to_vec()].concat();
+    assert!(send_raw(instance.peers, bytes, patience()).await);
+    let waited = tokio::task::spawn_blocking(move || instance.wait_log("event=peer-link-closed"));
+    let line = waited.await.expect("the log has the line");
+    assert!(line.contains("peer=fake") && line.contains("malformed frame of type 2"), "{line}");
+}
+
 /// Takes links and never reads from them.
 async fn accept_and_ignore(listener: TcpListener, accepted: std::sync::Arc<std::sync::atomic::AtomicUsize>) {
     let mut kept = Vec::new();
--- a/tests/plan_schedules.rs
+++ b/tests/plan_schedules.rs
@@ -2,8 +2,9 @@
 
 mod schedules;
 
+use arbutusshelf::units::InstanceId;
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
-use schedules::{Cluster, Fault, INSTANCES};
+use schedules::{Cluster, Fault, INSTANCES, LENGTH_MS};
 
 /// Faults come from the 5th second on, and the last 15 s of a schedule are quiet.
 const FAULTS_MS: std::ops::Range<u64> = 5_000..45_000;
@@ -61,7 +62,7 @@
 
 fn run(schedule: &Schedule) -> Cluster {
     let mut cluster = Cluster::new(schedule.seed);
-    cluster.run(&schedule.faults);
+    cluster.run(&schedule.faults, LENGTH_MS);
     cluster
 }
 
@@ -100,6 +101,21 @@
     assert_eq!(cluster.accepted, 2);
 }
 
+#[test]
+fn a_long_loss_of_a_data_centre_heals_by_itself() {
+    let (lost_at, for_ms) = (10_000, 600_000);
+    let cut = Fault::Partition { first: 0, count: 6, with_store: false, for_ms };
+    let submit = Fault::Submit { at: 9, leave: None };
+    let mut faults = vec![(5_000, submit.clone()), (lost_at, cut)];
+    faults.extend((1..10).map(|n| (lost_at + n * 60_000, submit.clone())));
+    let mut cluster = Cluster::new(1);
+    cluster.run(&faults, lost_at + for_ms - 1_000);
+    assert_eq!(cluster.lagging().len(), 6, "the lost ones have withdrawn");
+    cluster.run(&[], lost_at + for_ms + 5_000);
+    assert_eq!(cluster.lagging(), Vec::<&InstanceId>::new(), "5 s after the links are back");
+    assert_eq!((cluster.broken.len(), cluster.accepted), (0, 10), "{:?}", cluster.broken);
+}
+
 #[test]
 fn the_schedules_accept_plans_and_see_leaves() {
     let mut g = Gen::from_size_and_seed(100, 7);
--- a/tests/schedules/mod.rs
+++ b/tests/schedules/mod.rs
@@ -177,9 +177,9 @@
     }
 
     /// Runs a schedule of faults at their times, in order, then checks what is left to check.
-    pub fn run(&mut self, schedule: &[(u64, Fault)]) {
+    pub fn run(&mut self, schedule: &[(u64, Fault)], length_ms: u64) {
         let mut next = schedule.iter().peekable();
-        while self.now < LENGTH_MS {
+        while self.now < length_ms {
             while let Some((_, fault)) = next.next_if(|(at, _)| *at <= self.now) {
                 self.inject(fault);
             }
@@ -188,6 +188,13 @@
         self.check_end();
     }
 
+    /// Returns the instances that do not serve by the newest accepted plan.
+    pub fn lagging(&self) -> Vec<&InstanceId> {
+        let newest = self.told.iter().map(|t| t.version).max().unwrap_or_default();
+        let lags = |node: &&Node| !node.serves(self.now) || node.plan.version() < newest;
+        self.nodes.iter().filter(lags).map(|node| &node.id).collect()
+    }
+
     fn inject(&mut self, fault: &Fault) {
         let now = self.now;
         match *fault {
