Count the frames of load counts

Cause: the period of load counts follows from the budget and was not visible. Change: plan status and the bench count them.

--- a/bench/src/control.rs
+++ b/bench/src/control.rs
@@ -97,7 +97,9 @@
         return Ok(());
     }
     println!("per node: bytes/s by purpose, processor as a share of a core, resident memory");
-    println!("instances targets budget calls/s   urgent heartbeat    loads      sum  processor   memory");
+    println!(
+        "instances targets budget calls/s   urgent heartbeat    loads      sum rounds/s  processor   memory"
+    );
     for instances in [6, 12, 18] {
         for targets in [32, 128, 500] {
             measure_cost(args, instances, targets).await?;
@@ -415,11 +417,12 @@
     let urgent = per_node(|s| s.urgent_bytes);
     let heartbeat = per_node(|s| s.heartbeat_bytes);
     let loads = per_node(|s| s.loads_bytes);
+    let rounds = per_node(|s| s.loads_frames) / (instances - 1) as f64;
     let processor = |r: &Reading| r.usage.iter().map(|u| u.processor).sum::<Duration>().as_secs_f64();
     let share = (processor(after) - processor(before)) / instances as f64 / seconds;
     let resident = after.usage.iter().map(|u| u.resident_bytes).sum::<u64>() as f64 / instances as f64;
     println!(
-        "{instances:9} {targets:7} {budget:6} {calls_per_s:7} {urgent:8.0} {heartbeat:9.0} {loads:8.0} {:8.0} {:9.2}% {:5.1} MB",
+        "{instances:9} {targets:7} {budget:6} {calls_per_s:7} {urgent:8.0} {heartbeat:9.0} {loads:8.0} {:8.0} {rounds:8.1} {:9.2}% {:5.1} MB",
         urgent + heartbeat + loads,
         share * 100.0,
         resident / 1e6
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -65,6 +65,9 @@
     pub heartbeat_bytes: u64,
     /// Load counts.
     pub loads_bytes: u64,
+    /// Frames of load counts, to all peers together.
+    #[serde(default)]
+    pub loads_frames: u64,
 }
 
 /// One line of `GET /targets`.
@@ -171,6 +174,7 @@
         urgent_bytes: budget.spent(Purpose::Urgent),
         heartbeat_bytes: budget.spent(Purpose::Heartbeat),
         loads_bytes: budget.spent(Purpose::Loads),
+        loads_frames: budget.sends(Purpose::Loads),
     }
 }
 
--- a/src/peer/budget.rs
+++ b/src/peer/budget.rs
@@ -47,13 +47,20 @@
     tokens: f64,
     updated: MonoTime,
     spent: [u64; 3],
+    sends: [u64; 3],
 }
 
 impl ByteBudget {
     /// Creates a full bucket.
     pub fn new(now: MonoTime, bytes_per_s: u32) -> Self {
         let bytes_per_s = f64::from(bytes_per_s) * REFILL_SHARE;
-        Self { bytes_per_s, tokens: bytes_per_s * BURST.as_secs_f64(), updated: now, spent: [0; 3] }
+        Self {
+            bytes_per_s,
+            tokens: bytes_per_s * BURST.as_secs_f64(),
+            updated: now,
+            spent: [0; 3],
+            sends: [0; 3],
+        }
     }
 
     /// Changes the rate, as the plan states it.
@@ -81,6 +88,12 @@
         self.refill(now);
         self.tokens -= bytes as f64;
         self.spent[purpose as usize] += bytes as u64;
+        self.sends[purpose as usize] += 1;
+    }
+
+    /// Returns how often bytes were sent for a purpose since the start.
+    pub fn sends(&self, purpose: Purpose) -> u64 {
+        self.sends[purpose as usize]
     }
 
     /// Returns the bytes spent for a purpose since the start.
