--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -7,15 +7,16 @@
 use hyper::{
     Request,
     body::{Body, Incoming},
+    http::request::Parts,
 };
 use tokio::time::timeout;
 
 use super::{
     call::{CallContext, RequestParts},
     headers,
-    upload::Upload,
+    upload::{KeptUpload, Upload},
 };
-use crate::{error::ErrorKind, kernel::Kernel, plan::RequestKind};
+use crate::{error::ErrorKind, kernel::Kernel, observe::calls, plan::RequestKind};
 
 /// Largest body of an at-most-once request; it is read whole, for its fingerprint.
 const MAX_ONCE_BODY_BYTES: u64 = 1 << 20;
@@ -35,10 +36,28 @@
     kernel: &Arc<Kernel>,
     request: Request<Incoming>,
 ) -> Result<(CallContext, RequestParts), ErrorKind> {
+    let (head, body) = request.into_parts();
+    match check(kernel, &head, body).await {
+        Ok(Checked { context, body, upload }) => Ok((context, RequestParts { head, body, upload })),
+        Err(cause) => {
+            calls::refused_early(kernel, &head, cause);
+            Err(cause)
+        }
+    }
+}
+
+/// A request that may be sent, without its head.
+struct Checked {
+    context: CallContext,
+    body: Bytes,
+    upload: KeptUpload,
+}
+
+/// Checks a request and takes its body, or as much as is kept with the rest to come.
+async fn check(kernel: &Arc<Kernel>, head: &Parts, mut body: Incoming) -> Result<Checked, ErrorKind> {
     let mut arrived = kernel.clock.now();
     kernel.admit()?;
-    let (head, mut body) = request.into_parts();
-    headers::check_unambiguous(&head)?;
+    headers::check_unambiguous(head)?;
     let plan = kernel.plan.current();
     let service = plan.service_for_path(head.uri.path()).ok_or(ErrorKind::UnknownService)?;
     let mut taken = Bytes::new();
@@ -50,15 +69,15 @@
             arrived = kernel.clock.now();
         }
     }
-    let mut context = CallContext::new(kernel, service, arrived, &head)?;
+    let mut context = CallContext::new(kernel, service, arrived, head)?;
     if body.is_end_stream() {
-        return Ok((context, RequestParts { head, body: taken, upload: None }));
+        return Ok(Checked { context, body: taken, upload: None });
     }
     context.send_once();
     let limit = kernel.config.max_body_bytes as u64;
     let upload = Upload::new(taken, body, limit, context.progress_timeout());
     let upload = Some(std::sync::Mutex::new(Some(Box::new(upload))));
-    Ok((context, RequestParts { head, body: Bytes::new(), upload }))
+    Ok(Checked { context, body: Bytes::new(), upload })
 }
 
 /// Takes the start of a body: all of it, or as much as is kept for its kind.
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -286,7 +286,7 @@
             let context = self.context.continued(avoided);
             if let Followed::Began(head) = follow_sends(&context, &parts).await {
                 let Some(skip) = continuation(validator, self.offset, &head) else { return false };
-                log::info!("event=transfer-resumed call={} offset={}", context.request_id(), self.offset);
+                log::info!("event=transfer-resumed request={} offset={}", context.request_id, self.offset);
                 self.source = Some(Source { body: head.response.into_body(), guard: head.guard, skip });
                 return true;
             }
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -373,6 +373,6 @@
     fields.insert(headers::DEADLINE_MS, HeaderValue::from(remaining_ms));
     let attempts = context.call.prior_attempts.saturating_add(attempt.0);
     fields.insert(headers::ATTEMPT, HeaderValue::from(attempts));
-    fields.insert(headers::REQUEST_ID, HeaderValue::from_str(&context.request_id()).ok()?);
+    fields.insert(headers::REQUEST_ID, HeaderValue::from_str(context.request_id.as_str()).ok()?);
     Some(request)
 }
