--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -27,7 +27,6 @@
 use crate::{
     error::ErrorKind,
     kernel::Kernel,
-    observe::tally::CallEnd,
     plan::{RequestKind, ServiceSpec},
 };
 
@@ -52,32 +51,24 @@
 /// Answers one request.
 async fn handle(kernel: Arc<Kernel>, request: Request<Incoming>) -> Response<AnswerBody> {
     let _in_progress = kernel.enter();
+    let mut request_id = None;
     let answer = match intake::prepare(&kernel, request).await {
-        Ok((context, parts)) => run(context, parts).await,
-        Err(kind) => refuse_unprepared(&kernel, kind),
+        Ok((context, parts)) => {
+            request_id = Some(context.request_id.clone());
+            run(context, parts).await
+        }
+        Err(kind) => refusal(kind, None),
     };
     let mut response = answer.into_response();
+    if let Some(id) = request_id {
+        headers::set_request_id(&mut response, &id);
+    }
     if kernel.is_leaving() {
         headers::announce_close(&mut response);
     }
     response
 }
 
-/// Counts and answers a request that was refused before its call began.
-fn refuse_unprepared(kernel: &Kernel, kind: ErrorKind) -> Answer {
-    kernel.tally.record(CallEnd {
-        service: None,
-        kind: RequestKind::Unstated,
-        outcome: kind.answer().outcome,
-        cause: Some(kind),
-        useful: false,
-        latency: Duration::ZERO,
-        queue_wait: Duration::ZERO,
-        head_of_line: Duration::ZERO,
-    });
-    refusal(kind, None)
-}
-
 async fn run(context: CallContext, parts: RequestParts) -> Answer {
     match context.kind {
         RequestKind::AtMostOnce => once::run(context, parts).await,
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -155,6 +155,10 @@
 ) -> Result<Response<Incoming>, AttemptEnd> {
     let connection = timeout(context.remaining(), checkout(context, attempt, target)).await;
     let Ok(Some(mut connection)) = connection else { return Err(AttemptEnd::Unsent) };
+    // A timeout polls once even when no time is left, which could send.
+    if context.remaining().is_zero() {
+        return Err(AttemptEnd::Unsent);
+    }
     let body = parts.take_body().ok_or(AttemptEnd::Unsent)?;
     let limits = HeadLimits::new(context, &connection, &body);
     let request = target_request(context, parts, attempt, target, body).ok_or(AttemptEnd::Unsent)?;
@@ -359,6 +363,6 @@
     fields.insert(headers::DEADLINE_MS, HeaderValue::from(remaining_ms));
     let attempts = context.call.prior_attempts.saturating_add(attempt.0);
     fields.insert(headers::ATTEMPT, HeaderValue::from(attempts));
-    fields.insert(headers::REQUEST_ID, HeaderValue::from_str(&context.request_id()).ok()?);
+    fields.insert(headers::REQUEST_ID, HeaderValue::from_str(context.request_id.as_str()).ok()?);
     Some(request)
 }
--- a/src/proxy/upload.rs
+++ b/src/proxy/upload.rs
@@ -208,6 +208,9 @@
     }
 }
 
+/// Body that is passed on as it arrives, if there is one; its inside is empty once part of it may have been sent.
+pub type KeptUpload = Option<Mutex<Option<Box<Upload>>>>;
+
 /// A request as it can be sent to a target.
 #[derive(Debug)]
 pub struct RequestParts {
@@ -216,7 +219,7 @@
     /// Whole body; empty when there is an upload.
     pub body: Bytes,
     /// Body that is passed on as it arrives; its inside is empty once part of it may have been sent.
-    pub upload: Option<Mutex<Option<Box<Upload>>>>,
+    pub upload: KeptUpload,
 }
 
 impl RequestParts {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    admin,
+    admin, claims,
     error::{Error, ErrorKind, Result},
     kernel::Kernel,
     logging, observe, peer, plan, proxy,
@@ -70,11 +70,12 @@
     let admin = tokio::spawn(admin::listen(Arc::clone(&kernel), listeners.admin));
     let peers = tokio::spawn(peer::receive::listen(Arc::clone(&kernel), listeners.peers));
     let links = tokio::spawn(peer::link::connect_all(Arc::clone(&kernel)));
+    let claim_sweep = tokio::spawn(claims::sweep::run(Arc::clone(&kernel)));
     let polls = tokio::spawn(plan::poll::run(Arc::clone(&kernel)));
     let counts = tokio::spawn(observe::count_all(Arc::clone(&kernel)));
     let uploads = tokio::spawn(observe::upload_all(Arc::clone(&kernel)));
     let callers = tokio::spawn(proxy::listen(Arc::clone(&kernel), listeners.callers));
-    let sweeps = tokio::spawn(sweep_connections(Arc::clone(&kernel)));
+    let connection_sweep = tokio::spawn(sweep_connections(Arc::clone(&kernel)));
     kernel.wait_leaving().await;
     sleep(Duration::from_millis(kernel.config.balancer_lag_ms)).await;
     kernel.refuse_new();
@@ -84,7 +85,7 @@
     counts.abort();
     uploads.abort();
     observe::flush(&kernel).await;
-    for task in [admin, peers, links, polls, sweeps] {
+    for task in [admin, peers, links, polls, claim_sweep, connection_sweep] {
         task.abort();
     }
     log::info!("event=left run={}", kernel.run_id);
