List callers' connections, requests in progress and connections to targets for operators

Cause: nobody could see what an instance that does not end still waits for. Change: GET /connections, with a test during a call.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! Operators' HTTP: health, plan, targets, peers and the report.
 
 pub mod client;
+pub mod connections;
 pub mod explain;
 pub mod submit;
 
@@ -148,6 +149,7 @@
         (&Method::GET, "/plan/status") => json_reply(&plan_status(kernel)),
         (&Method::GET, "/targets") => json_reply(&targets(kernel)),
         (&Method::GET, "/members") => json_reply(&kernel.members.view(kernel.clock.now())),
+        (&Method::GET, "/connections") => json_reply(&connections::view(kernel)),
         (&Method::GET, "/explain") => {
             json_reply(&explain::explain(kernel, request.uri().query().unwrap_or_default())?)
         }
--- a/tests/observe_admin.rs
+++ b/tests/observe_admin.rs
@@ -8,7 +8,7 @@
 };
 
 use arbutusshelf::{
-    admin::{client::call, explain::Explanation, submit::Accepted},
+    admin::{client::call, connections::ConnectionsView, explain::Explanation, submit::Accepted},
     error::ErrorKind,
     observe::{coverage::RunState, report::Report, window::Window},
 };
@@ -105,6 +105,27 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_in_progress_and_its_connections_are_listed() {
+    let stage = Stage::start(1).await;
+    let (callers, admin) = (stage.instances[0].callers(), stage.instances[0].admin());
+    let call = tokio::spawn(async move {
+        Caller::default().get(callers, "/tonarchiv/recording?work_us=800000").await.expect("an answer")
+    });
+    let view = loop {
+        let view = get::<ConnectionsView>(admin, "/connections").await;
+        if view.targets.iter().any(|t| t.open > 0) || call.is_finished() {
+            break view;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    };
+    assert_eq!((view.callers, view.requests >= 1), (1, true));
+    let named = view.oldest_requests.iter().map(|r| (r.service.as_str(), r.kind.as_str()));
+    assert_eq!(named.collect::<Vec<_>>(), [("tonarchiv", "idempotent")]);
+    assert_eq!(view.targets.iter().map(|t| t.open).sum::<usize>(), 1);
+    assert_eq!(call.await.expect("the call does not panic").status, 200);
+}
+
 #[test]
 fn pages_need_the_token_where_one_is_set() {
     let env = TestEnv::new();
@@ -116,7 +137,17 @@
         );
         answer.get(9..12).map(str::to_owned)
     };
-    for path in ["/health", "/ready", "/plan", "/targets", "/members", "/metrics", "/report", "/explain"] {
+    for path in [
+        "/health",
+        "/ready",
+        "/plan",
+        "/targets",
+        "/members",
+        "/connections",
+        "/metrics",
+        "/report",
+        "/explain",
+    ] {
         for token in ["", "authorization: Bearer wrong\r\n", "authorization: correct horse\r\n"] {
             assert_eq!(status(path, token).as_deref(), Some("401"), "{path} {token}");
         }
