--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -134,6 +134,16 @@
         }
     }
 
+    /// Returns who goes first.
+    pub fn priority(&self) -> Priority {
+        self.call.priority
+    }
+
+    /// Returns the sends before this one along the chain of calls, as the caller states them.
+    pub fn prior_attempts(&self) -> u32 {
+        self.call.prior_attempts
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining(&self) -> Duration {
         self.deadline.since(self.kernel.clock.now())
