Replay traces in virtual time against fake targets

Cause: the decisions on the call path could not be measured. Change: traces with disturbances, a seeded generator, five policies, and a replay that drives one pool an instance in virtual time. The example sheets name the routes of recordings and exports, so that durations are learned apart.

--- a/bench/src/deployment.rs
+++ b/bench/src/deployment.rs
@@ -13,7 +13,7 @@
 use derive_more::{Display, FromStr};
 use tokio::task::JoinHandle;
 
-use crate::target::TargetStandIn;
+use crate::{target::TargetStandIn, trace::Trace};
 
 /// Loopback with a port that the system chooses.
 pub const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
@@ -48,6 +48,60 @@
     pub fn plan(self) -> Plan {
         sheet::parse(self.sheet().as_bytes()).expect("the shipped sheet has no faults")
     }
+
+    /// Returns the one-way time between an instance and a target of another data centre, in microseconds.
+    pub fn far_latency_us(self) -> u64 {
+        match self {
+            Self::Kremsau => 1_000,
+            Self::Magnolia => 1_500,
+        }
+    }
+
+    /// Returns the trace with the services of the other deployment replaced by their counterparts here.
+    #[must_use]
+    pub fn translate(self, trace: &Trace) -> Trace {
+        let mut translated = trace.clone();
+        for call in &mut translated.calls {
+            if let Some((from, to)) = self.counterpart(&call.service) {
+                call.path = call.path.replacen(from, to, 1).replace(write_segment(from), write_segment(to));
+                to.clone_into(&mut call.service);
+            }
+        }
+        for disturbance in &mut translated.disturbances {
+            if let Some((_, to)) = self.counterpart(&disturbance.service) {
+                to.clone_into(&mut disturbance.service);
+            }
+        }
+        translated
+    }
+
+    fn counterpart(self, service: &str) -> Option<(&'static str, &'static str)> {
+        let pair = COUNTERPARTS.iter().find(|(k, m)| *k == service || *m == service)?;
+        match self {
+            Self::Kremsau if pair.1 == service => Some((pair.1, pair.0)),
+            Self::Magnolia if pair.0 == service => Some((pair.0, pair.1)),
+            Self::Kremsau | Self::Magnolia => None,
+        }
+    }
+}
+
+/// Services of Kremsau and those of Magnolia Ridge with the like load.
+const COUNTERPARTS: [(&str, &str); 4] = [
+    ("hallenplan", "schedule-board"),
+    ("mietkasse", "tuition-desk"),
+    ("tonarchiv", "practice-vault"),
+    ("paarbuch", "horn-loans"),
+];
+
+/// Returns the path segment of a service's at-most-once requests.
+fn write_segment(service: &str) -> &'static str {
+    match service {
+        "mietkasse" => "/charges/",
+        "tuition-desk" => "/bookings/",
+        "paarbuch" => "/confirmations/",
+        "horn-loans" => "/holds/",
+        _ => "/week/",
+    }
 }
 
 /// Target stand-ins of a deployment, with the sheet that names their real addresses.
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,7 +2,11 @@
 
 pub mod client;
 pub mod deployment;
+pub mod experiment;
+pub mod generate;
 pub mod http;
 pub mod platform;
+pub mod replay;
 pub mod target;
 pub mod tour;
+pub mod trace;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, process::ExitCode};
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
-use arbutusshelf_bench::{platform::PlatformStandIn, target::TargetStandIn, tour};
+use arbutusshelf_bench::{experiment, platform::PlatformStandIn, target::TargetStandIn, tour};
 use argh::FromArgs;
 
 #[global_allocator]
@@ -23,6 +23,9 @@
     Tour(Tour),
     Platform(Platform),
     Target(Target),
+    Replay(experiment::ReplayCommand),
+    Generate(experiment::GenerateCommand),
+    Experiment(experiment::ExperimentCommand),
 }
 
 /// Run the whole path on loopback and check the properties of the brief.
@@ -77,6 +80,9 @@
             let findings = tour::run().await?;
             Ok(if findings.broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
+        Command::Replay(args) => args.run(),
+        Command::Generate(args) => args.run(),
+        Command::Experiment(args) => args.run(),
         Command::Platform(args) => {
             let stand_in =
                 PlatformStandIn::start(args.listen, args.seed).await.map_err(|e| unavailable(&e))?;
--- /dev/null
+++ b/bench/src/replay/target.rs
@@ -0,0 +1,106 @@
+//! Fake targets in virtual time: slots, a queue, disturbances and lagging reports.
+
+use std::collections::VecDeque;
+
+use arbutusshelf::decide::LoadReport;
+
+use crate::trace::Disturbance;
+
+/// Time by which the count in a report lags.
+const REPORT_LAG_US: u64 = 20_000;
+
+/// Number of a send within a replay.
+pub type SendNumber = usize;
+
+#[derive(Debug, Clone, Copy)]
+struct Span {
+    from_us: u64,
+    to_us: u64,
+    disturbance: Disturbance,
+}
+
+/// One fake target.
+#[derive(Debug)]
+pub struct FakeTarget {
+    /// Requests it works on at once.
+    pub slots: usize,
+    /// Sends that hold a slot; at most `slots`.
+    pub running: Vec<SendNumber>,
+    /// Sends that wait for a slot here.
+    pub queue: VecDeque<SendNumber>,
+    /// In time order.
+    spans: Vec<Span>,
+    /// Count at the start of the current and of the previous lag period.
+    reported: [u32; 2],
+    report_taken_us: u64,
+}
+
+impl FakeTarget {
+    /// Creates an idle target.
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots: slots as usize,
+            running: Vec::new(),
+            queue: VecDeque::new(),
+            spans: Vec::new(),
+            reported: [0; 2],
+            report_taken_us: 0,
+        }
+    }
+
+    /// Adds a disturbance; must be called in time order.
+    pub fn disturb(&mut self, from_us: u64, for_us: u64, disturbance: Disturbance) {
+        self.spans.push(Span { from_us, to_us: from_us + for_us, disturbance });
+    }
+
+    /// Returns what befalls the target at a point in time.
+    pub fn disturbance(&self, now_us: u64) -> Option<Disturbance> {
+        let span = self.spans.iter().find(|s| (s.from_us..s.to_us).contains(&now_us))?;
+        Some(span.disturbance)
+    }
+
+    /// Returns whether it works at full speed.
+    pub fn is_undisturbed(&self, now_us: u64) -> bool {
+        self.disturbance(now_us).is_none()
+    }
+
+    /// Returns whether a slot is free.
+    pub fn has_free_slot(&self) -> bool {
+        self.running.len() < self.slots
+    }
+
+    /// Returns when work that starts now is done, slowdowns to come included.
+    pub fn finish_us(&self, start_us: u64, work_us: u64) -> u64 {
+        let mut now = start_us as f64;
+        let mut left = work_us as f64;
+        for span in &self.spans {
+            let Disturbance::Slow(factor) = span.disturbance else { continue };
+            if (span.to_us as f64) <= now {
+                continue;
+            }
+            let before = (span.from_us as f64 - now).max(0.0);
+            if left <= before {
+                break;
+            }
+            left -= before;
+            now += before;
+            let within = span.to_us as f64 - now;
+            if left * factor <= within {
+                return (now + left * factor) as u64;
+            }
+            left -= within / factor;
+            now = span.to_us as f64;
+        }
+        (now + left) as u64
+    }
+
+    /// Returns what the target says of itself: a count from some time ago.
+    pub fn report(&mut self, now_us: u64) -> LoadReport {
+        let count = (self.running.len() + self.queue.len()) as u32;
+        if now_us >= self.report_taken_us + REPORT_LAG_US {
+            self.reported = [self.reported[1], count];
+            self.report_taken_us = now_us;
+        }
+        LoadReport { in_flight: Some(self.reported[0]), draining: false }
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -204,3 +204,19 @@
     /// Probe a target.
     Probe(TargetIndex),
 }
+
+impl Action {
+    /// Returns the final action for a call whose last send ended so, or `None` when the edge has its answer.
+    pub fn final_for(call: CallId, attempt: Attempt, end: AttemptEnd) -> Option<Self> {
+        let kind = match end {
+            AttemptEnd::Answered | AttemptEnd::Cancelled => return None,
+            AttemptEnd::Failed => return Some(Self::Deliver { call, attempt }),
+            AttemptEnd::TimedOut => ErrorKind::AnswerTimeout,
+            AttemptEnd::Refused => ErrorKind::TargetRefused,
+            AttemptEnd::Unsent => ErrorKind::Unsent,
+            AttemptEnd::Lost => ErrorKind::ConnectionLost,
+        };
+        let retry_after = kind.answer().retry_after_s.map(|s| Duration::from_secs(u64::from(s)));
+        Some(Self::Refuse { call, kind, retry_after })
+    }
+}
