Decide by preferred slots, peers' counts, class queues, budgets and health

Cause: the thin pool was no better than two choices on own counts. Change: durations learned per route; each instance prefers a share of all slots computed from the plan, and takes others by the least of a few candidates over own and peers' counts; waiting by priority and length with early refusal; retry budget, hedges past a learned quantile, ejection with a cap, return by trial, probes within a budget that holds by construction.

--- a/bench/src/replay/mod.rs
+++ b/bench/src/replay/mod.rs
@@ -14,6 +14,7 @@
     decide::{
         Action, Attempt, AttemptEnd, Call, Event, PeerLoad, RouteKey, TargetIndex,
         pool::{Pool, PoolSettings},
+        quota::Position,
     },
     error::{ErrorKind, Outcome},
     peer::frame::{Frame, LoadCount, encode},
@@ -224,10 +225,8 @@
         let instance_names =
             (0..settings.instances).filter_map(|i| format!("instance-{i:02}").parse().ok()).collect();
         let services = plan.services.len();
-        let choosers = data_centres
-            .iter()
-            .enumerate()
-            .map(|(i, dc)| plan.services.iter().map(|s| chooser(&settings, &plan, s, dc, i)).collect())
+        let choosers = (0..settings.instances)
+            .map(|i| plan.services.iter().map(|s| chooser(&settings, &plan, s, &data_centres, i)).collect())
             .collect::<Vec<Vec<_>>>();
         let targets =
             plan.services.iter().map(|s| s.targets.iter().map(|t| FakeTarget::new(t.slots)).collect());
@@ -700,16 +699,18 @@
     settings: &ReplaySettings,
     plan: &Plan,
     spec: &ServiceSpec,
-    data_centre: &DataCentre,
+    data_centres: &[DataCentre],
     instance: usize,
 ) -> Chooser {
     let seed = settings.seed.wrapping_mul(1_000_003).wrapping_add(instance as u64);
     if settings.policy != Policy::Product {
         return Chooser::Plain(PlainChooser::new(settings.policy, spec.targets.len(), seed));
     }
+    let position = Position { data_centres: data_centres.to_vec(), own: Some(instance) };
     let settings = PoolSettings {
-        data_centre: data_centre.clone(),
-        share: 1.0 / f64::from(plan.budgets.max_instances),
+        data_centre: data_centres[instance].clone(),
+        position,
+        max_instances: plan.budgets.max_instances,
         probes_per_target_per_s: plan.budgets.probes_per_target_per_s,
         seed,
     };
--- /dev/null
+++ b/src/decide/choice.rs
@@ -0,0 +1,153 @@
+//! Choice of a target: a preferred slot first, else the least loaded of a few random candidates.
+
+use std::time::Duration;
+
+use rand::{Rng, rngs::SmallRng};
+
+use super::{TargetIndex, estimate::PeerCounts, health::Standing, target::Target};
+use crate::units::MonoTime;
+
+/// Preferred targets compared for one call.
+const PREFERRED_CANDIDATES: usize = 4;
+
+/// Load that a recent failure stands for, in parts of all slots.
+const FAILURE_LOAD: f64 = 1.0;
+
+/// What a call asks of a target.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// Leaves one slot free for short calls.
+    pub is_long: bool,
+    /// Whether the call may be sent to a target that is on trial.
+    pub may_try: bool,
+    /// Takes a target that looks full, as long as it holds less than twice its limit.
+    pub any: bool,
+    /// Targets that have or had this call.
+    pub without: &'a [TargetIndex],
+}
+
+/// Lists of targets to draw candidates from.
+#[derive(Debug, Default)]
+pub struct Candidates {
+    /// Targets with a free preferred slot, in no order.
+    pub preferred: Vec<TargetIndex>,
+    /// Targets of this data centre.
+    pub near: Vec<TargetIndex>,
+    /// All others.
+    pub far: Vec<TargetIndex>,
+    /// Targets on trial.
+    pub trials: Vec<TargetIndex>,
+}
+
+impl Candidates {
+    /// Adds or removes a target in the list of free preferred slots as its counts say.
+    pub fn update_preferred(&mut self, targets: &mut [Target], index: TargetIndex) {
+        let target = &mut targets[index.0];
+        match (target.has_free_quota(), target.free_place) {
+            (true, None) => {
+                target.free_place = Some(self.preferred.len());
+                self.preferred.push(index);
+            }
+            (false, Some(place)) => {
+                target.free_place = None;
+                self.preferred.swap_remove(place);
+                if let Some(moved) = self.preferred.get(place) {
+                    targets[moved.0].free_place = Some(place);
+                }
+            }
+            (true, Some(_)) | (false, None) => {}
+        }
+    }
+}
+
+/// Everything a choice reads.
+#[derive(Debug)]
+pub struct View<'a> {
+    /// Time of the choice.
+    pub now: MonoTime,
+    /// Targets by index.
+    pub targets: &'a [Target],
+    /// Peers' counts.
+    pub peers: &'a PeerCounts,
+    /// Lists to draw from.
+    pub candidates: &'a Candidates,
+}
+
+impl View<'_> {
+    /// Returns the target for a call, or `None` when it should wait.
+    pub fn choose(&self, wish: &Wish, rng: &mut SmallRng) -> Option<TargetIndex> {
+        if wish.may_try
+            && let Some(trial) = self.trial()
+        {
+            return Some(trial);
+        }
+        let preferred = self.least_of(&self.candidates.preferred, PREFERRED_CANDIDATES, wish, rng);
+        let preferred = preferred.filter(|index| {
+            let target = &self.targets[index.0];
+            !wish.is_long || target.own_long < target.quota.long
+        });
+        if preferred.is_some() {
+            return preferred;
+        }
+        let count = candidate_count(self.peers.age());
+        let near = self.least_of(&self.candidates.near, count, wish, rng);
+        near.or_else(|| self.least_of(&self.candidates.far, count, wish, rng))
+    }
+
+    fn trial(&self) -> Option<TargetIndex> {
+        let free = |index: &&TargetIndex| {
+            let target = &self.targets[index.0];
+            matches!(target.health.standing(), Standing::Trial(_)) && !target.draining && target.own == 0
+        };
+        self.candidates.trials.iter().find(free).copied()
+    }
+
+    fn least_of(
+        &self,
+        list: &[TargetIndex],
+        count: usize,
+        wish: &Wish,
+        rng: &mut SmallRng,
+    ) -> Option<TargetIndex> {
+        if list.is_empty() {
+            return None;
+        }
+        let start = rng.random_range(0..list.len());
+        // An odd stride over the list gives different targets without keeping a set.
+        let stride = if list.len() <= count { 1 } else { rng.random_range(1..list.len()) };
+        let drawn = (0..count.min(list.len())).map(|i| list[(start + i * stride) % list.len()]);
+        let loads = drawn.filter_map(|index| Some((self.load(index, wish)?, index)));
+        loads.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, index)| index)
+    }
+
+    /// Returns the load of a target per slot it may use, or `None` when the call may not go there.
+    fn load(&self, index: TargetIndex, wish: &Wish) -> Option<f64> {
+        let target = &self.targets[index.0];
+        let limit = target.limit(self.now);
+        if limit <= 0.0 || wish.without.contains(&index) {
+            return None;
+        }
+        if !matches!(target.health.standing(), Standing::InService) {
+            return None;
+        }
+        let held = f64::from(target.own + self.peers.at(index));
+        let kept_free = if wish.is_long && limit > 1.0 { 1.0 } else { 0.0 };
+        let room = if wish.any { 2.0 * limit } else { limit };
+        if held + kept_free + 1.0 > room {
+            return None;
+        }
+        let failed = if target.health.failed_lately(self.now) { FAILURE_LOAD } else { 0.0 };
+        Some(held / limit + failed)
+    }
+}
+
+/// Returns how many candidates are compared: fewer as counts age, since the least loaded by an old count is the
+/// same for every instance.
+pub fn candidate_count(age: Option<Duration>) -> usize {
+    match age.map(|age| age.as_micros()) {
+        Some(..=2_000) => 6,
+        Some(..=8_000) => 4,
+        Some(..=30_000) => 3,
+        Some(_) | None => 2,
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,7 +3,17 @@
 //! Nothing here reads a clock, a socket, a lock, a log or a thread-local generator, so every decision is
 //! replayed exactly from a trace and can be embedded without the daemon.
 
+pub mod choice;
+pub mod duration;
+pub mod estimate;
+pub mod health;
 pub mod pool;
+pub mod probe;
+pub mod queue;
+pub mod quota;
+pub mod retry;
+pub mod target;
+pub mod timer;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/src/decide/retry.rs
@@ -0,0 +1,84 @@
+//! Which ends of a send may be followed by another, and the budget for it.
+
+use super::{AttemptEnd, Call};
+use crate::plan::RequestKind;
+
+/// Sends of one call at most, retries and hedges included.
+pub const MAX_SENDS: usize = 3;
+
+/// Repeats that may be saved up, so that a short fault is covered and a long one is not.
+const MOST_SAVED: f64 = 20.0;
+
+/// Budget of retries and hedges of one service: a part of its first sends.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    ratio: f64,
+    /// Repeats that may be made now; at most [`MOST_SAVED`].
+    saved: f64,
+}
+
+impl RetryBudget {
+    /// Creates a budget that grows by `ratio` with each first send.
+    pub fn new(ratio: f64) -> Self {
+        Self { ratio, saved: (ratio * MOST_SAVED).min(MOST_SAVED) }
+    }
+
+    /// Changes the ratio and keeps what is saved.
+    pub fn set_ratio(&mut self, ratio: f64) {
+        self.ratio = ratio;
+    }
+
+    /// Notes a first send; a call that is itself a repeat earns nothing.
+    pub fn earn(&mut self, call: &Call) {
+        if call.prior_attempts == 0 {
+            self.saved = (self.saved + self.ratio).min(MOST_SAVED);
+        }
+    }
+
+    /// Spends one repeat if there is one.
+    pub fn spend(&mut self) -> bool {
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
+
+/// What may follow the end of a call's only open send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeat {
+    /// Nothing ran and the target took no work: another send costs no budget.
+    Free,
+    /// Another send within the budget.
+    Budgeted,
+    /// No other send.
+    Never,
+}
+
+/// Returns whether a call may be sent again after an end.
+///
+/// A call that is a repeat of a caller further up is repeated only if it was not sent: in a chain of calls,
+/// one level repeats a failure, not each.
+pub fn after(call: &Call, end: AttemptEnd) -> Repeat {
+    let is_first = call.prior_attempts == 0;
+    match end {
+        AttemptEnd::Unsent => Repeat::Free,
+        AttemptEnd::Refused if is_first => Repeat::Budgeted,
+        AttemptEnd::Failed | AttemptEnd::Lost if is_first && call.kind == RequestKind::Idempotent => {
+            Repeat::Budgeted
+        }
+        _ => Repeat::Never,
+    }
+}
+
+/// Returns how much an end without an answer says of what may have run; the most decides what the caller is told.
+pub fn weight(end: AttemptEnd) -> u8 {
+    match end {
+        AttemptEnd::Answered | AttemptEnd::Cancelled => 0,
+        AttemptEnd::Unsent => 1,
+        AttemptEnd::Refused => 2,
+        AttemptEnd::Lost | AttemptEnd::TimedOut => 3,
+        AttemptEnd::Failed => 4,
+    }
+}
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -81,7 +81,7 @@
             run_id,
             plan: PlanInForce::default(),
             members: Members::default(),
-            pools: PoolTable::new(clock, config.data_centre.clone(), run_id.into()),
+            pools: PoolTable::new(clock, config.instance.clone(), config.data_centre.clone(), run_id.into()),
             connections: Connections::default(),
             claims: Claims::new(platform.clone(), run_id),
             tally: Tally::default(),
--- a/src/kernel/pools.rs
+++ b/src/kernel/pools.rs
@@ -19,7 +19,7 @@
     },
     error::ErrorKind,
     plan::{Plan, ServiceSpec, TargetSpec},
-    units::{CallId, DataCentre, ServiceName, TargetId},
+    units::{CallId, DataCentre, InstanceId, ServiceName, TargetId},
 };
 
 /// What one call must do next.
@@ -110,9 +110,13 @@
         let wake_before = pool.next_wake();
         pool.handle(self.clock.now(), event, actions);
         for action in actions.drain(..) {
-            deliver(pool.spec(), calls, &action);
+            deliver(pool, calls, &action);
         }
-        if pool.next_wake() != wake_before {
+        let is_earlier = match (pool.next_wake(), wake_before) {
+            (Some(after), Some(before)) => after < before,
+            (after, before) => after.is_some() && before.is_none(),
+        };
+        if is_earlier {
             self.rewake.notify_one();
         }
     }
@@ -135,8 +139,8 @@
     }
 }
 
-fn deliver(spec: &ServiceSpec, calls: &HashMap<CallId, mpsc::UnboundedSender<Directive>>, action: &Action) {
-    let target = |index: TargetIndex| spec.targets[index.0].clone();
+fn deliver(pool: &Pool, calls: &HashMap<CallId, mpsc::UnboundedSender<Directive>>, action: &Action) {
+    let target = |index: TargetIndex| pool.target(index).clone();
     let (call, directive) = match *action {
         Action::Send { call, attempt, target: index } => {
             (call, Directive::Send { attempt, target: target(index) })
@@ -168,6 +172,7 @@
 #[derive(Debug)]
 pub struct PoolTable {
     clock: Clock,
+    instance: InstanceId,
     data_centre: DataCentre,
     seed: u64,
     entries: RwLock<HashMap<ServiceName, Entry>>,
@@ -175,8 +180,8 @@
 
 impl PoolTable {
     /// Creates an empty table.
-    pub fn new(clock: Clock, data_centre: DataCentre, seed: u64) -> Self {
-        Self { clock, data_centre, seed, entries: RwLock::default() }
+    pub fn new(clock: Clock, instance: InstanceId, data_centre: DataCentre, seed: u64) -> Self {
+        Self { clock, instance, data_centre, seed, entries: RwLock::default() }
     }
 
     /// Finds the pool of a service.
@@ -217,12 +222,7 @@
     }
 
     fn open(&self, plan: &Plan, service: &ServiceSpec) -> Entry {
-        let settings = PoolSettings {
-            data_centre: self.data_centre.clone(),
-            share: 1.0 / f64::from(plan.budgets.max_instances),
-            probes_per_target_per_s: plan.budgets.probes_per_target_per_s,
-            seed: self.seed,
-        };
+        let settings = PoolSettings::of(plan, &self.instance, self.data_centre.clone(), self.seed);
         let cell = Arc::new(PoolCell::new(self.clock, Pool::new(service, &settings)));
         let own = Arc::clone(&cell);
         let timer = tokio::spawn(async move { own.run_timer().await }).abort_handle();
