Smooth what old counts say, weigh counts by how long slots are held, keep long calls apart

Cause: calls waited for slots that only looked taken, and with counts of 20 ms all instances swung together between waiting and sending, and between data centres. Change: a count is weighted by its age against the time a held slot is held; for the rest stands a smoothed mean of near or far targets. Preferred slots are taken although a stale count speaks against it; a waiting short call goes to the least loaded target after a quarter of a short call's time. Long calls go by what stays in peers' counts. The pace of a target is taken relative to the pool.

--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -4,12 +4,24 @@
 
 use rand::{Rng, rngs::SmallRng};
 
-use super::{TargetIndex, estimate::PeerCounts, health::Standing, target::Target};
+use super::{
+    TargetIndex,
+    estimate::{Group, PeerCounts},
+    health::Standing,
+    target::Target,
+};
 use crate::units::MonoTime;
 
 /// Preferred targets compared for one call.
 const PREFERRED_CANDIDATES: usize = 4;
 
+/// Requests beyond its limit that a target may seem to hold for a preferred slot to be taken: peers that took it by
+/// stale counts are gone within the time of one short call.
+const PREFERRED_MARGIN: f64 = 1.0;
+
+/// Load that the way to another data centre stands for, in parts of all slots.
+const FAR_LOAD: f64 = 0.25;
+
 /// Load that a recent failure stands for, in parts of all slots.
 const FAILURE_LOAD: f64 = 1.0;
 
@@ -81,17 +93,18 @@
         {
             return Some(trial);
         }
-        let preferred = self.least_of(&self.candidates.preferred, PREFERRED_CANDIDATES, wish, rng);
-        let preferred = preferred.filter(|index| {
-            let target = &self.targets[index.0];
-            !wish.is_long || target.own_long < target.quota.long
-        });
-        if preferred.is_some() {
-            return preferred;
+        let preferred = self.least_of(&self.candidates.preferred, PREFERRED_CANDIDATES, wish, true, rng);
+        if let Some((_, index)) = preferred {
+            return Some(index);
         }
         let count = candidate_count(self.peers.age());
-        let near = self.least_of(&self.candidates.near, count, wish, rng);
-        near.or_else(|| self.least_of(&self.candidates.far, count, wish, rng))
+        let near = self.least_of(&self.candidates.near, count, wish, false, rng);
+        if near.is_some() && !wish.any {
+            return near.map(|(_, index)| index);
+        }
+        let far = self.least_of(&self.candidates.far, count, wish, false, rng);
+        let far = far.map(|(load, index)| (load + FAR_LOAD, index));
+        near.into_iter().chain(far).min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, index)| index)
     }
 
     fn trial(&self) -> Option<TargetIndex> {
@@ -107,8 +120,9 @@
         list: &[TargetIndex],
         count: usize,
         wish: &Wish,
+        is_preferred: bool,
         rng: &mut SmallRng,
-    ) -> Option<TargetIndex> {
+    ) -> Option<(f64, TargetIndex)> {
         if list.is_empty() {
             return None;
         }
@@ -116,12 +130,22 @@
         // An odd stride over the list gives different targets without keeping a set.
         let stride = if list.len() <= count { 1 } else { rng.random_range(1..list.len()) };
         let drawn = (0..count.min(list.len())).map(|i| list[(start + i * stride) % list.len()]);
-        let loads = drawn.filter_map(|index| Some((self.load(index, wish)?, index)));
-        loads.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, index)| index)
+        let loads = drawn.filter_map(|index| Some((self.load(index, wish, is_preferred)?, index)));
+        loads.min_by(|a, b| a.0.total_cmp(&b.0))
+    }
+
+    /// Returns how far counts are too old to keep a call from a preferred slot, 0 to 1.
+    fn slack(&self) -> f64 {
+        (1.0 - self.peers.weight()).powi(2)
+    }
+
+    /// Returns how many long calls a target seems to hold: own ones, and peers' requests that stay.
+    fn longs_at(&self, index: TargetIndex) -> f64 {
+        f64::from(self.targets[index.0].own_long) + self.peers.staying_at(self.now, index)
     }
 
     /// Returns the load of a target per slot it may use, or `None` when the call may not go there.
-    fn load(&self, index: TargetIndex, wish: &Wish) -> Option<f64> {
+    fn load(&self, index: TargetIndex, wish: &Wish, is_preferred: bool) -> Option<f64> {
         let target = &self.targets[index.0];
         let limit = target.limit(self.now);
         if limit <= 0.0 || wish.without.contains(&index) {
@@ -130,10 +154,22 @@
         if !matches!(target.health.standing(), Standing::InService) {
             return None;
         }
-        let held = f64::from(target.own + self.peers.at(index));
-        let kept_free = if wish.is_long && limit > 1.0 { 1.0 } else { 0.0 };
-        let room = if wish.any { 2.0 * limit } else { limit };
-        if held + kept_free + 1.0 > room {
+        let group = if target.is_near { Group::Near } else { Group::Far };
+        let peers = self.peers.expected_at(index, target.spec.slots, group);
+        let held = f64::from(target.own) + peers;
+        if wish.is_long && is_preferred && target.own_long >= target.quota.long {
+            return None;
+        }
+        if wish.is_long && self.longs_at(index) + 1.0 > f64::from(target.spec.slots.max(2) - 1) {
+            return None;
+        }
+        let room = match (wish.any, is_preferred) {
+            (true, _) => 2.0 * f64::from(target.spec.slots),
+            (false, true) => limit + PREFERRED_MARGIN + self.slack() * limit,
+            (false, false) if wish.is_long && limit > 1.0 => limit - 1.0,
+            (false, false) => limit,
+        };
+        if held + 1.0 > room {
             return None;
         }
         let failed = if target.health.failed_lately(self.now) { FAILURE_LOAD } else { 0.0 };
--- a/src/decide/estimate.rs
+++ b/src/decide/estimate.rs
@@ -14,6 +14,15 @@
 /// Weight of the latest age in the running mean.
 const AGE_WEIGHT: f64 = 0.05;
 
+/// Times faster than a slot's holder changes that the count of a target stops saying which is least loaded.
+const AGE_FACTOR: f64 = 6.0;
+
+/// Times the age of counts over which sums are smoothed.
+const SMOOTHING: f64 = 5.0;
+
+/// Time in which a count becomes what stays, in seconds.
+const STAYING_S: f64 = 0.02;
+
 /// Longest gap between two frames that counts towards the age, so that a quiet night does not look stale.
 const LONGEST_GAP: Duration = Duration::from_millis(100);
 
@@ -23,17 +32,60 @@
     heard_at: MonoTime,
 }
 
+/// Whether targets are in the data centre of the instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Group {
+    /// They are.
+    Near,
+    /// They are not.
+    Far,
+}
+
+#[derive(Debug, Default)]
+struct Totals {
+    /// Sum of the peers' counts.
+    in_flight: u32,
+    /// The same, smoothed over several times the age of counts.
+    smoothed: f64,
+    slots: f64,
+}
+
+/// Least count of the last moments: what stays while short requests come and go.
+#[derive(Debug, Clone, Copy, Default)]
+struct Floor {
+    least: f64,
+    noted_at: MonoTime,
+}
+
+impl Floor {
+    /// Returns the floor at a time, given the count since it was noted.
+    fn at(&self, now: MonoTime, count: u32) -> f64 {
+        let count = f64::from(count);
+        let decay = (-now.since(self.noted_at).as_secs_f64() / STAYING_S).exp();
+        count + (self.least.min(count) - count) * decay
+    }
+}
+
 /// Peers' counts for each target of a pool.
 #[derive(Debug, Default)]
 pub struct PeerCounts {
     peers: HashMap<InstanceId, Peer>,
     /// Sum over all peers, by target.
     sums: Vec<u32>,
+    /// By target.
+    floors: Vec<Floor>,
+    of_target: Vec<Group>,
+    groups: [Totals; 2],
+    smoothed_at: MonoTime,
+    /// Mean time for which a slot that is held now is held.
+    pub slot_hold_s: f64,
     age_s: f64,
 }
 
 impl PeerCounts {
     /// Takes the counts that one peer changed; the others it reported before still apply.
+    ///
+    /// `find` must give only indexes that [`PeerCounts::set_groups`] was told of.
     pub fn take(
         &mut self,
         now: MonoTime,
@@ -51,19 +103,35 @@
             let Some(index) = find(load) else { continue };
             let least = index.0 + 1;
             known.counts.resize(known.counts.len().max(least), 0);
-            self.sums.resize(self.sums.len().max(least), 0);
             let before = std::mem::replace(&mut known.counts[index.0], load.in_flight);
-            self.sums[index.0] = self.sums[index.0] - before + load.in_flight;
+            let sum = self.sums[index.0] - before + load.in_flight;
+            let least = self.floors[index.0].at(now, self.sums[index.0]).min(f64::from(sum));
+            self.floors[index.0] = Floor { least, noted_at: now };
+            self.sums[index.0] = sum;
+            let totals = &mut self.groups[self.of_target[index.0] as usize];
+            totals.in_flight = totals.in_flight - before + load.in_flight;
         }
+        self.smooth(now);
         let age = loads.first().map_or(Duration::ZERO, |l| l.age) + gap / 2;
         self.age_s += AGE_WEIGHT * (age.as_secs_f64() - self.age_s);
     }
 
+    /// Moves the smoothed sums towards the sums; unsmoothed, all instances would swing between groups together.
+    fn smooth(&mut self, now: MonoTime) {
+        let passed_s = now.since(self.smoothed_at).as_secs_f64();
+        self.smoothed_at = now;
+        let part = 1.0 - (-passed_s / (SMOOTHING * self.age_s).max(f64::EPSILON)).exp();
+        for totals in &mut self.groups {
+            totals.smoothed += part * (f64::from(totals.in_flight) - totals.smoothed);
+        }
+    }
+
     /// Drops a peer's counts.
     pub fn forget(&mut self, peer: &InstanceId) {
         let Some(gone) = self.peers.remove(peer) else { return };
-        for (sum, count) in self.sums.iter_mut().zip(gone.counts) {
+        for ((sum, count), group) in self.sums.iter_mut().zip(gone.counts).zip(&self.of_target) {
             *sum -= count;
+            self.groups[*group as usize].in_flight -= count;
         }
     }
 
@@ -83,7 +151,10 @@
             }
         }
         if let Some(sum) = self.sums.get_mut(target.0) {
-            *sum = 0;
+            let gone = std::mem::take(sum);
+            if let Some(group) = self.of_target.get(target.0) {
+                self.groups[*group as usize].in_flight -= gone;
+            }
         }
     }
 
@@ -92,6 +163,42 @@
         self.sums.get(target.0).copied().unwrap_or(0)
     }
 
+    /// Returns the requests of peers that have stayed at a target for longer than short ones do.
+    pub fn staying_at(&self, now: MonoTime, target: TargetIndex) -> f64 {
+        self.floors.get(target.0).map_or(0.0, |floor| floor.at(now, self.at(target)))
+    }
+
+    /// Returns how much a count says of now, 0 to 1: less the older it is against the time slots are held.
+    pub fn weight(&self) -> f64 {
+        (-self.age_s * AGE_FACTOR / self.slot_hold_s.max(f64::EPSILON)).exp()
+    }
+
+    /// Returns the requests that peers are expected to have at a target.
+    ///
+    /// What an old count does not say, the mean of the targets in the same group does.
+    pub fn expected_at(&self, target: TargetIndex, slots: u32, group: Group) -> f64 {
+        let weight = self.weight();
+        let totals = &self.groups[group as usize];
+        let mean = totals.smoothed / totals.slots.max(1.0) * f64::from(slots);
+        weight * f64::from(self.at(target)) + (1.0 - weight) * mean
+    }
+
+    /// Sets the group of each target and the slots of each group; counts are kept.
+    pub fn set_groups(&mut self, groups: Vec<Group>, slots: [f64; 2]) {
+        self.of_target = groups;
+        self.sums.resize(self.of_target.len(), 0);
+        self.floors.resize(self.of_target.len(), Floor::default());
+        for (totals, slots) in self.groups.iter_mut().zip(slots) {
+            *totals = Totals { slots, ..Totals::default() };
+        }
+        for (sum, group) in self.sums.iter().zip(&self.of_target) {
+            self.groups[*group as usize].in_flight += sum;
+        }
+        for totals in &mut self.groups {
+            totals.smoothed = f64::from(totals.in_flight);
+        }
+    }
+
     /// Returns the mean age at which counts are in use, or `None` when no peer reports.
     pub fn age(&self) -> Option<Duration> {
         (!self.peers.is_empty()).then(|| Duration::from_secs_f64(self.age_s))
--- a/src/decide/pool.rs
+++ b/src/decide/pool.rs
@@ -43,7 +43,7 @@
     Action, Attempt, AttemptEnd, Call, Event, LoadReport, RouteKey, TargetIndex,
     choice::{Candidates, View, Wish},
     duration::Durations,
-    estimate::PeerCounts,
+    estimate::{Group, PeerCounts},
     health::{Health, Standing},
     probe::ProbeSchedule,
     queue::{Class, Queue, longest_wait},
@@ -68,6 +68,12 @@
 /// Time without a short call after which a long one may take a target's last slot.
 const SHORT_QUIET: Duration = Duration::from_secs(1);
 
+/// Part of a short call's usual time that it waits for a slot that looks free.
+const PATIENCE_DIVISOR: u32 = 4;
+
+/// Times a long call's usual time that it may wait while the queue stands.
+const LONG_WAIT_FACTOR: u32 = 2;
+
 /// Weight of the latest send in the mean time a slot is held.
 const HOLD_WEIGHT: f64 = 0.02;
 
@@ -213,6 +219,10 @@
     /// Slots over which this instance's waiting calls are served.
     parallel: f64,
     mean_hold_s: f64,
+    /// Mean square of the same, in seconds squared.
+    mean_square_hold: f64,
+    /// Mean over the pool of the time of a send over what its route takes.
+    mean_ratio: f64,
     short_arrived_at: MonoTime,
     sweep_at: Option<MonoTime>,
     counters: PoolCounters,
@@ -237,6 +247,8 @@
             calls: HashMap::default(),
             parallel: 1.0,
             mean_hold_s: 0.005,
+            mean_square_hold: 0.000_05,
+            mean_ratio: 1.0,
             short_arrived_at: MonoTime::default(),
             sweep_at: Some(MonoTime::default()),
             counters: PoolCounters::default(),
@@ -324,6 +336,13 @@
         let own = self.targets.iter().map(|t| t.quota.all).sum::<u32>();
         let all = specs.iter().map(|t| t.slots).sum::<u32>();
         let share = f64::from(all) / f64::from(self.settings.max_instances.max(1));
+        let group = |t: &Target| if t.is_near { Group::Near } else { Group::Far };
+        let slots = |wanted: Group| {
+            let of_group = self.targets.iter().filter(|t| t.in_plan && group(t) == wanted);
+            of_group.map(|t| f64::from(t.spec.slots)).sum::<f64>()
+        };
+        let slots = [slots(Group::Near), slots(Group::Far)];
+        self.peers.set_groups(self.targets.iter().map(group).collect(), slots);
         self.parallel = if own > 0 { f64::from(own) } else { share.max(1.0) };
     }
 
@@ -485,7 +504,12 @@
     }
 
     fn longest_wait(&self, call: &Call) -> Option<Duration> {
-        longest_wait(call.priority, Duration::from_millis(self.spec.objective.latency_ms))
+        let objective = Duration::from_millis(self.spec.objective.latency_ms);
+        let longest = longest_wait(call.priority, objective)?;
+        if !self.durations.is_long(call.route) {
+            return Some(longest);
+        }
+        Some(longest.max(self.durations.hold(call.route) * LONG_WAIT_FACTOR))
     }
 
     fn predicted_wait(&self, class: Class) -> Duration {
@@ -507,13 +531,12 @@
     }
 
     fn enqueue(&mut self, now: MonoTime, id: CallId, at_front: bool) {
+        let longest = self.calls.get(&id).and_then(|a| self.longest_wait(&a.call));
         let Some(active) = self.calls.get_mut(&id) else { return };
         active.waiting = true;
         let (class, deadline, arrived_at) = (active.class, active.call.deadline, active.arrived_at);
         self.queue.push(now, class, id, at_front);
         self.timers.set(deadline, id, Due::Deadline);
-        let longest =
-            longest_wait(active.call.priority, Duration::from_millis(self.spec.objective.latency_ms));
         if let Some(longest) = longest {
             self.timers.set(arrived_at + longest, id, Due::Wait);
         }
@@ -524,7 +547,7 @@
 
     /// Time after which a short call goes to a target that looks full: counts may be wrong by then.
     fn patience(&self) -> Duration {
-        self.durations.short()
+        self.durations.short() / PATIENCE_DIVISOR
     }
 
     fn refuse(&mut self, call: CallId, kind: ErrorKind, wait: Duration, actions: &mut Vec<Action>) {
@@ -587,10 +610,13 @@
         let target = &mut self.targets[send.target.0];
         match end {
             AttemptEnd::Answered => {
-                let usual = self.durations.hold(route);
-                target.answered(now, took.as_secs_f64() / usual.as_secs_f64());
+                let ratio = took.as_secs_f64() / self.durations.hold(route).as_secs_f64();
+                target.answered(now, ratio / self.mean_ratio);
+                self.mean_ratio += HOLD_WEIGHT * (ratio - self.mean_ratio);
                 self.durations.record_hold(route, took);
                 self.mean_hold_s += HOLD_WEIGHT * (took.as_secs_f64() - self.mean_hold_s);
+                self.mean_square_hold += HOLD_WEIGHT * (took.as_secs_f64().powi(2) - self.mean_square_hold);
+                self.peers.slot_hold_s = self.mean_square_hold / self.mean_hold_s;
             }
             AttemptEnd::Failed | AttemptEnd::Lost | AttemptEnd::Unsent | AttemptEnd::TimedOut => {
                 let is_certain = end == AttemptEnd::Unsent;
@@ -731,7 +757,7 @@
             && self.queue.is_empty();
         let usual = self.durations.begin(active.call.route);
         let ratio = now.since(send.sent_at).as_secs_f64() / usual.as_secs_f64();
-        self.targets[send.target.0].health.late(now, ratio);
+        self.targets[send.target.0].health.late(now, ratio / self.mean_ratio);
         if !may_hedge {
             return;
         }
