--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,12 +1,18 @@
 //! Stand-ins, load, trace replay and experiments for arbutusshelf; not shipped.
 
 pub mod client;
+pub mod control;
 pub mod deployment;
 pub mod experiment;
 pub mod generate;
+pub mod flood;
 pub mod http;
+pub mod observe_cost;
+pub mod plan_size;
 pub mod platform;
 pub mod replay;
+pub mod process;
+pub mod store_outage;
 pub mod target;
 pub mod tour;
 pub mod trace;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, process::ExitCode};
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
-use arbutusshelf_bench::{experiment, platform::PlatformStandIn, target::TargetStandIn, tour};
+use arbutusshelf_bench::{
+    control, experiment, flood, observe_cost, plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn,
+    tour,
+};
 use argh::FromArgs;
 
 #[global_allocator]
@@ -21,6 +24,11 @@
 #[argh(subcommand)]
 enum Command {
     Tour(Tour),
+    StoreOutage(store_outage::Args),
+    PlanSize(plan_size::Args),
+    Control(control::Args),
+    ObserveCost(observe_cost::Args),
+    Flood(flood::Args),
     Platform(Platform),
     Target(Target),
     Replay(experiment::ReplayCommand),
@@ -83,6 +91,26 @@
         Command::Replay(args) => args.run(),
         Command::Generate(args) => args.run(),
         Command::Experiment(args) => args.run(),
+        Command::PlanSize(args) => {
+            plan_size::run(&args)?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Flood(args) => {
+            flood::run(&args).await?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::ObserveCost(args) => {
+            observe_cost::run(&args)?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::StoreOutage(args) => {
+            store_outage::run(&args).await?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Control(args) => {
+            control::run(&args).await?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Platform(args) => {
             let stand_in =
                 PlatformStandIn::start(args.listen, args.seed).await.map_err(|e| unavailable(&e))?;
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! Operators' HTTP: health, plan, targets, peers and the report.
 
 pub mod client;
+pub mod explain;
 pub mod submit;
 
 use std::{sync::Arc, time::Duration};
@@ -22,7 +23,9 @@
     error::{Error, ErrorKind, Result},
     kernel::Kernel,
     membership::MemberView,
-    observe::report,
+    observe::{self, snapshot},
+    peer::budget::Purpose,
+    plan::follow::Standing,
     units::{PlanVersion, TargetId},
 };
 
@@ -35,6 +38,9 @@
 /// Time an operator's client may take to send a request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Content type of the metrics page.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// Answer of `GET /plan/status`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PlanStatus {
@@ -42,10 +48,25 @@
     pub version: PlanVersion,
     /// Change that made it.
     pub change_id: Option<String>,
+    /// Whether the plan is known to be current.
+    pub standing: Standing,
+    /// Bytes sent to peers since the start.
+    pub sent: SentBytes,
     /// Other instances as seen from here.
     pub members: Vec<MemberView>,
 }
 
+/// Bytes sent to peers, by what they were for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SentBytes {
+    /// Plans, leaving and draining.
+    pub urgent_bytes: u64,
+    /// Heartbeats and hellos.
+    pub heartbeat_bytes: u64,
+    /// Load counts.
+    pub loads_bytes: u64,
+}
+
 /// One line of `GET /targets`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TargetView {
@@ -127,9 +148,13 @@
         (&Method::GET, "/plan/status") => json_reply(&plan_status(kernel)),
         (&Method::GET, "/targets") => json_reply(&targets(kernel)),
         (&Method::GET, "/members") => json_reply(&kernel.members.view(kernel.clock.now())),
-        (&Method::GET, "/report") => {
-            let report = report::make(&kernel.config.instance, &kernel.plan.current(), &kernel.tally);
-            json_reply(&report)
+        (&Method::GET, "/explain") => {
+            json_reply(&explain::explain(kernel, request.uri().query().unwrap_or_default())?)
+        }
+        (&Method::GET, "/report") => json_reply(&observe::report(kernel).await?),
+        (&Method::GET, "/metrics") => {
+            observe::count(kernel);
+            Ok(metrics_reply(kernel.observer.metrics.encode(&snapshot::take(kernel))?))
         }
         (&Method::POST, "/plan/submit") => submit_plan(kernel, request).await,
         (&Method::POST, "/leave") => {
@@ -140,11 +165,22 @@
     }
 }
 
+fn sent_bytes(kernel: &Kernel) -> SentBytes {
+    let budget = kernel.control.budget();
+    SentBytes {
+        urgent_bytes: budget.spent(Purpose::Urgent),
+        heartbeat_bytes: budget.spent(Purpose::Heartbeat),
+        loads_bytes: budget.spent(Purpose::Loads),
+    }
+}
+
 fn plan_status(kernel: &Kernel) -> PlanStatus {
     let plan = kernel.plan.current();
     PlanStatus {
         version: plan.version,
         change_id: plan.change_id.as_ref().map(ToString::to_string),
+        standing: kernel.control.follower().standing(),
+        sent: sent_bytes(kernel),
         members: kernel.members.view(kernel.clock.now()),
     }
 }
@@ -161,19 +197,22 @@
 }
 
 async fn submit_plan(kernel: &Kernel, request: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
-    let query = request.uri().query().unwrap_or_default();
-    let change_id = query
-        .split('&')
-        .find_map(|pair| pair.strip_prefix("change-id="))
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let parameter = |name: &str| {
+        query.split('&').filter_map(|pair| pair.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
+    };
+    let change_id = parameter("change-id")
         .ok_or_else(|| Error::new(ErrorKind::BadRequest, "change-id: required in the query"))?
         .parse()
         .map_err(|e| Error::new(ErrorKind::BadRequest, format!("change-id: {e}")))?;
+    let base = parameter("base").map(str::parse).transpose();
+    let base = base.map_err(|e| Error::new(ErrorKind::BadRequest, format!("base: {e}")))?;
     let sheet = Limited::new(request.into_body(), MAX_SHEET_BYTES)
         .collect()
         .await
         .map_err(|e| Error::new(ErrorKind::BadRequest, format!("sheet: {e}")))?
         .to_bytes();
-    json_reply(&submit::submit(kernel, &sheet, change_id).await?)
+    json_reply(&submit::submit(kernel, &sheet, change_id, base).await?)
 }
 
 fn ready_reply(kernel: &Kernel) -> Response<Full<Bytes>> {
@@ -189,6 +228,12 @@
     response
 }
 
+fn metrics_reply(page: String) -> Response<Full<Bytes>> {
+    let mut response = text_reply(StatusCode::OK, page);
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(OPEN_METRICS));
+    response
+}
+
 fn json_reply(value: &impl Serialize) -> Result<Response<Full<Bytes>>> {
     let json = serde_json::to_vec(value).map_err(|e| Error::new(ErrorKind::File, format!("reply: {e}")))?;
     let mut response = Response::new(Full::new(Bytes::from(json)));
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -134,7 +134,8 @@
 
 async fn submit_plan(args: cli::PlanSubmit) -> Result<ExitCode> {
     let text = read_file(&args.sheet)?;
-    let path = format!("/plan/submit?change-id={}", args.change_id);
+    let base = args.base.map(|version| format!("&base={version}")).unwrap_or_default();
+    let path = format!("/plan/submit?change-id={}{base}", args.change_id);
     let accepted =
         call::<Accepted>(Method::POST, args.to, &path, args.token.as_deref(), Bytes::from(text)).await?;
     if args.json {
@@ -154,6 +155,10 @@
     for line in &accepted.changes {
         println!("{line}");
     }
+    if !accepted.unheard.is_empty() {
+        let names = accepted.unheard.iter().map(ToString::to_string).collect::<Vec<_>>();
+        println!("listed and never heard from here: {}", names.join(", "));
+    }
     if accepted.without.is_empty() {
         println!("in force on all live instances");
     } else {
@@ -170,7 +175,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     let change = status.change_id.as_deref().unwrap_or("none");
-    println!("version {} by change {change}", status.version);
+    println!("version {} by change {change}, {}", status.version, status.standing);
     for member in &status.members {
         let state = if member.live { "live" } else { "silent" };
         let leaving = if member.leaving { " leaving" } else { "" };
@@ -182,9 +187,17 @@
 async fn show_report(args: cli::Report) -> Result<ExitCode> {
     let token = args.token.as_deref();
     let report = call::<Report>(Method::GET, args.to, "/report", token, Bytes::new()).await?;
-    let form = if args.json { "json" } else { "table" };
+    if let Some(file) = &args.svg {
+        let picture = write_report("svg", &report)?;
+        fs::write(file, picture)
+            .map_err(|e| Error::new(ErrorKind::File, format!("{}: {e}", file.display())))?;
+    }
+    print!("{}", write_report(if args.json { "json" } else { "table" }, &report)?);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn write_report(form: &str, report: &Report) -> Result<String> {
     let writer = registry::report_writer(form)
         .ok_or_else(|| Error::new(ErrorKind::File, format!("no report writer is named {form}")))?;
-    print!("{}", (writer.write)(&report)?);
-    Ok(ExitCode::SUCCESS)
+    (writer.write)(report)
 }
