Offer a freed slot to the queue, follow plan changes in place, carry out probes, measure

Cause: a slot that came free was found only if a random candidate hit it; a changed service got a fresh pool; probes were not sent; a probe's answer could take back an operator's drain. Change: the target that an end frees is offered first; pools are reconfigured with sends in progress; the edge sends GET /probe and stops when the instance leaves; signs of draining and a target's own report are kept apart.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,8 +4,8 @@
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
 use arbutusshelf_bench::{
-    control, experiment, flood, observe_cost, plan_size, platform::PlatformStandIn, store_outage, target::TargetStandIn,
-    tour,
+    control, experiment, flood, observe_cost, plan_size, platform::PlatformStandIn, pool_cost, store_outage,
+    target::TargetStandIn, tour,
 };
 use argh::FromArgs;
 
@@ -34,6 +34,7 @@
     Replay(experiment::ReplayCommand),
     Generate(experiment::GenerateCommand),
     Experiment(experiment::ExperimentCommand),
+    PoolCost(pool_cost::PoolCost),
 }
 
 /// Run the whole path on loopback and check the properties of the brief.
@@ -91,6 +92,10 @@
         Command::Replay(args) => args.run(),
         Command::Generate(args) => args.run(),
         Command::Experiment(args) => args.run(),
+        Command::PoolCost(pool_cost::PoolCost {}) => {
+            pool_cost::run();
+            Ok(ExitCode::SUCCESS)
+        }
         Command::PlanSize(args) => {
             plan_size::run(&args)?;
             Ok(ExitCode::SUCCESS)
--- a/bench/src/replay/mod.rs
+++ b/bench/src/replay/mod.rs
@@ -17,7 +17,10 @@
         quota::Position,
     },
     error::{ErrorKind, Outcome},
-    peer::frame::{Frame, LoadCount, encode},
+    peer::{
+        frame::{Frame, Loads, encode},
+        loads::LoadSender,
+    },
     plan::{Plan, Priority, RequestKind, ServiceSpec},
     units::{CallId, DataCentre, InstanceId, MonoTime, TargetId},
 };
@@ -194,7 +197,7 @@
     /// Calls that wait in the one queue of the perfect policy, by service.
     perfect_queues: Vec<BTreeSet<(Priority, u64, usize)>>,
     counts: Vec<Counts>,
-    last_counts: Vec<Vec<Vec<u32>>>,
+    senders: Vec<LoadSender>,
     control_bytes: u64,
     probe_times_us: Vec<(u64, usize, usize)>,
     starts: Vec<Vec<Start>>,
@@ -243,10 +246,7 @@
             data_centres,
             perfect_queues: vec![BTreeSet::new(); services],
             counts: Vec::new(),
-            last_counts: vec![
-                plan.services.iter().map(|s| vec![0; s.targets.len()]).collect();
-                settings.instances
-            ],
+            senders: (0..settings.instances).map(|_| LoadSender::default()).collect(),
             control_bytes: 0,
             probe_times_us: Vec::new(),
             starts: vec![Vec::new(); services],
@@ -652,35 +652,43 @@
     }
 
     fn take_counts(&mut self, instance: usize) {
-        let mut loads = Vec::new();
-        for (service, spec) in self.plan.services.iter().enumerate() {
-            let Chooser::Product(pool) = &self.choosers[instance][service] else { continue };
-            let last = &mut self.last_counts[instance][service];
-            for (index, count) in pool.own_in_flight().enumerate() {
-                if std::mem::replace(&mut last[index], count) != count {
-                    loads.push((service, spec.targets[index].id.clone(), count));
-                }
+        let mut in_flight = Vec::new();
+        for chooser in &self.choosers[instance] {
+            if let Chooser::Product(pool) = chooser {
+                in_flight.extend(pool.own_in_flight());
             }
         }
         let age_us = self.settings.count_age.as_micros() as u64;
         if self.now_us < self.end_us {
             self.schedule(self.now_us + age_us, Step::TakeCounts { instance });
         }
-        if loads.is_empty() {
-            return;
-        }
-        let counts = loads
-            .iter()
-            .map(|(_, target, in_flight)| LoadCount { target: target.clone(), in_flight: *in_flight });
-        let frame = Frame::Loads { sent_at_us: self.now_us, counts: counts.collect() };
-        self.control_bytes += encode(&frame).len() as u64 * (self.settings.instances as u64 - 1);
+        let now = MonoTime::from(self.now_us);
+        let Some(frame) = self.senders[instance].changes(self.plan.version, &in_flight, now) else { return };
+        let changed = self.name_counts(&frame);
+        let peers = self.settings.instances as u64 - 1;
+        self.control_bytes += encode(&Frame::Loads(frame)).len() as u64 * peers;
         let number = self.counts.len();
-        self.counts.push(Counts { from: instance, taken_us: self.now_us, loads });
+        self.counts.push(Counts { from: instance, taken_us: self.now_us, loads: changed });
         for to in (0..self.settings.instances).filter(|to| *to != instance) {
             self.schedule(self.now_us + age_us / 2, Step::Counts { number, to });
         }
     }
 
+    /// Finds service and target of each count of a frame, which counts through all targets of the plan.
+    fn name_counts(&self, frame: &Loads) -> Vec<(usize, TargetId, u32)> {
+        let services = self.plan.services.iter().enumerate();
+        let targets = services.flat_map(|(s, spec)| spec.targets.iter().map(move |t| (s, &t.id)));
+        let targets = targets.collect::<Vec<_>>();
+        let mut next = 0;
+        let mut named = Vec::with_capacity(frame.counts.len());
+        for count in &frame.counts {
+            let (service, id) = targets[next + count.skipped as usize];
+            named.push((service, id.clone(), count.in_flight));
+            next += count.skipped as usize + 1;
+        }
+        named
+    }
+
     fn deliver_counts(&mut self, number: usize, to: usize) {
         let counts = &self.counts[number];
         let age = Duration::from_micros(self.now_us - counts.taken_us);
--- /dev/null
+++ b/bench/tests/replay.rs
@@ -0,0 +1,101 @@
+//! Replays of shipped traces against the stated properties.
+
+use std::{path::Path, time::Duration};
+
+use arbutusshelf_bench::{
+    deployment::Deployment,
+    generate,
+    replay::{self, ReplaySettings, figures::Figures, policy::Policy},
+    trace::{Disturbance, Trace},
+};
+
+fn shipped(name: &str) -> Trace {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("traces/{name}.jsonl"));
+    Trace::load(&path).expect("shipped traces are of the format")
+}
+
+fn run(trace: &Trace, policy: Policy, deployment: Deployment, load: f64, seed: u64) -> Figures {
+    let settings = ReplaySettings {
+        deployment,
+        instances: 13,
+        policy,
+        seed,
+        load: Some(load),
+        count_age: Duration::from_millis(5),
+    };
+    replay::run(trace, &settings)
+}
+
+fn check_properties(figures: &Figures, name: &str) {
+    assert_eq!(figures.double_runs, 0, "{name}");
+    assert!(figures.target_probes_per_s <= 10.0, "{name}: {}", figures.target_probes_per_s);
+    assert!(figures.probes_per_s <= figures.probe_budget_per_s, "{name}");
+    assert_eq!(figures.ran + figures.not_run + figures.unknown, figures.calls, "{name}");
+    assert!(figures.runs_per_call <= 1.2, "{name}: {} runs per call", figures.runs_per_call);
+}
+
+#[test]
+fn every_shipped_trace_keeps_the_stated_properties() {
+    for name in generate::NAMES {
+        let figures = run(&shipped(name), Policy::Product, Deployment::Kremsau, 0.3, 1);
+        check_properties(&figures, name);
+        assert!(figures.at_most_once_success >= 0.99, "{name}: {}", figures.at_most_once_success);
+    }
+}
+
+#[test]
+fn the_product_is_not_below_two_choices_on_own_counts() {
+    let trace = shipped("noisy");
+    for load in [0.7, 0.95] {
+        let p99_ms = |policy| {
+            let mut all = [1, 2, 3].map(|seed| run(&trace, policy, Deployment::Kremsau, load, seed).p99_ms);
+            all.sort_by(f64::total_cmp);
+            all[1]
+        };
+        let (product, least_own) = (p99_ms(Policy::Product), p99_ms(Policy::LeastOwn));
+        assert!(product <= least_own, "at {load}: {product} ms against {least_own} ms");
+    }
+}
+
+#[test]
+fn bookings_go_through_at_twice_the_capacity() {
+    let figures = run(&shipped("recital"), Policy::Product, Deployment::Kremsau, 2.0, 1);
+    check_properties(&figures, "recital");
+    assert!(figures.at_most_once_success >= 0.99, "{}", figures.at_most_once_success);
+}
+
+#[test]
+fn a_replay_is_the_same_each_time() {
+    let trace = shipped("fast-failure");
+    let once = run(&trace, Policy::Product, Deployment::Magnolia, 0.2, 4);
+    assert_eq!(once, run(&trace, Policy::Product, Deployment::Magnolia, 0.2, 4));
+}
+
+#[test]
+fn shipped_traces_are_what_the_generator_makes() {
+    for name in generate::NAMES {
+        let made = generate::generate(name, 1, 500.0, 4.0).expect("the name is known");
+        assert_eq!(shipped(name), made, "{name}");
+        assert_eq!(Trace::parse(&made.to_text()).expect("it is of the format"), made);
+    }
+}
+
+#[test]
+fn faults_of_a_trace_are_named_by_line() {
+    let table = [
+        ("{}", "trace line 1"),
+        ("\n{\"time_us\":1}", "trace line 2"),
+        (
+            "{\"time_us\":1,\"service\":\"a\",\"target\":0,\"for_us\":1,\"disturbance\":\"asleep\"}",
+            "trace line 1",
+        ),
+        ("not JSON", "trace line 1"),
+    ];
+    for (text, wanted) in table {
+        let fault = Trace::parse(text).expect_err("it has a fault");
+        assert!(fault.message.contains(wanted), "{}", fault.message);
+    }
+    let line = "{\"time_us\":1,\"service\":\"a\",\"target\":0,\"for_us\":1,\"disturbance\":{\"slow\":10.0}}";
+    let trace = Trace::parse(line).expect("it is of the format");
+    assert_eq!(trace.disturbances[0].disturbance, Disturbance::Slow(10.0));
+}
--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -34,6 +34,8 @@
     pub may_try: bool,
     /// Takes a target that looks full, as long as it holds less than twice its limit.
     pub any: bool,
+    /// Target whose slot has just become free; taken before any other.
+    pub freed: Option<TargetIndex>,
     /// Targets that have or had this call.
     pub without: &'a [TargetIndex],
 }
@@ -93,6 +95,11 @@
         {
             return Some(trial);
         }
+        if let Some(freed) =
+            wish.freed.filter(|freed| self.load(*freed, wish, self.is_preferred(*freed)).is_some())
+        {
+            return Some(freed);
+        }
         let preferred = self.least_of(&self.candidates.preferred, PREFERRED_CANDIDATES, wish, true, rng);
         if let Some((_, index)) = preferred {
             return Some(index);
@@ -107,10 +114,14 @@
         near.into_iter().chain(far).min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, index)| index)
     }
 
+    fn is_preferred(&self, index: TargetIndex) -> bool {
+        self.targets[index.0].free_place.is_some()
+    }
+
     fn trial(&self) -> Option<TargetIndex> {
         let free = |index: &&TargetIndex| {
             let target = &self.targets[index.0];
-            matches!(target.health.standing(), Standing::Trial(_)) && !target.draining && target.own == 0
+            matches!(target.health.standing(), Standing::Trial(_)) && !target.is_draining() && target.own == 0
         };
         self.candidates.trials.iter().find(free).copied()
     }
--- a/src/decide/pool.rs
+++ b/src/decide/pool.rs
@@ -81,7 +81,7 @@
 const LEAST_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// What a pool needs besides the service's part of the plan.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct PoolSettings {
     /// Data centre of this instance; near targets go first.
     pub data_centre: DataCentre,
@@ -225,6 +225,8 @@
     mean_ratio: f64,
     short_arrived_at: MonoTime,
     sweep_at: Option<MonoTime>,
+    /// Target whose slot the event at hand made free.
+    freed: Option<TargetIndex>,
     counters: PoolCounters,
     rng: SmallRng,
 }
@@ -251,6 +253,7 @@
             mean_ratio: 1.0,
             short_arrived_at: MonoTime::default(),
             sweep_at: Some(MonoTime::default()),
+            freed: None,
             counters: PoolCounters::default(),
             rng: SmallRng::seed_from_u64(settings.seed),
         };
@@ -299,7 +302,8 @@
             spec: spec.clone(),
             is_near,
             in_plan: true,
-            draining: false,
+            drained_by_sign: false,
+            drained_by_report: false,
             own: 0,
             own_long: 0,
             quota: quota::Quota::default(),
@@ -371,6 +375,11 @@
         &self.spec
     }
 
+    /// Returns the settings that this pool follows.
+    pub fn settings(&self) -> &PoolSettings {
+        &self.settings
+    }
+
     /// Returns what the plan states of a target that a send names.
     ///
     /// # Panics
@@ -404,7 +413,7 @@
         let target = &self.targets[index.0];
         let pace = target.health.pace(now);
         let state = match target.health.standing() {
-            _ if target.draining => TargetState::Draining,
+            _ if target.is_draining() => TargetState::Draining,
             Standing::Ejected(_) => TargetState::Ejected,
             Standing::Trial(_) => TargetState::Trial,
             Standing::InService if target.ramp.is_some() => TargetState::WarmingUp,
@@ -446,7 +455,8 @@
             Event::PeerGone(peer) => self.peers.forget(&peer),
             Event::Draining { target, draining } => {
                 if let Some(&index) = self.by_id.get(&target) {
-                    self.set_draining(index, draining);
+                    self.targets[index.0].drained_by_sign = draining;
+                    self.candidates.update_preferred(&mut self.targets, index);
                 }
             }
             Event::Probed { target, report } => self.probed(now, target, report),
@@ -455,6 +465,7 @@
         self.run_timers(now, actions);
         self.sweep(now, actions);
         self.dispatch(now, actions);
+        self.freed = None;
         let calls = &self.calls;
         self.timers.drop_stale(|timer| applies(calls, timer));
     }
@@ -492,7 +503,7 @@
 
     /// Returns why a call should be refused before it waits.
     fn refusal(&self, now: MonoTime, call: &Call, class: Class) -> Option<ErrorKind> {
-        if self.by_plan.iter().all(|index| self.targets[index.0].draining) {
+        if self.by_plan.iter().all(|index| self.targets[index.0].is_draining()) {
             return Some(ErrorKind::NoTarget);
         }
         let wait = self.predicted_wait(class);
@@ -576,9 +587,8 @@
         let (target, route) = (send.target, active.call.route);
         self.durations.record_begin(route, now.since(send.sent_at));
         self.targets[target.0].read_at = now;
-        if report.draining {
-            self.set_draining(target, true);
-        }
+        self.targets[target.0].drained_by_report = report.draining;
+        self.candidates.update_preferred(&mut self.targets, target);
     }
 
     fn ended(
@@ -603,6 +613,7 @@
         target.own -= 1;
         target.own_long -= u32::from(send.is_long);
         self.candidates.update_preferred(&mut self.targets, send.target);
+        self.freed = Some(send.target);
     }
 
     fn learn(&mut self, now: MonoTime, route: RouteKey, send: Send, end: AttemptEnd) {
@@ -695,18 +706,14 @@
         }
     }
 
-    fn set_draining(&mut self, index: TargetIndex, draining: bool) {
-        self.targets[index.0].draining = draining;
-        self.candidates.update_preferred(&mut self.targets, index);
-    }
-
     fn probed(&mut self, now: MonoTime, index: TargetIndex, report: Option<LoadReport>) {
         let Some(target) = self.targets.get_mut(index.0) else { return };
         target.probes.ended();
         match report {
             Some(report) => {
                 target.read_at = now;
-                self.set_draining(index, report.draining);
+                target.drained_by_report = report.draining;
+                self.candidates.update_preferred(&mut self.targets, index);
             }
             None => {
                 if target.health.failed(now, false) {
@@ -846,7 +853,13 @@
         }
         let keeps_slot = active.class.is_long() && now.since(self.short_arrived_at) < SHORT_QUIET;
         let is_plain = active.call.kind == RequestKind::Idempotent && !active.class.is_long();
-        let wish = Wish { is_long: keeps_slot, may_try: may_try && is_plain, any, without: &tried };
+        let wish = Wish {
+            is_long: keeps_slot,
+            may_try: may_try && is_plain,
+            any,
+            freed: self.freed,
+            without: &tried,
+        };
         let view = View { now, targets: &self.targets, peers: &self.peers, candidates: &self.candidates };
         view.choose(&wish, &mut self.rng)
     }
--- a/src/decide/target.rs
+++ b/src/decide/target.rs
@@ -20,8 +20,10 @@
     /// Whether the plan in force has it; false only while sends of an earlier plan are in progress or its place
     /// is free.
     pub in_plan: bool,
-    /// Whether it takes no new calls.
-    pub draining: bool,
+    /// Whether a sign from plan, list or peers says that it takes no new calls.
+    pub drained_by_sign: bool,
+    /// Whether its own latest report says so.
+    pub drained_by_report: bool,
     /// Own sends in progress.
     pub own: u32,
     /// Those among `own` whose route is long.
@@ -41,9 +43,14 @@
 }
 
 impl Target {
+    /// Returns whether it takes no new calls.
+    pub fn is_draining(&self) -> bool {
+        self.drained_by_sign || self.drained_by_report
+    }
+
     /// Returns how many requests of all instances it may hold now.
     pub fn limit(&self, now: MonoTime) -> f64 {
-        if self.draining || !self.in_plan {
+        if self.is_draining() || !self.in_plan {
             return 0.0;
         }
         match self.health.standing() {
@@ -69,6 +76,6 @@
 
     /// Returns whether a preferred slot is free.
     pub fn has_free_quota(&self) -> bool {
-        self.in_plan && !self.draining && self.own < self.quota.all
+        self.in_plan && !self.is_draining() && self.own < self.quota.all
     }
 }
--- a/src/kernel/pools.rs
+++ b/src/kernel/pools.rs
@@ -4,7 +4,7 @@
 //! is locked.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, Weak},
     time::Duration,
 };
 
@@ -52,6 +52,17 @@
     },
 }
 
+/// A probe that a pool wants sent.
+#[derive(Debug)]
+pub struct ProbeOrder {
+    /// Pool that is told of the result.
+    pub cell: Arc<PoolCell>,
+    /// Target as the pool names it.
+    pub target: TargetIndex,
+    /// Where it listens.
+    pub spec: TargetSpec,
+}
+
 #[derive(Debug)]
 struct CellState {
     pool: Pool,
@@ -69,17 +80,20 @@
     state: Mutex<CellState>,
     /// Notified when the pool's next wake may have moved.
     rewake: Notify,
+    probes: mpsc::UnboundedSender<ProbeOrder>,
+    own: Weak<Self>,
 }
 
 impl PoolCell {
-    fn new(clock: Clock, pool: Pool) -> Self {
+    fn new(clock: Clock, pool: Pool, probes: mpsc::UnboundedSender<ProbeOrder>) -> Arc<Self> {
         let state = CellState {
             pool,
             calls: HashMap::default(),
             actions: Vec::new(),
             choices: ChoiceRing::default(),
         };
-        Self { clock, state: Mutex::new(state), rewake: Notify::new() }
+        let state = Mutex::new(state);
+        Arc::new_cyclic(|own| Self { clock, state, rewake: Notify::new(), probes, own: Weak::clone(own) })
     }
 
     fn lock(&self) -> MutexGuard<'_, CellState> {
@@ -127,6 +141,9 @@
             if let Action::Send { call, attempt, target } = action {
                 choices.note(now, call, attempt, target, pool);
             }
+            if let Action::Probe(target) = action {
+                self.order_probe(pool, target);
+            }
             deliver(pool, calls, &action);
         }
         let is_earlier = match (pool.next_wake(), wake_before) {
@@ -138,6 +155,20 @@
         }
     }
 
+    fn order_probe(&self, pool: &Pool, target: TargetIndex) {
+        let Some(cell) = self.own.upgrade() else { return };
+        // Without a prober, as in a kernel that is not served, the order is dropped.
+        let _unserved = self.probes.send(ProbeOrder { cell, target, spec: pool.target(target).clone() });
+    }
+
+    /// Lets the pool follow a changed plan; calls in progress go on.
+    fn reconfigure(&self, service: &ServiceSpec, settings: &PoolSettings) {
+        let mut state = self.lock();
+        state.pool.reconfigure(service, settings);
+        self.step(&mut state, Event::Tick);
+        self.rewake.notify_one();
+    }
+
     /// Sends ticks when they are due; runs until dropped.
     pub async fn run_timer(&self) {
         loop {
@@ -193,12 +224,22 @@
     data_centre: DataCentre,
     seed: u64,
     entries: RwLock<HashMap<ServiceName, Entry>>,
+    probes: mpsc::UnboundedSender<ProbeOrder>,
+    /// Until it is taken by the one prober.
+    orders: Mutex<Option<mpsc::UnboundedReceiver<ProbeOrder>>>,
 }
 
 impl PoolTable {
     /// Creates an empty table.
     pub fn new(clock: Clock, instance: InstanceId, data_centre: DataCentre, seed: u64) -> Self {
-        Self { clock, instance, data_centre, seed, entries: RwLock::default() }
+        let (probes, orders) = mpsc::unbounded_channel();
+        let orders = Mutex::new(Some(orders));
+        Self { clock, instance, data_centre, seed, entries: RwLock::default(), probes, orders }
+    }
+
+    /// Takes the probes that pools order; `None` after the first time.
+    pub fn take_probe_orders(&self) -> Option<mpsc::UnboundedReceiver<ProbeOrder>> {
+        self.orders.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 
     /// Finds the pool of a service.
@@ -223,24 +264,30 @@
         }
     }
 
-    /// Follows a plan: unchanged services keep their pools, calls in progress end on the pool they began on.
+    /// Follows a plan: pools take over what changed, and calls in progress go on.
     ///
     /// Must be called inside the runtime.
     pub fn apply(&self, plan: &Plan) {
+        let settings = PoolSettings::of(plan, &self.instance, self.data_centre.clone(), self.seed);
         let mut entries = self.entries.write().unwrap_or_else(PoisonError::into_inner);
         entries.retain(|name, _| plan.service(name.as_str()).is_some());
         for service in &plan.services {
-            let unchanged =
-                entries.get(&service.name).is_some_and(|e| e.cell.inspect(|pool| pool.spec() == service));
-            if !unchanged {
-                entries.insert(service.name.clone(), self.open(plan, service));
+            match entries.get(&service.name) {
+                Some(entry) => {
+                    let differs = |pool: &Pool| pool.spec() != service || *pool.settings() != settings;
+                    if entry.cell.inspect(differs) {
+                        entry.cell.reconfigure(service, &settings);
+                    }
+                }
+                None => {
+                    entries.insert(service.name.clone(), self.open(service, &settings));
+                }
             }
         }
     }
 
-    fn open(&self, plan: &Plan, service: &ServiceSpec) -> Entry {
-        let settings = PoolSettings::of(plan, &self.instance, self.data_centre.clone(), self.seed);
-        let cell = Arc::new(PoolCell::new(self.clock, Pool::new(service, &settings)));
+    fn open(&self, service: &ServiceSpec, settings: &PoolSettings) -> Entry {
+        let cell = PoolCell::new(self.clock, Pool::new(service, settings), self.probes.clone());
         let own = Arc::clone(&cell);
         let timer = tokio::spawn(async move { own.run_timer().await }).abort_handle();
         Entry { cell, timer }
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -373,7 +373,8 @@
         && response.headers().contains_key(header::RETRY_AFTER)
 }
 
-fn load_report(response: &Response<Incoming>) -> LoadReport {
+/// Reads what a target says of itself on an answer.
+pub fn load_report(response: &Response<Incoming>) -> LoadReport {
     let in_flight = headers::number(response.headers(), &headers::LOAD).ok().flatten();
     LoadReport {
         in_flight: in_flight.map(|n| u32::try_from(n).unwrap_or(u32::MAX)),
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 pub mod connection;
 pub mod headers;
 pub mod once;
+pub mod probe;
 
 use std::{sync::Arc, time::Duration};
 
--- /dev/null
+++ b/src/proxy/probe.rs
@@ -0,0 +1,53 @@
+//! Probes of targets, as pools order them.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, header};
+use tokio::{sync::mpsc, time::timeout};
+
+use super::{
+    call::load_report,
+    connection::{Connections, Sent},
+};
+use crate::{
+    decide::{Event, LoadReport},
+    kernel::{Kernel, pools::ProbeOrder},
+    plan::TargetSpec,
+};
+
+/// Path at which targets answer probes.
+const PROBE_PATH: &str = "/probe";
+
+/// Time after which a probe counts as failed.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Carries out the probes that pools order; runs until dropped.
+pub async fn run(kernel: Arc<Kernel>, mut orders: mpsc::UnboundedReceiver<ProbeOrder>) {
+    while let Some(order) = orders.recv().await {
+        let kernel = Arc::clone(&kernel);
+        tokio::spawn(async move {
+            let report = timeout(PROBE_TIMEOUT, probe(&kernel.connections, &order.spec)).await;
+            let report = report.ok().flatten();
+            order.cell.handle(Event::Probed { target: order.target, report });
+        });
+    }
+}
+
+/// Sends one probe; `None` when no good answer came.
+async fn probe(connections: &Connections, target: &TargetSpec) -> Option<LoadReport> {
+    let mut connection = connections.checkout(target.address, false).await?;
+    let request = Request::get(PROBE_PATH)
+        .header(header::HOST, target.address.to_string())
+        .body(Full::new(Bytes::new()))
+        .ok()?;
+    let Sent::Answered(response) = connection.send(request).await else { return None };
+    if !response.status().is_success() {
+        return None;
+    }
+    let report = load_report(&response);
+    response.into_body().collect().await.ok()?;
+    connections.give_back(connection);
+    Some(report)
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -68,10 +68,16 @@
     let peers = tokio::spawn(peer::receive::listen(Arc::clone(&kernel), listeners.peers));
     let links = tokio::spawn(peer::link::connect_all(Arc::clone(&kernel)));
     let polls = tokio::spawn(plan::poll::run(Arc::clone(&kernel)));
+    let orders = kernel.pools.take_probe_orders();
+    let probes = orders.map(|orders| tokio::spawn(proxy::probe::run(Arc::clone(&kernel), orders)));
     let counts = tokio::spawn(observe::count_all(Arc::clone(&kernel)));
     let uploads = tokio::spawn(observe::upload_all(Arc::clone(&kernel)));
     let callers = tokio::spawn(proxy::listen(Arc::clone(&kernel), listeners.callers));
     kernel.wait_leaving().await;
+    // The instance that takes this one's place in the plan probes in its stead.
+    if let Some(probes) = probes {
+        probes.abort();
+    }
     sleep(Duration::from_millis(kernel.config.balancer_lag_ms)).await;
     kernel.refuse_new();
     log::info!("event=refusing-new in_progress={}", kernel.in_progress());
