--- a/src/decide/pool.rs
+++ b/src/decide/pool.rs
@@ -49,7 +49,7 @@
     queue::{Class, Queue, longest_wait},
     quota::{self, Position},
     retry::{self, MAX_SENDS, Repeat, RetryBudget},
-    target::Target,
+    target::{Drain, Target},
     timer::{Due, Timer, Timers},
 };
 use crate::{
@@ -302,8 +302,7 @@
             spec: spec.clone(),
             is_near,
             in_plan: true,
-            drained_by_sign: false,
-            drained_by_report: false,
+            drain: Drain::default(),
             own: 0,
             own_long: 0,
             quota: quota::Quota::default(),
@@ -455,7 +454,7 @@
             Event::PeerGone(peer) => self.peers.forget(&peer),
             Event::Draining { target, draining } => {
                 if let Some(&index) = self.by_id.get(&target) {
-                    self.targets[index.0].drained_by_sign = draining;
+                    self.targets[index.0].drain.by_sign = draining;
                     self.candidates.update_preferred(&mut self.targets, index);
                 }
             }
@@ -587,7 +586,7 @@
         let (target, route) = (send.target, active.call.route);
         self.durations.record_begin(route, now.since(send.sent_at));
         self.targets[target.0].read_at = now;
-        self.targets[target.0].drained_by_report = report.draining;
+        self.targets[target.0].drain.by_report = report.draining;
         self.candidates.update_preferred(&mut self.targets, target);
     }
 
@@ -712,7 +711,7 @@
         match report {
             Some(report) => {
                 target.read_at = now;
-                target.drained_by_report = report.draining;
+                target.drain.by_report = report.draining;
                 self.candidates.update_preferred(&mut self.targets, index);
             }
             None => {
--- a/src/decide/target.rs
+++ b/src/decide/target.rs
@@ -10,6 +10,15 @@
 /// Slots by which each answer raises the limit of a target that has just returned.
 const RAMP_PER_ANSWER: f64 = 0.5;
 
+/// Who says that a target takes no new calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Drain {
+    /// A sign from plan, list or peers.
+    pub by_sign: bool,
+    /// Its own latest report.
+    pub by_report: bool,
+}
+
 /// State of one target.
 #[derive(Debug)]
 pub struct Target {
@@ -20,10 +29,8 @@
     /// Whether the plan in force has it; false only while sends of an earlier plan are in progress or its place
     /// is free.
     pub in_plan: bool,
-    /// Whether a sign from plan, list or peers says that it takes no new calls.
-    pub drained_by_sign: bool,
-    /// Whether its own latest report says so.
-    pub drained_by_report: bool,
+    /// Who says that it takes no new calls.
+    pub drain: Drain,
     /// Own sends in progress.
     pub own: u32,
     /// Those among `own` whose route is long.
@@ -45,7 +52,7 @@
 impl Target {
     /// Returns whether it takes no new calls.
     pub fn is_draining(&self) -> bool {
-        self.drained_by_sign || self.drained_by_report
+        self.drain.by_sign || self.drain.by_report
     }
 
     /// Returns how many requests of all instances it may hold now.
