--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,10 +1,13 @@
 //! Stand-ins, load, trace replay and experiments for arbutusshelf; not shipped.
 
+pub mod claim_load;
 pub mod client;
 pub mod control;
 pub mod deployment;
 pub mod experiment;
+pub mod fault_run;
 pub mod flood;
+pub mod gateway;
 pub mod generate;
 pub mod http;
 pub mod observe_cost;
@@ -12,7 +15,9 @@
 pub mod platform;
 pub mod pool_cost;
 pub mod process;
+pub mod relay;
 pub mod replay;
+pub mod scripted;
 pub mod store_outage;
 pub mod target;
 pub mod tour;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! replayed exactly from a trace and can be embedded without the daemon.
 
 pub mod choice;
+pub mod claim;
 pub mod duration;
 pub mod estimate;
 pub mod health;
--- a/src/kernel/pools.rs
+++ b/src/kernel/pools.rs
@@ -14,13 +14,13 @@
 use crate::{
     collections::HashMap,
     decide::{
-        Action, Attempt, Call, Event, TargetIndex,
+        Action, Attempt, AttemptEnd, Call, Event, TargetIndex,
         pool::{Pool, PoolSettings},
     },
     error::ErrorKind,
     observe::choices::{ChoiceRing, ChoiceView},
     plan::{Plan, ServiceSpec, TargetSpec},
-    units::{CallId, DataCentre, InstanceId, RunId, ServiceName, TargetId},
+    units::{CallId, DataCentre, InstanceId, MonoTime, RunId, ServiceName, TargetId},
 };
 
 /// What one call must do next.
@@ -137,14 +137,10 @@
         let now = self.clock.now();
         let wake_before = pool.next_wake();
         pool.handle(now, event, actions);
-        for action in actions.drain(..) {
-            if let Action::Send { call, attempt, target } = action {
-                choices.note(now, call, attempt, target, pool);
-            }
-            if let Action::Probe(target) = action {
-                self.order_probe(pool, target);
-            }
-            deliver(pool, calls, &action);
+        while let Some(unheard) =
+            carry_out(pool, choices, calls, actions, now, |target| self.order_probe(pool, target))
+        {
+            pool.handle(now, unheard, actions);
         }
         let is_earlier = match (pool.next_wake(), wake_before) {
             (Some(after), Some(before)) => after < before,
@@ -187,6 +183,38 @@
     }
 }
 
+/// Hands actions to their calls; a send for a call that has closed ends at once, so that its slot is free.
+///
+/// Returns the end of such a send, and leaves the actions after it.
+fn carry_out(
+    pool: &Pool,
+    choices: &mut ChoiceRing,
+    calls: &HashMap<CallId, mpsc::UnboundedSender<Directive>>,
+    actions: &mut Vec<Action>,
+    now: MonoTime,
+    order_probe: impl Fn(TargetIndex),
+) -> Option<Event> {
+    let mut unheard = None;
+    actions.retain(|action| {
+        if unheard.is_some() {
+            return true;
+        }
+        if let Action::Send { call, attempt, target } = *action {
+            choices.note(now, call, attempt, target, pool);
+            if !calls.contains_key(&call) {
+                unheard = Some(Event::Ended { call, attempt, end: AttemptEnd::Cancelled });
+                return false;
+            }
+        }
+        if let Action::Probe(target) = *action {
+            order_probe(target);
+        }
+        deliver(pool, calls, action);
+        false
+    });
+    unheard
+}
+
 fn deliver(pool: &Pool, calls: &HashMap<CallId, mpsc::UnboundedSender<Directive>>, action: &Action) {
     let target = |index: TargetIndex| pool.target(index).clone();
     let (call, directive) = match *action {
--- a/src/proxy/probe.rs
+++ b/src/proxy/probe.rs
@@ -8,8 +8,9 @@
 use tokio::{sync::mpsc, time::timeout};
 
 use super::{
-    call::load_report,
-    connection::{Connections, Sent},
+    connection::{Freshness, Sent, allowance},
+    send::load_report,
+    upload::RequestBody,
 };
 use crate::{
     decide::{Event, LoadReport},
@@ -28,7 +29,7 @@
     while let Some(order) = orders.recv().await {
         let kernel = Arc::clone(&kernel);
         tokio::spawn(async move {
-            let report = timeout(PROBE_TIMEOUT, probe(&kernel.connections, &order.spec)).await;
+            let report = timeout(PROBE_TIMEOUT, probe(&kernel, &order.spec)).await;
             let report = report.ok().flatten();
             order.cell.handle(Event::Probed { target: order.target, report });
         });
@@ -36,11 +37,12 @@
 }
 
 /// Sends one probe; `None` when no good answer came.
-async fn probe(connections: &Connections, target: &TargetSpec) -> Option<LoadReport> {
-    let mut connection = connections.checkout(target.address, false).await?;
+async fn probe(kernel: &Kernel, target: &TargetSpec) -> Option<LoadReport> {
+    let limit = allowance(target.max_connections, kernel.plan.current().budgets.max_instances);
+    let mut connection = kernel.connections.checkout(target.address, limit, Freshness::Reused).await?;
     let request = Request::get(PROBE_PATH)
         .header(header::HOST, target.address.to_string())
-        .body(Full::new(Bytes::new()))
+        .body(RequestBody::Whole(Full::new(Bytes::new())))
         .ok()?;
     let Sent::Answered(response) = connection.send(request).await else { return None };
     if !response.status().is_success() {
@@ -48,6 +50,6 @@
     }
     let report = load_report(&response);
     response.into_body().collect().await.ok()?;
-    connections.give_back(connection);
+    connection.give_back();
     Some(report)
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -5,17 +5,20 @@
 use tokio::{
     net::TcpListener,
     signal::unix::{Signal, SignalKind, signal},
-    time::sleep,
+    time::{interval, sleep},
 };
 
 use crate::{
-    admin,
+    admin, claims,
     error::{Error, ErrorKind, Result},
     kernel::Kernel,
     logging, observe, peer, plan, proxy,
     settings::Config,
 };
 
+/// Time between two looks for idle connections that no request may use any more.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
 /// Sockets of one instance, bound.
 #[derive(Debug)]
 pub struct Listeners {
@@ -67,12 +70,14 @@
     let admin = tokio::spawn(admin::listen(Arc::clone(&kernel), listeners.admin));
     let peers = tokio::spawn(peer::receive::listen(Arc::clone(&kernel), listeners.peers));
     let links = tokio::spawn(peer::link::connect_all(Arc::clone(&kernel)));
+    let claim_sweep = tokio::spawn(claims::sweep::run(Arc::clone(&kernel)));
     let polls = tokio::spawn(plan::poll::run(Arc::clone(&kernel)));
     let orders = kernel.pools.take_probe_orders();
     let probes = orders.map(|orders| tokio::spawn(proxy::probe::run(Arc::clone(&kernel), orders)));
     let counts = tokio::spawn(observe::count_all(Arc::clone(&kernel)));
     let uploads = tokio::spawn(observe::upload_all(Arc::clone(&kernel)));
     let callers = tokio::spawn(proxy::listen(Arc::clone(&kernel), listeners.callers));
+    let connection_sweep = tokio::spawn(sweep_connections(Arc::clone(&kernel)));
     kernel.wait_leaving().await;
     // The instance that takes this one's place in the plan probes in its stead.
     if let Some(probes) = probes {
@@ -86,7 +91,7 @@
     counts.abort();
     uploads.abort();
     observe::flush(&kernel).await;
-    for task in [admin, peers, links, polls] {
+    for task in [admin, peers, links, polls, claim_sweep, connection_sweep] {
         task.abort();
     }
     log::info!("event=left run={}", kernel.run_id);
@@ -116,15 +121,34 @@
     next(&mut terminate, &mut interrupt).await;
     kernel.leave();
     next(&mut terminate, &mut interrupt).await;
-    log::warn!(
-        "event=second-signal in_progress={} hint=\"a third signal cuts them off\"",
-        kernel.in_progress()
-    );
+    name_in_progress(&kernel, "second-signal", 1);
     next(&mut terminate, &mut interrupt).await;
-    log::error!("event=cut-off in_progress={}", kernel.in_progress());
+    name_in_progress(&kernel, "cut-off", 0);
     std::process::exit(1);
 }
 
+/// Logs every request that the next signal, or this one, cuts off.
+fn name_in_progress(kernel: &Kernel, event: &str, signals_left: u32) {
+    let requests = kernel.requests_in_progress();
+    let connections = kernel.caller_connections();
+    log::warn!(
+        "event={event} in_progress={} caller_connections={connections} signals_to_cut_off={signals_left}",
+        requests.len()
+    );
+    let now = kernel.clock.now();
+    for request in &requests {
+        log::warn!("event={event}-request {request} age_ms={}", request.age(now).as_millis());
+    }
+}
+
+async fn sweep_connections(kernel: Arc<Kernel>) {
+    let mut period = interval(SWEEP_PERIOD);
+    loop {
+        period.tick().await;
+        kernel.connections.sweep();
+    }
+}
+
 async fn next(terminate: &mut Signal, interrupt: &mut Signal) {
     tokio::select! {
         _ = terminate.recv() => {}
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -122,6 +122,24 @@
         line
     }
 
+    /// Reads the log up to and with a line that contains `text`.
+    pub fn log_until(&mut self, text: &str) -> Vec<String> {
+        let mut lines = Vec::<String>::new();
+        while !lines.last().is_some_and(|line| line.contains(text)) {
+            let mut line = String::new();
+            let read = self.log.read_line(&mut line).expect("the log is text");
+            assert!(read > 0, "the log ended before {text:?}");
+            lines.push(line);
+        }
+        lines
+    }
+
+    /// Sends a signal by name, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([&format!("-{name}"), &self.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success(), "the signal was sent");
+    }
+
     /// Waits for the end of the process.
     pub fn wait_end(&mut self) -> Option<i32> {
         let started = Instant::now();
