--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -126,7 +126,7 @@
             members: Members::new(config.instance.clone(), run_id),
             control: ControlState::new(run_id.into(), cut_off_after, clock.now()),
             started_unix_s: unix_s(),
-            pools: PoolTable::new(clock, config.data_centre.clone(), run_id.into()),
+            pools: PoolTable::new(clock, config.instance.clone(), config.data_centre.clone(), run_id.into()),
             connections: Connections::default(),
             head_times: HeadTimes::default(),
             claims: Claims::new(store.view(Purpose::Claim), run_id, clock),
--- a/src/kernel/pools.rs
+++ b/src/kernel/pools.rs
@@ -4,11 +4,11 @@
 //! is locked.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, Weak},
     time::Duration,
 };
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
 use super::{
     clock::Clock,
@@ -23,7 +23,7 @@
     error::ErrorKind,
     observe::choices::{ChoiceRing, ChoiceView},
     plan::{Plan, ServiceSpec, TargetSpec},
-    units::{CallId, DataCentre, MonoTime, RunId, ServiceName, TargetId},
+    units::{CallId, DataCentre, InstanceId, MonoTime, RunId, ServiceName, TargetId},
 };
 
 /// What one call must do next.
@@ -55,6 +55,17 @@
     },
 }
 
+/// A probe that a pool wants sent.
+#[derive(Debug)]
+pub struct ProbeOrder {
+    /// Pool that is told of the result.
+    pub cell: Arc<PoolCell>,
+    /// Target as the pool names it.
+    pub target: TargetIndex,
+    /// Where it listens.
+    pub spec: TargetSpec,
+}
+
 #[derive(Debug)]
 struct CellState {
     pool: Pool,
@@ -72,17 +83,20 @@
     state: Mutex<CellState>,
     /// Notified when the pool's next wake may have moved.
     rewake: Notify,
+    probes: mpsc::UnboundedSender<ProbeOrder>,
+    own: Weak<Self>,
 }
 
 impl PoolCell {
-    fn new(clock: Clock, pool: Pool) -> Self {
+    fn new(clock: Clock, pool: Pool, probes: mpsc::UnboundedSender<ProbeOrder>) -> Arc<Self> {
         let state = CellState {
             pool,
             calls: HashMap::default(),
             actions: Vec::new(),
             choices: ChoiceRing::default(),
         };
-        Self { clock, state: Mutex::new(state), rewake: Notify::new() }
+        let state = Mutex::new(state);
+        Arc::new_cyclic(|own| Self { clock, state, rewake: Notify::new(), probes, own: Weak::clone(own) })
     }
 
     fn lock(&self) -> MutexGuard<'_, CellState> {
@@ -127,14 +141,34 @@
         let now = self.clock.now();
         let wake_before = pool.next_wake();
         pool.handle(now, event, actions);
-        while let Some(unheard) = carry_out(pool, choices, calls, actions, now) {
+        while let Some(unheard) =
+            carry_out(pool, choices, calls, actions, now, |target| self.order_probe(pool, target))
+        {
             pool.handle(now, unheard, actions);
         }
-        if pool.next_wake() != wake_before {
+        let is_earlier = match (pool.next_wake(), wake_before) {
+            (Some(after), Some(before)) => after < before,
+            (after, before) => after.is_some() && before.is_none(),
+        };
+        if is_earlier {
             self.rewake.notify_one();
         }
     }
 
+    fn order_probe(&self, pool: &Pool, target: TargetIndex) {
+        let Some(cell) = self.own.upgrade() else { return };
+        // Without a prober, as in a kernel that is not served, the order is dropped.
+        let _unserved = self.probes.send(ProbeOrder { cell, target, spec: pool.target(target).clone() });
+    }
+
+    /// Lets the pool follow a changed plan; calls in progress go on.
+    fn reconfigure(&self, service: &ServiceSpec, settings: &PoolSettings) {
+        let mut state = self.lock();
+        state.pool.reconfigure(service, settings);
+        self.step(&mut state, Event::Tick);
+        self.rewake.notify_one();
+    }
+
     /// Sends ticks when they are due; runs until dropped.
     pub async fn run_timer(&self) {
         loop {
@@ -162,6 +196,7 @@
     calls: &HashMap<CallId, Mailbox>,
     actions: &mut Vec<Action>,
     now: MonoTime,
+    order_probe: impl Fn(TargetIndex),
 ) -> Option<Event> {
     let mut unheard = None;
     actions.retain(|action| {
@@ -175,14 +210,17 @@
                 return false;
             }
         }
-        deliver(pool.spec(), calls, action);
+        if let Action::Probe(target) = *action {
+            order_probe(target);
+        }
+        deliver(pool, calls, action);
         false
     });
     unheard
 }
 
-fn deliver(spec: &ServiceSpec, calls: &HashMap<CallId, Mailbox>, action: &Action) {
-    let target = |index: TargetIndex| spec.targets[index.0].clone();
+fn deliver(pool: &Pool, calls: &HashMap<CallId, Mailbox>, action: &Action) {
+    let target = |index: TargetIndex| pool.target(index).clone();
     let (call, directive) = match *action {
         Action::Send { call, attempt, target: index } => {
             (call, Directive::Send { attempt, target: target(index) })
@@ -213,15 +251,26 @@
 #[derive(Debug)]
 pub struct PoolTable {
     clock: Clock,
+    instance: InstanceId,
     data_centre: DataCentre,
     seed: u64,
     entries: RwLock<HashMap<ServiceName, Entry>>,
+    probes: mpsc::UnboundedSender<ProbeOrder>,
+    /// Until it is taken by the one prober.
+    orders: Mutex<Option<mpsc::UnboundedReceiver<ProbeOrder>>>,
 }
 
 impl PoolTable {
     /// Creates an empty table.
-    pub fn new(clock: Clock, data_centre: DataCentre, seed: u64) -> Self {
-        Self { clock, data_centre, seed, entries: RwLock::default() }
+    pub fn new(clock: Clock, instance: InstanceId, data_centre: DataCentre, seed: u64) -> Self {
+        let (probes, orders) = mpsc::unbounded_channel();
+        let orders = Mutex::new(Some(orders));
+        Self { clock, instance, data_centre, seed, entries: RwLock::default(), probes, orders }
+    }
+
+    /// Takes the probes that pools order; `None` after the first time.
+    pub fn take_probe_orders(&self) -> Option<mpsc::UnboundedReceiver<ProbeOrder>> {
+        self.orders.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 
     /// Finds the pool of a service.
@@ -246,29 +295,30 @@
         }
     }
 
-    /// Follows a plan: unchanged services keep their pools, calls in progress end on the pool they began on.
+    /// Follows a plan: pools take over what changed, and calls in progress go on.
     ///
     /// Must be called inside the runtime.
     pub fn apply(&self, plan: &Plan) {
+        let settings = PoolSettings::of(plan, &self.instance, self.data_centre.clone(), self.seed);
         let mut entries = self.entries.write().unwrap_or_else(PoisonError::into_inner);
         entries.retain(|name, _| plan.service(name.as_str()).is_some());
         for service in &plan.services {
-            let unchanged =
-                entries.get(&service.name).is_some_and(|e| e.cell.inspect(|pool| pool.spec() == service));
-            if !unchanged {
-                entries.insert(service.name.clone(), self.open(plan, service));
+            match entries.get(&service.name) {
+                Some(entry) => {
+                    let differs = |pool: &Pool| pool.spec() != service || *pool.settings() != settings;
+                    if entry.cell.inspect(differs) {
+                        entry.cell.reconfigure(service, &settings);
+                    }
+                }
+                None => {
+                    entries.insert(service.name.clone(), self.open(service, &settings));
+                }
             }
         }
     }
 
-    fn open(&self, plan: &Plan, service: &ServiceSpec) -> Entry {
-        let settings = PoolSettings {
-            data_centre: self.data_centre.clone(),
-            share: 1.0 / f64::from(plan.budgets.max_instances),
-            probes_per_target_per_s: plan.budgets.probes_per_target_per_s,
-            seed: self.seed,
-        };
-        let cell = Arc::new(PoolCell::new(self.clock, Pool::new(service, &settings)));
+    fn open(&self, service: &ServiceSpec, settings: &PoolSettings) -> Entry {
+        let cell = PoolCell::new(self.clock, Pool::new(service, settings), self.probes.clone());
         let own = Arc::clone(&cell);
         let timer = tokio::spawn(async move { own.run_timer().await }).abort_handle();
         Entry { cell, timer }
--- a/src/observe/choices.rs
+++ b/src/observe/choices.rs
@@ -45,7 +45,7 @@
         let mut in_flight = oldest.map(|c| c.in_flight).unwrap_or_default();
         in_flight.clear();
         in_flight.extend(pool.own_in_flight());
-        let target = pool.spec().targets[target.0].id.clone();
+        let target = pool.target(target).id.clone();
         self.kept.push_back(Choice { at, call, attempt, target, in_flight });
     }
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 pub mod headers;
 pub mod intake;
 pub mod once;
+pub mod probe;
 pub mod relay;
 pub mod send;
 pub mod silence;
