Let a return take back what the target said of itself before

Cause: a target that had said it drains stayed out after the operator returned it, until its next answer. Change: a sign of draining or returning replaces what the target's own report said. Test: a_drain_seen_by_one_is_known_to_all_until_the_operator_returns_it failed at tests/peer_links.rs:257 before.

--- a/src/decide/pool.rs
+++ b/src/decide/pool.rs
@@ -454,7 +454,8 @@
             Event::PeerGone(peer) => self.peers.forget(&peer),
             Event::Draining { target, draining } => {
                 if let Some(&index) = self.by_id.get(&target) {
-                    self.targets[index.0].drain.by_sign = draining;
+                    // An operator's return also takes back what the target said before.
+                    self.targets[index.0].drain = Drain { by_sign: draining, by_report: false };
                     self.candidates.update_preferred(&mut self.targets, index);
                 }
             }
