Reach every target in the test of drains by calls at once

Cause: an instance takes its preferred slots first, so calls one after another on an idle pool never reach the other targets, and the test waited for a target that it never used. No drain was ignored. Change: the test sends as many calls at once as the service has slots, before and after the return. Conclusion: the check is as strict as before, and stricter for the drained target.

--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -231,9 +231,7 @@
     assert!(seen_at.elapsed() < Duration::from_secs(3), "{:?}", seen_at.elapsed());
     let ran = stand_in.ran();
     for instance in &stage.instances[1..] {
-        for _ in 0..30 {
-            caller.get(instance.callers(), "/tonarchiv/list").await.expect("an answer");
-        }
+        call_at_once(&caller, instance, "/tonarchiv/list").await;
     }
     assert_eq!(stand_in.ran(), ran, "the others send it nothing new");
     stand_in.set_behaviour(|b| b.draining = false);
@@ -255,11 +253,20 @@
     let started = Instant::now();
     while !holds() {
         assert!(started.elapsed() < PATIENCE, "{path}");
-        caller.get(instance.callers(), path).await.expect("an answer");
+        call_at_once(caller, instance, path).await;
     }
     Instant::now()
 }
 
+/// Sends as many calls at once as all targets of the service have slots, so that each target is needed.
+async fn call_at_once(caller: &Caller, instance: &LocalInstance, path: &str) {
+    let slots = 6 * 3;
+    let calls = (0..slots).map(|_| caller.get(instance.callers(), path));
+    for answer in futures::future::join_all(calls).await {
+        answer.expect("an answer");
+    }
+}
+
 #[tokio::test]
 async fn a_removed_service_ends_its_calls_in_progress() {
     let stage = Stage::start(1).await;
