Repeat a call on the same target when no other serves

Cause: a retry never went to a target that had the call before, so with one target in service a call on a silent connection waited in the queue to its deadline and was told unknown. Change: when no other target takes calls, a call with no open send may go to one that had it; hedges still may not.

--- a/src/decide/pool.rs
+++ b/src/decide/pool.rs
@@ -860,8 +860,22 @@
             freed: self.freed,
             without: &tried,
         };
+        let repeats = !active.sends.is_empty() && !active.has_open_send();
         let view = View { now, targets: &self.targets, peers: &self.peers, candidates: &self.candidates };
-        view.choose(&wish, &mut self.rng)
+        let chosen = view.choose(&wish, &mut self.rng);
+        if chosen.is_some() || !repeats || self.serves_without(&tried) {
+            return chosen;
+        }
+        view.choose(&Wish { without: &[], ..wish }, &mut self.rng)
+    }
+
+    /// Returns whether a target other than those named takes calls.
+    fn serves_without(&self, tried: &[TargetIndex]) -> bool {
+        let serves = |index: &TargetIndex| {
+            let target = &self.targets[index.0];
+            matches!(target.health.standing(), Standing::InService) && !target.is_draining()
+        };
+        self.by_plan.iter().filter(|index| !tried.contains(index)).any(serves)
     }
 
     fn send(&mut self, now: MonoTime, id: CallId, index: TargetIndex, actions: &mut Vec<Action>) {
