Show what the pools know at the admin address and in the metrics

Cause: reasons of each target, ejections, waiting calls and probes were decided but shown as constants.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -21,6 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
+    decide::pool,
     error::{Error, ErrorKind, Result},
     kernel::Kernel,
     membership::MemberView,
@@ -76,10 +77,20 @@
 pub struct TargetView {
     /// Target.
     pub target: TargetId,
+    /// Why it gets calls or does not: in-service, warming-up, slow, ejected, trial or draining.
+    pub state: String,
     /// Requests of this instance in flight there.
     pub in_flight: u32,
-    /// Slots.
-    pub slots: u32,
+    /// Requests of other instances in flight there, as last reported.
+    pub in_flight_peers: u32,
+    /// Slots that this instance prefers.
+    pub preferred_slots: u32,
+    /// Requests of all instances that it may hold now.
+    pub limit: f64,
+    /// Time of recent answers over what their routes take; 1 is normal.
+    pub pace: f64,
+    /// Whether it is in this instance's data centre.
+    pub near: bool,
 }
 
 /// An error as told to operators.
@@ -192,13 +203,18 @@
 }
 
 fn targets(kernel: &Kernel) -> Vec<TargetView> {
-    let of_pool = |pool: &crate::decide::pool::Pool| {
-        let specs = pool.spec().targets.iter();
-        specs
-            .zip(pool.own_in_flight())
-            .map(|(spec, in_flight)| TargetView { target: spec.id.clone(), in_flight, slots: spec.slots })
-            .collect::<Vec<_>>()
+    let now = kernel.clock.now();
+    let view = |t: pool::TargetView| TargetView {
+        target: t.id,
+        state: t.state.to_string(),
+        in_flight: t.own,
+        in_flight_peers: t.peers,
+        preferred_slots: t.preferred,
+        limit: t.limit,
+        pace: t.pace,
+        near: t.is_near,
     };
+    let of_pool = |pool: &pool::Pool| pool.explain(now).into_iter().map(view).collect::<Vec<_>>();
     kernel.pools.all().iter().flat_map(|(_, cell)| cell.inspect(of_pool)).collect()
 }
 
--- a/src/observe/snapshot.rs
+++ b/src/observe/snapshot.rs
@@ -3,10 +3,16 @@
 use std::fs;
 
 use super::metrics::{PeerGauges, QueueGauges, Snapshot, TargetGauges};
-use crate::{decide::pool::Pool, kernel::Kernel, plan::Plan, units::ServiceName};
+use crate::{
+    decide::pool::{Pool, TargetState, TargetView},
+    kernel::Kernel,
+    plan::Plan,
+    units::{MonoTime, ServiceName},
+};
 
 /// Reads the state now.
 pub fn take(kernel: &Kernel) -> Snapshot {
+    let now = kernel.clock.now();
     let plan = kernel.plan.current();
     let share = 1.0 / f64::from(plan.budgets.max_instances);
     let pools = kernel.pools.all();
@@ -15,8 +21,8 @@
     let (rollup_bytes, rollup_backlog) = (state.roll_ups.kept_bytes(), state.roll_ups.backlog() as u64);
     drop(state);
     Snapshot {
-        targets: pools.iter().flat_map(|(name, cell)| cell.inspect(|pool| targets(name, pool))).collect(),
-        queues: pools.iter().map(|(name, cell)| cell.inspect(|pool| queue(name, pool))).collect(),
+        targets: pools.iter().flat_map(|(name, cell)| cell.inspect(|p| targets(name, p, now))).collect(),
+        queues: pools.iter().map(|(name, cell)| cell.inspect(|p| queue(name, p))).collect(),
         plan_version: plan.version.into(),
         plan_age_s,
         ready: kernel.ready().is_ok(),
@@ -37,21 +43,20 @@
     plan.budgets.probes_per_target_per_s * targets as f64
 }
 
-fn targets(service: &ServiceName, pool: &Pool) -> Vec<TargetGauges> {
-    let specs = pool.spec().targets.iter();
-    let gauges = |(spec, in_flight): (&crate::plan::TargetSpec, u32)| TargetGauges {
+fn targets(service: &ServiceName, pool: &Pool, now: MonoTime) -> Vec<TargetGauges> {
+    let gauges = |view: TargetView| TargetGauges {
         service: service.to_string(),
-        target: spec.id.to_string(),
-        in_flight,
-        limit: spec.slots,
-        ejected: false,
-        draining: false,
+        target: view.id.to_string(),
+        in_flight: view.own,
+        limit: view.limit as u32,
+        ejected: view.state == TargetState::Ejected,
+        draining: view.state == TargetState::Draining,
     };
-    specs.zip(pool.own_in_flight()).map(gauges).collect()
+    pool.explain(now).into_iter().map(gauges).collect()
 }
 
-fn queue(service: &ServiceName, _pool: &Pool) -> QueueGauges {
-    QueueGauges { service: service.to_string(), waiting: 0 }
+fn queue(service: &ServiceName, pool: &Pool) -> QueueGauges {
+    QueueGauges { service: service.to_string(), waiting: pool.waiting() as u64 }
 }
 
 /// Bytes of one page, on the processors that the deployments run on.
--- a/src/proxy/probe.rs
+++ b/src/proxy/probe.rs
@@ -28,6 +28,7 @@
 pub async fn run(kernel: Arc<Kernel>, mut orders: mpsc::UnboundedReceiver<ProbeOrder>) {
     while let Some(order) = orders.recv().await {
         let kernel = Arc::clone(&kernel);
+        kernel.observer.metrics.probes.inc();
         tokio::spawn(async move {
             let report = timeout(PROBE_TIMEOUT, probe(&kernel, &order.spec)).await;
             let report = report.ok().flatten();
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -1,6 +1,6 @@
 //! Passes an answer on to the caller; long ones through a bounded buffer and from target to target.
 //!
-//! A long answer is read ahead of the caller, [`READ_AHEAD_PIECES`] pieces at most. A caller that takes nothing
+//! A long answer is read ahead of the caller, `READ_AHEAD_PIECES` pieces at most. A caller that takes nothing
 //! for [`SLOW_CALLER_LIMIT`] while the buffer is full frees the target's slot when the answer can be continued;
 //! it is continued once half of the buffer is empty.
 
