--- a/src/claims/sweep.rs
+++ b/src/claims/sweep.rs
@@ -9,7 +9,7 @@
 use crate::{
     decide::claim::{ClaimState, FoundRow, StoredBody, is_expired},
     kernel::Kernel,
-    plan::Priority,
+    plan::{Plan, Priority, RequestKind, ServiceSpec},
     platform::{Condition, ObjectCondition, RowChange, RowKey, RowWrite},
     units::ServiceName,
 };
@@ -26,18 +26,62 @@
 /// Number of buckets of one service.
 const BUCKETS: u32 = 1 << 16;
 
+/// Which bucket of which service is next.
+///
+/// One bucket is read at a time whatever the number of services, so that reads don't grow with them; each instance
+/// begins at its own bucket. A service whose plan has no at-most-once route is passed over, and its rows stay.
+///
+/// ```
+/// use arbutusshelf::{claims::sweep::SweepOrder, plan::sheet};
+///
+/// let plan = sheet::parse(include_bytes!("../../examples/kremsau.csv")).unwrap();
+/// let mut order = SweepOrder::from_bucket(7);
+/// let names = (0..3).map(|_| order.next(&plan).unwrap().0.name.to_string()).collect::<Vec<_>>();
+/// assert_eq!(names, ["mietkasse", "paarbuch", "mietkasse"]);
+/// ```
+#[derive(Debug)]
+pub struct SweepOrder {
+    /// Below [`BUCKETS`].
+    bucket: u32,
+    /// Place of the next service among those with at-most-once routes.
+    place: usize,
+}
+
+impl SweepOrder {
+    /// Begins at a bucket.
+    pub fn from_bucket(bucket: u32) -> Self {
+        Self { bucket: bucket % BUCKETS, place: 0 }
+    }
+
+    /// Returns the next service and bucket, or `None` when no service has claims.
+    pub fn next<'a>(&mut self, plan: &'a Plan) -> Option<(&'a ServiceSpec, u32)> {
+        let has_claims = |s: &&ServiceSpec| s.routes.iter().any(|r| r.kind == RequestKind::AtMostOnce);
+        let services = plan.services.iter().filter(has_claims).collect::<Vec<_>>();
+        if self.place >= services.len() {
+            self.place = 0;
+            self.bucket = (self.bucket + 1) % BUCKETS;
+        }
+        let service = services.get(self.place)?;
+        self.place += 1;
+        Some((*service, self.bucket))
+    }
+}
+
 /// Sweeps bucket after bucket from a random one on; runs until dropped.
 pub async fn run(kernel: Arc<Kernel>) {
-    let mut bucket = rand::random::<u32>() % BUCKETS;
+    let mut order = SweepOrder::from_bucket(rand::random::<u32>());
+    let mut until_reading = 0;
     loop {
         tokio::time::sleep(BUCKET_PERIOD).await;
-        if bucket.is_multiple_of(BUCKETS_PER_READING) || kernel.claims.hour_is_old() {
+        if until_reading == 0 || kernel.claims.hour_is_old() {
             kernel.claims.refresh_hour().await;
+            until_reading = BUCKETS_PER_READING;
         }
-        for service in &kernel.plan.current().services {
+        until_reading -= 1;
+        let plan = kernel.plan.current();
+        if let Some((service, bucket)) = order.next(&plan) {
             kernel.claims.sweep_bucket(&service.name, service.retention_h, bucket).await;
         }
-        bucket = (bucket + 1) % BUCKETS;
     }
 }
 
