--- /dev/null
+++ b/src/decide/pool/layout.rs
@@ -0,0 +1,126 @@
+//! Follows the plan: which targets a pool has, and which slots this instance prefers.
+
+use super::{Pool, PoolSettings};
+use crate::{
+    decide::{
+        TargetIndex,
+        choice::Candidates,
+        estimate::Group,
+        health::{Health, Standing},
+        probe::ProbeSchedule,
+        quota,
+        target::{Drain, Target},
+    },
+    plan::{ServiceSpec, TargetSpec},
+    units::{MonoTime, TargetId},
+};
+
+impl Pool {
+    /// Follows a changed plan; sends in progress and what is known of targets that stay are kept.
+    pub fn reconfigure(&mut self, spec: &ServiceSpec, settings: &PoolSettings) {
+        self.spec = spec.clone();
+        self.settings = settings.clone();
+        self.budget.set_ratio(spec.retry_budget);
+        self.place_targets();
+        self.sweep_at = Some(MonoTime::default());
+    }
+
+    pub(super) fn place_targets(&mut self) {
+        for target in &mut self.targets {
+            target.in_plan = false;
+        }
+        let specs = self.spec.targets.clone();
+        self.by_plan = specs.iter().map(|spec| self.place_target(spec)).collect();
+        for index in 0..self.targets.len() {
+            if !self.targets[index].in_plan {
+                self.by_id.remove(&self.targets[index].spec.id);
+                self.peers.clear_target(TargetIndex(index));
+            }
+        }
+        self.divide_slots(&specs);
+        self.list_candidates();
+    }
+
+    pub(super) fn place_target(&mut self, spec: &TargetSpec) -> TargetIndex {
+        let is_near = spec.data_centre == self.settings.data_centre;
+        // A target that moved to another address is another target: its sends in progress end at the old one.
+        let known = self.by_id.get(&spec.id).copied();
+        let known = known.filter(|index| self.targets[index.0].spec.address == spec.address);
+        if let Some(index) = known {
+            let target = &mut self.targets[index.0];
+            target.spec = spec.clone();
+            target.is_near = is_near;
+            target.in_plan = true;
+            return index;
+        }
+        let target = Target {
+            spec: spec.clone(),
+            is_near,
+            in_plan: true,
+            drain: Drain::default(),
+            own: 0,
+            own_long: 0,
+            quota: quota::Quota::default(),
+            health: Health::in_service(),
+            ramp: None,
+            read_at: MonoTime::default(),
+            probes: ProbeSchedule::default(),
+            free_place: None,
+        };
+        let free = self.targets.iter().position(|t| !t.in_plan && t.own == 0 && self.is_unlisted(&t.spec.id));
+        let index = TargetIndex(free.unwrap_or(self.targets.len()));
+        if free.is_some() {
+            self.targets[index.0] = target;
+        } else {
+            self.targets.push(target);
+        }
+        self.by_id.insert(spec.id.clone(), index);
+        index
+    }
+
+    /// Returns whether the plan in force has no target of this name, so that its place may be reused.
+    pub(super) fn is_unlisted(&self, id: &TargetId) -> bool {
+        !self.spec.targets.iter().any(|t| t.id == *id)
+    }
+
+    pub(super) fn divide_slots(&mut self, specs: &[TargetSpec]) {
+        for target in &mut self.targets {
+            target.quota = quota::Quota::default();
+        }
+        for (position, quota) in quota::divide(&self.settings.position, specs) {
+            let index = self.by_plan[position.0];
+            self.targets[index.0].quota = quota;
+        }
+        let own = self.targets.iter().map(|t| t.quota.all).sum::<u32>();
+        let all = specs.iter().map(|t| t.slots).sum::<u32>();
+        let share = f64::from(all) / f64::from(self.settings.max_instances.max(1));
+        let group = |t: &Target| if t.is_near { Group::Near } else { Group::Far };
+        let slots = |wanted: Group| {
+            let of_group = self.targets.iter().filter(|t| t.in_plan && group(t) == wanted);
+            of_group.map(|t| f64::from(t.spec.slots)).sum::<f64>()
+        };
+        let slots = [slots(Group::Near), slots(Group::Far)];
+        self.peers.set_groups(self.targets.iter().map(group).collect(), slots);
+        self.parallel = if own > 0 { f64::from(own) } else { share.max(1.0) };
+    }
+
+    pub(super) fn list_candidates(&mut self) {
+        self.candidates = Candidates::default();
+        let (max_instances, rate) = (self.settings.max_instances, self.settings.probes_per_target_per_s);
+        for (position, index) in self.by_plan.clone().into_iter().enumerate() {
+            let place = TargetIndex(position);
+            let schedule = ProbeSchedule::new(&self.settings.position, max_instances, place, rate);
+            let target = &mut self.targets[index.0];
+            target.probes = schedule.after(&target.probes);
+            let list = if target.is_near { &mut self.candidates.near } else { &mut self.candidates.far };
+            list.push(index);
+            if matches!(target.health.standing(), Standing::Trial(_)) {
+                self.candidates.trials.push(index);
+            }
+        }
+        for index in 0..self.targets.len() {
+            self.targets[index].free_place = None;
+            self.candidates.update_preferred(&mut self.targets, TargetIndex(index));
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/pool/view.rs
@@ -0,0 +1,79 @@
+//! What a pool tells of its targets and why.
+
+use super::Pool;
+use crate::{
+    decide::{TargetIndex, health::Standing},
+    units::{MonoTime, TargetId},
+};
+
+/// Why a target gets calls or does not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "kebab-case")]
+pub enum TargetState {
+    /// It takes calls up to its limit.
+    InService,
+    /// It takes calls up to a limit that rises with each answer.
+    WarmingUp,
+    /// It answers slowly and takes fewer.
+    Slow,
+    /// It gets nothing for a while.
+    Ejected,
+    /// It gets one idempotent call at a time.
+    Trial,
+    /// It takes no new calls.
+    Draining,
+}
+
+/// What a choice goes by for one target.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TargetView {
+    /// Target.
+    pub id: TargetId,
+    /// Own sends in progress.
+    pub own: u32,
+    /// Those of long routes.
+    pub own_long: u32,
+    /// Sends of peers as last reported.
+    pub peers: u32,
+    /// Slots that this instance prefers.
+    pub preferred: u32,
+    /// Requests of all instances that it may hold now.
+    pub limit: f64,
+    /// Time of recent answers over what their routes take.
+    pub pace: f64,
+    /// Whether it is in this instance's data centre.
+    pub is_near: bool,
+    /// Why it gets calls or does not.
+    pub state: TargetState,
+}
+
+impl Pool {
+    /// Returns what a choice goes by for each target, in the order of the plan.
+    pub fn explain(&self, now: MonoTime) -> Vec<TargetView> {
+        self.by_plan.iter().map(|index| self.view(now, *index)).collect()
+    }
+
+    fn view(&self, now: MonoTime, index: TargetIndex) -> TargetView {
+        let target = &self.targets[index.0];
+        let pace = target.health.pace(now);
+        let state = match target.health.standing() {
+            _ if target.is_draining() => TargetState::Draining,
+            Standing::Ejected(_) => TargetState::Ejected,
+            Standing::Trial(_) => TargetState::Trial,
+            Standing::InService if target.ramp.is_some() => TargetState::WarmingUp,
+            Standing::InService if pace > 1.0 => TargetState::Slow,
+            Standing::InService => TargetState::InService,
+        };
+        TargetView {
+            id: target.spec.id.clone(),
+            own: target.own,
+            own_long: target.own_long,
+            peers: self.peers.at(index),
+            preferred: target.quota.all,
+            limit: target.limit(now),
+            pace,
+            is_near: target.is_near,
+            state,
+        }
+    }
+}
