--- a/tests/decide_pool.rs
+++ b/tests/decide_pool.rs
@@ -315,6 +315,20 @@
     assert_eq!(checker.calls[&1].finals, 1);
 }
 
+#[test]
+fn a_lost_call_is_repeated_at_once_on_the_only_target_that_serves() {
+    let plan = plan();
+    let mut checker = Checker::new(4);
+    for (index, target) in service(&plan).targets.into_iter().enumerate().skip(1) {
+        checker.draining[index] = true;
+        checker.handle(Event::Draining { target: target.id, draining: true });
+    }
+    checker.arrive(1, RequestKind::Idempotent, Duration::from_secs(1));
+    let only = checker.calls[&1].open[&0];
+    checker.end(1, 0, AttemptEnd::Lost);
+    assert_eq!(checker.calls[&1].open, BTreeMap::from([(1, only)]));
+}
+
 #[test]
 fn a_repeated_call_is_not_repeated_again() {
     let plan = plan();
