Show a target's load late at an endpoint of the stand-in

Cause: the stand-in reported its load on answers and probes only, and the platform's targets also show it at an endpoint that lags. Change: GET /load shows the load of the reading before, 100 ms or more ago.

--- a/bench/src/target.rs
+++ b/bench/src/target.rs
@@ -8,7 +8,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use arbutusshelf::{
@@ -40,6 +40,9 @@
 /// Bytes of one piece of an answer.
 const PIECE_BYTES: usize = 16 << 10;
 
+/// Time between two changes of the load that `/load` shows.
+const LOAD_PERIOD: Duration = Duration::from_millis(100);
+
 /// Time to answer a probe.
 const PROBE_TIME: Duration = Duration::from_millis(6);
 
@@ -125,10 +128,29 @@
     }
 }
 
+/// The load that a target shows at its endpoint: as it was at the reading before, [`LOAD_PERIOD`] or more ago.
+#[derive(Debug, Default)]
+struct LoadPage {
+    shown: u32,
+    latest: Option<(Instant, u32)>,
+}
+
+impl LoadPage {
+    fn read(&mut self, now: Instant, in_flight: u32) -> u32 {
+        let is_due = self.latest.is_none_or(|(at, _)| now - at >= LOAD_PERIOD);
+        if is_due {
+            self.shown = self.latest.map_or(0, |(_, load)| load);
+            self.latest = Some((now, in_flight));
+        }
+        self.shown
+    }
+}
+
 #[derive(Debug)]
 struct State {
     slots: Semaphore,
     in_flight: AtomicU32,
+    load_page: Mutex<LoadPage>,
     behaviour: Mutex<Behaviour>,
     /// Runs by idempotency key.
     runs: Mutex<HashMap<String, u32>>,
@@ -197,6 +219,7 @@
         let state = Arc::new(State {
             slots: Semaphore::new(slots),
             in_flight: AtomicU32::new(0),
+            load_page: Mutex::default(),
             behaviour: Mutex::default(),
             runs: Mutex::default(),
             ran: AtomicU32::new(0),
@@ -263,6 +286,10 @@
         *lock(&state.behaviour) = serde_json::from_slice(&body).map_err(|_malformed| Cut)?;
         return Ok(whole(StatusCode::OK, ""));
     }
+    if request.uri().path() == "/load" {
+        let in_flight = state.in_flight.load(Ordering::Relaxed);
+        return Ok(json(StatusCode::OK, &lock(&state.load_page).read(Instant::now(), in_flight)));
+    }
     if request.uri().path() == "/probe" {
         tokio::time::sleep(PROBE_TIME).await;
         return Ok(with_report(&state, whole(StatusCode::OK, "")));
