--- a/bench/src/claim_load.rs
+++ b/bench/src/claim_load.rs
@@ -13,8 +13,8 @@
     error::{Error, ErrorKind, Result},
     kernel::clock::Clock,
     plan::{Budgets, Priority},
-    platform::{embedded, guard::GuardedPlatform, http, share::Purpose},
     proxy::headers::IDEMPOTENCY_KEY,
+    store::{embedded, guard::GuardedPlatform, http, share::Purpose},
     units::ServiceName,
 };
 use argh::FromArgs;
--- a/bench/src/observe_cost.rs
+++ b/bench/src/observe_cost.rs
@@ -19,7 +19,7 @@
         tally::{CallEnd, Tally},
     },
     plan::{Plan, RequestKind, sheet},
-    platform::WriteResult,
+    store::WriteResult,
     units::{MonoTime, ServiceName},
 };
 use argh::FromArgs;
--- a/bench/src/platform.rs
+++ b/bench/src/platform.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use arbutusshelf::platform::{
+use arbutusshelf::store::{
     ListedInstance, ObjectCondition, RowChange, RowKey, RowWrite, WriteResult,
     embedded::Store,
     wire::{ConflictReply, TOOK_EFFECT, WireRow, WriteReply, WriteRequest},
@@ -253,7 +253,7 @@
 
 async fn write_rows(state: &Arc<Mutex<State>>, request: Request<Incoming>) -> Result<Answer, Cut> {
     let request = read_json::<WriteRequest>(request).await?;
-    let row_write = |w: arbutusshelf::platform::wire::WireWrite| RowWrite {
+    let row_write = |w: arbutusshelf::store::wire::WireWrite| RowWrite {
         key: w.key,
         condition: w.condition,
         change: w.value.map_or(RowChange::Delete, |v| RowChange::Put(Bytes::from(v))),
--- a/bench/src/store_outage.rs
+++ b/bench/src/store_outage.rs
@@ -11,7 +11,7 @@
 use arbutusshelf::{
     error::{Error, ErrorKind, Result},
     kernel::clock::Clock,
-    platform::{
+    store::{
         Condition, Platform, RowChange, RowKey, RowWrite, WriteResult, guard::GuardedPlatform, http,
         share::Purpose,
     },
--- a/src/claims/answer.rs
+++ b/src/claims/answer.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     decide::claim::{StoredAnswer, StoredBody, Token},
-    platform::{ObjectCondition, Platform, WriteResult},
+    store::{ObjectCondition, Platform, WriteResult},
 };
 
 /// Largest body kept in a row, in bytes as written; rows of this size still fit groups.
--- a/src/claims/commit.rs
+++ b/src/claims/commit.rs
@@ -25,7 +25,7 @@
     collections::HashSet,
     decide::claim::{Version, Wrote},
     plan::Priority,
-    platform::{DriverFn, RowChange, RowKey, RowWrite, WriteResult},
+    store::{DriverFn, RowChange, RowKey, RowWrite, WriteResult},
 };
 
 /// How rows are grouped.
--- a/src/claims/drive.rs
+++ b/src/claims/drive.rs
@@ -18,7 +18,7 @@
     },
     logging::escape::Hidden,
     plan::Priority,
-    platform::{Condition, Row, RowChange, RowKey, RowWrite},
+    store::{Condition, Row, RowChange, RowKey, RowWrite},
     units::MonoTime,
 };
 
--- a/src/claims/hours.rs
+++ b/src/claims/hours.rs
@@ -10,7 +10,7 @@
 use crate::{
     decide::claim::{HourCount, Version},
     kernel::clock::Clock,
-    platform::{Condition, Platform, ReadError, RowChange, RowKey, RowWrite},
+    store::{Condition, Platform, ReadError, RowChange, RowKey, RowWrite},
     units::MonoTime,
 };
 
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -36,7 +36,7 @@
     error::ErrorKind,
     kernel::clock::Clock,
     plan::{Budgets, Priority},
-    platform::{Platform, RowKey},
+    store::{Platform, RowKey},
     units::{MonoTime, RunId, ServiceName},
 };
 
--- a/src/claims/sweep.rs
+++ b/src/claims/sweep.rs
@@ -10,7 +10,7 @@
     decide::claim::{ClaimState, FoundRow, StoredBody, is_expired},
     kernel::Kernel,
     plan::{Plan, Priority, RequestKind, ServiceSpec},
-    platform::{Condition, ObjectCondition, RowChange, RowKey, RowWrite},
+    store::{Condition, ObjectCondition, RowChange, RowKey, RowWrite},
     units::ServiceName,
 };
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -24,6 +24,8 @@
 pub enum Command {
     /// Run one entry instance.
     Serve(Serve),
+    /// Run one instance on a platform where targets register themselves.
+    Gateway(Gateway),
     /// Check a settings file.
     Settings(Settings),
     /// Check or submit a sheet, or show the plan in force.
@@ -41,6 +43,15 @@
     pub settings: PathBuf,
 }
 
+/// Run one instance on a platform where targets register themselves, until it is told to leave (SIGTERM or SIGINT).
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub struct Gateway {
+    /// settings file (JSON); see docs/SETTINGS.md
+    #[argh(option, arg_name = "file")]
+    pub settings: PathBuf,
+}
+
 /// Work with settings files.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "settings")]
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -14,6 +14,7 @@
     },
     cli::{self, Cli, Command, PlanCommand, SettingsCommand},
     error::{Error, ErrorKind, Result},
+    gateway,
     kernel::registry,
     observe::report::Report,
     plan::{
@@ -32,6 +33,10 @@
 pub fn run(cli: Cli) -> Result<ExitCode> {
     match cli.command {
         Command::Serve(args) => run_serve(&args),
+        Command::Gateway(args) => {
+            let config = gateway::config::Config::load(&args.settings)?;
+            block_on(async { gateway::serve::serve(config).await.map(|()| ExitCode::SUCCESS) })
+        }
         Command::Settings(args) => {
             let SettingsCommand::Check(args) = args.command;
             check_settings(&args)
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,13 +5,17 @@
 
 pub mod choice;
 pub mod claim;
+pub mod directory;
 pub mod duration;
 pub mod estimate;
+pub mod fleet;
 pub mod health;
 pub mod pool;
 pub mod probe;
+pub mod probed;
 pub mod queue;
 pub mod quota;
+pub mod repeat_budget;
 pub mod retry;
 pub mod target;
 pub mod timer;
--- /dev/null
+++ b/src/decide/probed.rs
@@ -0,0 +1,331 @@
+//! Targets of one service that tell their load when probed, and the choice among them.
+//!
+//! Targets share machines with others, and a machine may slow down several times over for a fraction of a second.
+//! Counts of own requests do not show that, so a target is probed at the moment of choice unless a reading is fresh
+//! enough: a probe takes a millisecond or two, a request on a slow machine loses hundreds.
+
+use std::time::Duration;
+
+use rand::{Rng, rngs::SmallRng};
+
+use super::directory::{Change, Listing};
+use crate::{
+    collections::HashMap,
+    units::{DataCentre, MonoTime, TargetId},
+};
+
+/// Age up to which a reading decides without another probe.
+const FRESH: Duration = Duration::from_millis(12);
+
+/// Age up to which a reading says more than nothing; machines change about as often.
+const TELLING: Duration = Duration::from_millis(150);
+
+/// Slowdown up to which a machine counts as calm.
+const CALM_PACE: f64 = 1.5;
+
+/// Slowdown assumed of a target without a telling reading: the mean over calm and slow machines.
+const UNKNOWN_PACE: f64 = 2.0;
+
+/// Part of the slots up to which a target does not slow down by its own load.
+const EASY_FILL: f64 = 0.8;
+
+/// Slowdown of a target whose slots are nearly all taken.
+const FULL_PACE: f64 = 1.7;
+
+/// Targets probed at once in the first round of a choice.
+const FIRST_PROBES: usize = 2;
+
+/// Targets probed at once in later rounds.
+const MORE_PROBES: usize = 3;
+
+/// Load that the way to another data centre stands for, in parts of one request's time.
+const FAR_COST: f64 = 0.02;
+
+/// Time in which what is held against a target halves.
+const FAULT_HALF_LIFE_S: f64 = 1.5;
+
+/// Most that is held against a target.
+const MOST_FAULT: f64 = 4.0;
+
+/// Fault from which a target counts as suspicious.
+const SUSPICIOUS_FAULT: f64 = 0.7;
+
+/// Time in requests that one unit of fault stands for.
+const FAULT_COST: f64 = 2.0;
+
+/// What a target said of its load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Reading {
+    /// Requests it works on.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests it can work on at once.
+    pub slots: u32,
+    /// Times longer than usual that work takes on its machine at the moment.
+    pub pace: f64,
+}
+
+/// How a send to a target went, as far as it says something of the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendEnd {
+    /// A good answer.
+    Answered,
+    /// It refused the request without running it.
+    Refused,
+    /// It failed the request, broke off or sent something else.
+    Failed,
+    /// It was still silent when the send was given up.
+    Silent,
+    /// The send ended for another reason.
+    Dropped,
+}
+
+#[derive(Debug)]
+struct Target {
+    listing: Listing,
+    is_near: bool,
+    reading: Option<(Reading, MonoTime)>,
+    /// Own sends in progress.
+    own: u32,
+    /// Own sends since the start.
+    sent: u64,
+    /// Own sends that the reading does not include.
+    sent_since: u32,
+    last_sent_at: MonoTime,
+    is_probed: bool,
+    fault: f64,
+    fault_at: MonoTime,
+}
+
+impl Target {
+    fn new(listing: Listing, is_near: bool) -> Self {
+        Self {
+            listing,
+            is_near,
+            reading: None,
+            own: 0,
+            sent: 0,
+            sent_since: 0,
+            last_sent_at: MonoTime::default(),
+            is_probed: false,
+            fault: 0.0,
+            fault_at: MonoTime::default(),
+        }
+    }
+
+    fn fault(&self, now: MonoTime) -> f64 {
+        let halvings = now.since(self.fault_at).as_secs_f64() / FAULT_HALF_LIFE_S;
+        self.fault * (-halvings).exp2()
+    }
+
+    fn add_fault(&mut self, now: MonoTime, amount: f64) {
+        self.fault = (self.fault(now) + amount).clamp(0.0, MOST_FAULT);
+        self.fault_at = now;
+    }
+
+    fn age(&self, now: MonoTime) -> Option<Duration> {
+        self.reading.map(|(_, at)| now.since(at))
+    }
+
+    /// Returns how many times its usual time a request sent now would take.
+    fn expected(&self, now: MonoTime) -> f64 {
+        let told = self.reading.filter(|(_, at)| now.since(*at) <= TELLING).map(|(reading, _)| reading);
+        let slots = f64::from(told.map_or(self.listing.slots, |r| r.slots).max(1));
+        let (pace, held) = match told {
+            Some(r) => (r.pace, f64::from(r.running + r.waiting + self.sent_since)),
+            None => (UNKNOWN_PACE, f64::from(self.own)),
+        };
+        let fill = if (held + 1.0) > slots * EASY_FILL && held > 0.0 { FULL_PACE } else { 1.0 };
+        let queue = (held + 1.0 - slots).max(0.0) / slots;
+        let way = if self.is_near { 0.0 } else { FAR_COST };
+        pace * (fill + queue) + way + self.fault(now) * FAULT_COST
+    }
+
+    /// Returns whether a request would be served at once and at the usual speed.
+    fn is_calm(&self, now: MonoTime) -> bool {
+        let Some((reading, at)) = self.reading else { return false };
+        let held = f64::from(reading.running + reading.waiting + self.sent_since);
+        let has_room = held == 0.0 || held < f64::from(reading.slots) * EASY_FILL;
+        now.since(at) <= FRESH && reading.pace <= CALM_PACE && has_room && self.fault(now) < SUSPICIOUS_FAULT
+    }
+
+    /// Returns the order in which targets are worth a probe; lower goes first.
+    fn probe_rank(&self, now: MonoTime) -> f64 {
+        let expected = self.expected(now);
+        // What was calm a moment ago mostly still is; what was slow mostly still is, too.
+        if self.age(now).is_some_and(|age| age <= FRESH) {
+            expected + MOST_FAULT * FAULT_COST
+        } else {
+            expected
+        }
+    }
+}
+
+/// What a call should do to find its target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Pick {
+    /// Send to this target.
+    Send(Listing),
+    /// Probe these targets, then ask again once one has answered.
+    Probe(Vec<Listing>),
+    /// Wait for probes that are under way.
+    Wait,
+    /// No target may take the call.
+    Nothing,
+}
+
+/// What a call asks.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Targets that have or had this call.
+    pub without: &'a [TargetId],
+    /// Rounds of probes that were made for this choice.
+    pub rounds: u32,
+    /// Whether time for probing is over and the best known target is taken.
+    pub must_decide: bool,
+}
+
+/// Targets of one service.
+#[derive(Debug)]
+pub struct ProbedPool {
+    data_centre: DataCentre,
+    targets: HashMap<TargetId, Target>,
+    rng: SmallRng,
+}
+
+impl ProbedPool {
+    /// Creates a pool without targets for an instance in a data centre.
+    pub fn new(data_centre: DataCentre, rng: SmallRng) -> Self {
+        Self { data_centre, targets: HashMap::default(), rng }
+    }
+
+    /// Follows a change of the directory.
+    pub fn follow(&mut self, change: &Change) {
+        match change {
+            Change::Added(listing) => {
+                let is_near = listing.data_centre == self.data_centre;
+                self.targets.insert(listing.id.clone(), Target::new(listing.clone(), is_near));
+            }
+            Change::Updated(listing) => {
+                if let Some(target) = self.targets.get_mut(&listing.id) {
+                    target.listing = listing.clone();
+                }
+            }
+            Change::Removed(id) => {
+                self.targets.remove(id);
+            }
+        }
+    }
+
+    /// Returns whether no target is known.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Chooses a target for a call, or what to do first.
+    pub fn pick(&mut self, now: MonoTime, ask: &Ask) -> Pick {
+        let best = self.best(now, ask, |t| t.is_calm(now));
+        if let Some(best) = best {
+            return self.send_to(now, &best);
+        }
+        if ask.must_decide {
+            let told = |t: &Target| t.age(now).is_some_and(|age| age <= TELLING * 2);
+            let best = self.best(now, ask, told).or_else(|| self.best(now, ask, |_| true));
+            return best.map_or(Pick::Nothing, |id| self.send_to(now, &id));
+        }
+        let wanted = if ask.rounds == 0 { FIRST_PROBES } else { MORE_PROBES };
+        self.probes(now, ask, wanted)
+    }
+
+    /// Takes the target's word on its load; `None` when a probe was not answered well.
+    pub fn probed(&mut self, now: MonoTime, id: &TargetId, sent_before: u64, reading: Option<Reading>) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.is_probed = false;
+        match reading {
+            Some(reading) => {
+                let running = reading.running.max(target.own);
+                target.reading = Some((Reading { running, ..reading }, now));
+                target.sent_since = u32::try_from(target.sent - sent_before).unwrap_or(u32::MAX);
+            }
+            None => {
+                target.reading = None;
+                target.add_fault(now, 1.0);
+            }
+        }
+    }
+
+    /// Notes that a probe starts; returns the mark to give with its result, or `None` when one is under way.
+    pub fn probing(&mut self, id: &TargetId) -> Option<u64> {
+        let target = self.targets.get_mut(id)?;
+        (!std::mem::replace(&mut target.is_probed, true)).then_some(target.sent)
+    }
+
+    /// Takes a reading that came with an answer.
+    pub fn read(&mut self, now: MonoTime, id: &TargetId, reading: Reading) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.reading = Some((reading, now));
+        let just_sent = now.since(target.last_sent_at) < Duration::from_millis(3);
+        target.sent_since = u32::from(just_sent);
+    }
+
+    /// Notes the end of a send.
+    pub fn ended(&mut self, now: MonoTime, id: &TargetId, end: SendEnd) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.own = target.own.saturating_sub(1);
+        match end {
+            SendEnd::Answered => target.add_fault(now, -0.5),
+            SendEnd::Refused => target.add_fault(now, 0.5),
+            SendEnd::Failed | SendEnd::Silent => target.add_fault(now, 1.0),
+            SendEnd::Dropped => {}
+        }
+    }
+
+    /// Returns the target's latest reading with its age.
+    pub fn reading(&self, now: MonoTime, id: &TargetId) -> Option<(Reading, Duration)> {
+        self.targets.get(id)?.reading.map(|(reading, at)| (reading, now.since(at)))
+    }
+
+    fn best(&self, now: MonoTime, ask: &Ask, may: impl Fn(&Target) -> bool) -> Option<TargetId> {
+        let eligible = self.targets.values().filter(|t| is_eligible(t, ask) && may(t));
+        let best = eligible.min_by(|a, b| a.expected(now).total_cmp(&b.expected(now)));
+        best.map(|t| t.listing.id.clone())
+    }
+
+    fn probes(&mut self, now: MonoTime, ask: &Ask, wanted: usize) -> Pick {
+        let eligible = self.targets.values().filter(|t| is_eligible(t, ask)).collect::<Vec<_>>();
+        if eligible.is_empty() {
+            return Pick::Nothing;
+        }
+        let under_way = eligible.iter().filter(|t| t.is_probed).count();
+        let rng = &mut self.rng;
+        let mut open = eligible
+            .into_iter()
+            .filter(|t| !t.is_probed && t.age(now).is_none_or(|age| age > FRESH))
+            .map(|t| (t.probe_rank(now) + rng.random_range(0.0..0.3), t))
+            .collect::<Vec<_>>();
+        open.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let probes = open.into_iter().take(wanted).map(|(_, t)| t.listing.clone()).collect::<Vec<_>>();
+        if probes.is_empty() && under_way > 0 {
+            return Pick::Wait;
+        }
+        if probes.is_empty() {
+            // Every target was read a moment ago and none is calm.
+            return self.pick(now, &Ask { must_decide: true, ..*ask });
+        }
+        Pick::Probe(probes)
+    }
+
+    fn send_to(&mut self, now: MonoTime, id: &TargetId) -> Pick {
+        let Some(target) = self.targets.get_mut(id) else { return Pick::Nothing };
+        target.own += 1;
+        target.sent += 1;
+        target.sent_since += 1;
+        target.last_sent_at = now;
+        Pick::Send(target.listing.clone())
+    }
+}
+
+fn is_eligible(target: &Target, ask: &Ask) -> bool {
+    !target.listing.draining && !ask.without.contains(&target.listing.id)
+}
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,311 @@
+//! One call: from the caller's request to its answer.
+
+use std::{
+    pin::Pin,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use futures::{
+    future::BoxFuture,
+    stream::{FuturesUnordered, StreamExt},
+};
+use hyper::{
+    Request, Response,
+    body::{Body, Incoming},
+    header::{self, HeaderValue},
+    http::request::Parts,
+};
+use tokio::time::{sleep_until, timeout_at};
+
+use super::{
+    Gateway,
+    answer::{AnswerBody, refusal},
+    exchange::{SendResult, TargetAnswer, send},
+    probe,
+};
+use crate::{
+    decide::probed::{Ask, Pick},
+    error::ErrorKind,
+    plan::RequestKind,
+    proxy::{
+        headers,
+        intake::{MAX_REPEATABLE_BODY_BYTES, take_start},
+        upload::{RequestParts, Upload},
+    },
+    routing::{Route, RoutingTable},
+    units::{MonoTime, ServiceName, TargetId},
+};
+
+/// Longest time that a choice spends on probes, as a part of the route's objective.
+const CHOICE_PART: u32 = 8;
+
+/// Part of the objective after which an idempotent request without an answer is sent to a second target.
+const HEDGE_PART: f64 = 0.5;
+
+/// Time after which a caller may come back when no target took its request.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Longest time that a part of a request's body may take to arrive.
+const BODY_PROGRESS_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What is known of a call before it is sent.
+#[derive(Debug)]
+pub struct CallHead {
+    /// Shared state.
+    pub gateway: Arc<Gateway>,
+    /// The caller's identifier of the request.
+    pub request_id: HeaderValue,
+    /// Route.
+    pub route: Arc<Route>,
+    /// Service that the route's split has chosen.
+    pub service: ServiceName,
+    /// When the head arrived.
+    pub arrived: MonoTime,
+    /// When the caller must have its answer.
+    pub deadline: MonoTime,
+    /// The request.
+    pub parts: RequestParts,
+    /// Targets that have or had the request.
+    tried: Mutex<Vec<TargetId>>,
+}
+
+impl CallHead {
+    /// Returns the time until the deadline.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.since(self.gateway.now())
+    }
+
+    fn tried(&self) -> Vec<TargetId> {
+        self.tried.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.route.spec.kind == RequestKind::Idempotent && self.parts.upload.is_none()
+    }
+}
+
+/// Answers one request.
+pub async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let _in_progress = gateway.enter();
+    let arrived = gateway.now();
+    let request_id = request.headers().get(&gateway.place.headers.request_id).cloned();
+    let mut response = match prepare(&gateway, arrived, request).await {
+        Ok(call) => run(&call).await,
+        Err(kind) => {
+            let id = request_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
+            log::info!("event=refused request={id:?} cause={kind} stage=intake");
+            refusal(kind, Some(RETRY_AFTER))
+        }
+    };
+    if let Some(id) = request_id {
+        response.headers_mut().insert(&gateway.place.headers.request_id, id);
+    }
+    if gateway.is_leaving() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Checks a request and takes its body; nothing is sent before this is done.
+async fn prepare(
+    gateway: &Arc<Gateway>,
+    arrived: MonoTime,
+    request: Request<Incoming>,
+) -> Result<CallHead, ErrorKind> {
+    let (head, mut body) = request.into_parts();
+    headers::check_unambiguous(&head)?;
+    let routing = gateway.routing().ok_or(ErrorKind::NoPlan)?;
+    let route = find_route(&routing, &head).ok_or(ErrorKind::UnknownService)?;
+    let names = &gateway.place.headers;
+    let request_id = head.headers.get(&names.request_id).cloned().unwrap_or(HeaderValue::from_static(""));
+    let stated = headers::number(&head.headers, &names.deadline_ms)?.map(Duration::from_millis);
+    let timeout = route.spec.timeout;
+    let deadline = arrived + stated.map_or(timeout, |stated| stated.min(timeout));
+    let limit = routing.limits.max_body_bytes;
+    let taken = take_start(&mut body, limit, MAX_REPEATABLE_BODY_BYTES, BODY_PROGRESS_TIMEOUT).await?;
+    let (body, upload) = if body.is_end_stream() {
+        (taken, None)
+    } else {
+        let upload = Upload::new(taken, body, limit, BODY_PROGRESS_TIMEOUT);
+        (bytes::Bytes::new(), Some(Mutex::new(Some(Box::new(upload)))))
+    };
+    let service = route.next_service().clone();
+    Ok(CallHead {
+        gateway: Arc::clone(gateway),
+        request_id,
+        route,
+        service,
+        arrived,
+        deadline,
+        parts: RequestParts { head, body, upload },
+        tried: Mutex::default(),
+    })
+}
+
+fn find_route(routing: &RoutingTable, head: &Parts) -> Option<Arc<Route>> {
+    let host = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
+    let host = host.or_else(|| head.uri.host())?;
+    routing.find(host, head.uri.path()).map(Arc::clone)
+}
+
+/// How one send of a call ended, or that none could be made.
+enum LegEnd {
+    Sent(SendResult),
+    NoTarget,
+}
+
+/// Sends a call until it has an answer.
+async fn run(call: &CallHead) -> Response<AnswerBody> {
+    call.gateway.fleet().request(call.arrived, &call.service);
+    let deadline = call.gateway.clock.instant(call.deadline);
+    let mut sends = Sends { call, legs: FuturesUnordered::new(), started: 0, ran: None, failed: None };
+    sends.start();
+    let hedge_at = call.arrived + call.route.spec.objective.mul_f64(HEDGE_PART);
+    let mut hedge = Box::pin(sleep_until(call.gateway.clock.instant(hedge_at)));
+    let mut may_hedge = call.may_repeat();
+    loop {
+        tokio::select! {
+            biased;
+            Some(end) = sends.legs.next() => {
+                if let Some(response) = sends.ended(end) {
+                    return response;
+                }
+            }
+            () = sleep_until(deadline) => return sends.out_of_time(),
+            () = &mut hedge, if may_hedge => {
+                may_hedge = false;
+                sends.start_repeat("hedge");
+            }
+        }
+    }
+}
+
+/// Sends of one call.
+struct Sends<'a> {
+    call: &'a CallHead,
+    legs: FuturesUnordered<BoxFuture<'a, LegEnd>>,
+    /// Sends that were started.
+    started: u32,
+    /// The error to tell if no answer comes, once a send may have run.
+    ran: Option<ErrorKind>,
+    /// A target's own answer that it failed.
+    failed: Option<Box<TargetAnswer>>,
+}
+
+impl Sends<'_> {
+    fn start(&mut self) {
+        self.started += 1;
+        self.legs.push(Box::pin(leg(self.call)));
+    }
+
+    /// Starts another send if the route and the budget allow it; returns whether it did.
+    fn start_repeat(&mut self, cause: &str) -> bool {
+        let call = self.call;
+        if self.started >= call.route.spec.max_sends || call.parts.is_spent() {
+            return false;
+        }
+        let may = call.gateway.fleet().spend_repeat(call.gateway.now(), &call.service);
+        log::info!("event=repeat request={:?} cause={cause} within_budget={may}", call.request_id);
+        if may {
+            self.start();
+        }
+        may
+    }
+
+    /// Takes the end of a send and returns the answer if that is decided now.
+    fn ended(&mut self, end: LegEnd) -> Option<Response<AnswerBody>> {
+        let may_repeat = self.call.may_repeat();
+        match end {
+            LegEnd::Sent(SendResult::Answered(answer)) => return Some(pass_on(*answer)),
+            LegEnd::Sent(SendResult::Failed(answer)) => {
+                self.failed = Some(answer);
+                self.ran = Some(ErrorKind::ConnectionLost);
+                if may_repeat && self.start_repeat("failed") {
+                    return None;
+                }
+            }
+            LegEnd::Sent(SendResult::Lost) => {
+                self.ran = Some(ErrorKind::ConnectionLost);
+                if may_repeat && self.start_repeat("lost") {
+                    return None;
+                }
+            }
+            LegEnd::Sent(SendResult::NotRun) => {
+                if self.start_repeat("not-run") {
+                    return None;
+                }
+            }
+            LegEnd::Sent(SendResult::Unsent) => {
+                self.started -= 1;
+                if self.legs.is_empty() && !self.call.remaining().is_zero() && self.call.tried().len() < 4 {
+                    self.start();
+                    return None;
+                }
+            }
+            LegEnd::NoTarget => {}
+        }
+        self.legs.is_empty().then(|| self.give_up(ErrorKind::NoTarget))
+    }
+
+    fn out_of_time(&mut self) -> Response<AnswerBody> {
+        if !self.legs.is_empty() {
+            self.ran = Some(ErrorKind::AnswerTimeout);
+        }
+        self.give_up(ErrorKind::DeadlineUnreachable)
+    }
+
+    /// Answers without a good answer of a target; `unsent` is told when nothing can have run.
+    fn give_up(&mut self, unsent: ErrorKind) -> Response<AnswerBody> {
+        if let Some(failed) = self.failed.take() {
+            return pass_on(*failed);
+        }
+        let kind = self.ran.unwrap_or(unsent);
+        let call = self.call;
+        log::info!(
+            "event=refused request={:?} route={} service={} cause={kind} sends={} took_ms={}",
+            call.request_id,
+            call.route.spec.name,
+            call.service,
+            self.started,
+            call.gateway.now().since(call.arrived).as_millis()
+        );
+        refusal(kind, Some(RETRY_AFTER))
+    }
+}
+
+fn pass_on(answer: TargetAnswer) -> Response<AnswerBody> {
+    Response::from_parts(answer.head, answer.body)
+}
+
+/// Chooses a target and sends the call to it.
+async fn leg(call: &CallHead) -> LegEnd {
+    let gateway = &call.gateway;
+    let choice_until = gateway.now() + call.route.spec.objective / CHOICE_PART;
+    let mut rounds = 0;
+    loop {
+        let mut news = Box::pin(gateway.news.notified());
+        // Registered before the look, so that no news is missed.
+        Pin::as_mut(&mut news).enable();
+        let now = gateway.now();
+        let tried = call.tried();
+        let ask = Ask { without: &tried, rounds, must_decide: now >= choice_until };
+        let pick = gateway.fleet().pick(now, &call.service, &ask);
+        match pick {
+            Pick::Send(listing) => {
+                call.tried.lock().unwrap_or_else(PoisonError::into_inner).push(listing.id.clone());
+                return LegEnd::Sent(send(call, listing).await);
+            }
+            Pick::Nothing => return LegEnd::NoTarget,
+            Pick::Probe(listings) => {
+                rounds += 1;
+                for listing in listings {
+                    probe::start(gateway, listing);
+                }
+            }
+            Pick::Wait => {}
+        }
+        // Without news until then, the next look decides.
+        let _news_or_time = timeout_at(gateway.clock.instant(choice_until), news).await;
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,193 @@
+//! An instance on a platform where targets register themselves and operators write routes to the store.
+//!
+//! Nothing is kept on the instance: routes and targets are followed in the store, and load is asked of the targets.
+//! Instances are equal and need not hear each other.
+
+pub mod answer;
+pub mod call;
+pub mod config;
+pub mod exchange;
+pub mod follow;
+pub mod listen;
+pub mod probe;
+pub mod ready;
+pub mod serve;
+pub mod surroundings;
+
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicU64, Ordering},
+};
+
+use arc_swap::ArcSwapOption;
+use tokio::sync::{Notify, watch};
+
+use self::{config::Config, surroundings::Surroundings};
+use crate::{
+    decide::fleet::Fleet,
+    error::{Error, ErrorKind, Result},
+    kernel::{
+        Phase,
+        clock::Clock,
+        in_progress::{InProgress, InProgressTable},
+        registry,
+    },
+    proxy::connection::Connections,
+    routing::{RoutingSpec, RoutingTable},
+    units::{MonoTime, RunId},
+};
+
+/// Everything that the tasks of one gateway share.
+///
+/// The fleet's lock is taken alone and not held across an await.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Settings.
+    pub config: Config,
+    /// Clock of this process.
+    pub clock: Clock,
+    /// Identifier of this run.
+    pub run_id: RunId,
+    /// The place it runs in.
+    pub place: Surroundings,
+    /// Connections to targets.
+    pub connections: Connections,
+    /// Notified when something became known of a target.
+    pub news: Notify,
+    routing: ArcSwapOption<RoutingTable>,
+    fleet: Mutex<Fleet>,
+    has_targets: watch::Sender<bool>,
+    /// Instances that share the budgets; 0 until it is known.
+    instances: AtomicU64,
+    /// Only rises.
+    phase: watch::Sender<Phase>,
+    in_progress: Arc<InProgressTable>,
+}
+
+impl Gateway {
+    /// Creates the state of one gateway.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Settings`] when the settings name an unknown place.
+    pub fn open(config: Config) -> Result<Arc<Self>> {
+        let place = registry::place(&config.place).ok_or_else(|| {
+            let known = registry::PLACES.iter().map(|p| p.name).collect::<Vec<_>>().join(" or ");
+            Error::new(ErrorKind::Settings, format!("place: expected {known}, found {:?}", config.place))
+        })?;
+        let place = (place.open)(&config);
+        let seed = rand::random::<u64>();
+        Ok(Arc::new(Self {
+            clock: Clock::start(),
+            run_id: RunId::from(seed),
+            place,
+            connections: Connections::default(),
+            news: Notify::new(),
+            routing: ArcSwapOption::empty(),
+            fleet: Mutex::new(Fleet::new(config.data_centre.clone(), seed)),
+            has_targets: watch::Sender::new(false),
+            instances: AtomicU64::new(0),
+            phase: watch::Sender::new(Phase::Serving),
+            in_progress: Arc::default(),
+            config,
+        }))
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> MonoTime {
+        self.clock.now()
+    }
+
+    /// Returns the routing table in force, if one is known.
+    pub fn routing(&self) -> Option<Arc<RoutingTable>> {
+        self.routing.load_full()
+    }
+
+    /// Puts a routing table in force if it is newer; returns whether it was.
+    pub fn offer_routing(&self, spec: RoutingSpec) -> bool {
+        let before = self.routing().map(|table| table.version);
+        if before.is_some_and(|version| version >= spec.version) {
+            return false;
+        }
+        let table = RoutingTable::new(spec, u64::from(self.run_id));
+        let was = before.unwrap_or_default();
+        log::info!("event=routing-in-force version={} was={was} routes={}", table.version, table.len());
+        self.routing.store(Some(Arc::new(table)));
+        true
+    }
+
+    /// Locks what is known of the targets.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that the directory has been read.
+    pub fn set_has_targets(&self) {
+        self.has_targets.send_replace(true);
+    }
+
+    /// Notes how many instances share the budgets.
+    pub fn set_instances(&self, instances: u64) {
+        self.instances.store(instances, Ordering::Release);
+    }
+
+    /// Returns how many instances share the budgets, at least 1, or `None` while it is not known.
+    pub fn instances(&self) -> Option<u64> {
+        Some(self.instances.load(Ordering::Acquire)).filter(|n| *n > 0)
+    }
+
+    /// Returns why callers should not be sent here, if they should not.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Leaving`] or [`ErrorKind::NoPlan`].
+    pub fn ready(&self) -> Result<(), ErrorKind> {
+        if self.is_leaving() {
+            return Err(ErrorKind::Leaving);
+        }
+        if self.routing.load().is_none() || !*self.has_targets.borrow() {
+            return Err(ErrorKind::NoPlan);
+        }
+        Ok(())
+    }
+
+    /// Starts leaving; later calls change nothing.
+    pub fn leave(&self) {
+        self.advance(Phase::Leaving);
+    }
+
+    /// Ends idle connections of callers from now on.
+    pub fn refuse_new(&self) {
+        self.advance(Phase::Refusing);
+    }
+
+    /// Returns whether this instance is leaving.
+    pub fn is_leaving(&self) -> bool {
+        *self.phase.borrow() >= Phase::Leaving
+    }
+
+    /// Waits until this instance has come so far on its way out.
+    pub async fn wait_phase(&self, least: Phase) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the gateway, so waiting can't fail.
+        let _closed = phase.wait_for(|phase| *phase >= least).await;
+    }
+
+    /// Returns the count of what is in progress.
+    pub fn in_progress(&self) -> &Arc<InProgressTable> {
+        &self.in_progress
+    }
+
+    /// Counts a request in progress until the guard is dropped.
+    pub fn enter(&self) -> InProgress {
+        self.in_progress.enter()
+    }
+
+    fn advance(&self, to: Phase) {
+        self.phase.send_if_modified(|phase| {
+            let rises = *phase < to;
+            *phase = to.max(*phase);
+            rises
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/serve.rs
@@ -0,0 +1,91 @@
+//! Runs one gateway: listens, follows the store, and leaves cleanly.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    signal::unix::{SignalKind, signal},
+    time::{Instant, sleep, timeout_at},
+};
+
+use super::{Gateway, config::Config, follow, listen, ready};
+use crate::{
+    error::{Error, ErrorKind, Result},
+    logging,
+};
+
+/// Time in which the entry notices that this instance is not ready: two questions a second apart, and their answers.
+const ENTRY_LAG: Duration = Duration::from_millis(2_300);
+
+/// Part of the grace that is left for the end of the process.
+const EXIT_PART: f64 = 0.08;
+
+/// Connections that wait to be accepted; beyond it, opening packets are dropped and sent again seconds later.
+const BACKLOG: u32 = 1_024;
+
+/// Runs a gateway until it has left.
+///
+/// # Errors
+///
+/// [`ErrorKind::AddressUnavailable`] and [`ErrorKind::Settings`].
+pub async fn serve(config: Config) -> Result<()> {
+    logging::start(config.log_lines_per_s, config.log_level, &BTreeMap::new())?;
+    let callers = bind("callers_address", config.callers_address)?;
+    let ready_listener = bind("ready_address", config.ready_address)?;
+    let gateway = Gateway::open(config)?;
+    log_start(&gateway);
+    tokio::spawn(ready::listen(Arc::clone(&gateway), ready_listener));
+    tokio::spawn(follow::run(Arc::clone(&gateway)));
+    tokio::spawn(listen::listen(Arc::clone(&gateway), callers));
+    wait_signal().await?;
+    leave(&gateway).await;
+    Ok(())
+}
+
+fn bind(field: &str, address: SocketAddr) -> Result<TcpListener> {
+    let unavailable =
+        |e: std::io::Error| Error::new(ErrorKind::AddressUnavailable, format!("{field} {address}: {e}"));
+    let socket = TcpSocket::new_v4().map_err(unavailable)?;
+    socket.set_reuseaddr(true).map_err(unavailable)?;
+    socket.bind(address).map_err(unavailable)?;
+    socket.listen(BACKLOG).map_err(unavailable)
+}
+
+fn log_start(gateway: &Gateway) {
+    let config = &gateway.config;
+    log::info!(
+        "event=started instance={} run={} data_centre={} callers={} ready={} store={} place={}",
+        config.instance,
+        gateway.run_id,
+        config.data_centre,
+        config.callers_address,
+        config.ready_address,
+        config.store_address,
+        config.place
+    );
+}
+
+/// Waits for the signal to leave.
+async fn wait_signal() -> Result<()> {
+    let listen = |kind| signal(kind).map_err(|e| Error::new(ErrorKind::File, format!("signals: {e}")));
+    let (mut terminate, mut interrupt) = (listen(SignalKind::terminate())?, listen(SignalKind::interrupt())?);
+    let mut hangup = listen(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => log::info!("event=reload"),
+        }
+    }
+}
+
+/// Lets the entry notice, ends callers' connections, and waits for what is in progress.
+async fn leave(gateway: &Gateway) {
+    let until = Instant::now() + gateway.config.grace().mul_f64(1.0 - EXIT_PART);
+    gateway.leave();
+    log::info!("event=leaving in_progress={}", gateway.in_progress().requests());
+    sleep(ENTRY_LAG.min(gateway.config.grace() / 2)).await;
+    gateway.refuse_new();
+    let idle = timeout_at(until, gateway.in_progress().wait_idle()).await.is_ok();
+    log::info!("event=left idle={idle} in_progress={}", gateway.in_progress().requests());
+}
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -42,9 +42,9 @@
         intentions::{DrainChange, Intentions, must_leave},
         keeper::PlanInForce,
     },
-    platform::{Platform, guard::GuardedPlatform, share::Purpose},
     proxy::{connection::Connections, silence::HeadTimes},
     settings::Config,
+    store::{Platform, guard::GuardedPlatform, share::Purpose},
     units::{CallId, InstanceId, MonoTime, RunId, TargetId},
 };
 
--- a/src/kernel/registry.rs
+++ b/src/kernel/registry.rs
@@ -1,6 +1,12 @@
 //! Plug-ins: plain structs that register themselves at link time.
 
-use crate::{error::Result, observe::report::Report, platform::Platform, settings::Config};
+use crate::{
+    error::Result,
+    gateway::{config::Config as GatewayConfig, surroundings::Surroundings},
+    observe::report::Report,
+    settings::Config,
+    store::Platform,
+};
 
 /// A way to reach the platform's service, chosen by name in the settings.
 #[derive(Debug)]
@@ -11,6 +17,15 @@
     pub open: fn(&Config) -> Result<Platform>,
 }
 
+/// A place that a gateway can run in, chosen by name in its settings.
+#[derive(Debug)]
+pub struct Place {
+    /// Name in the settings.
+    pub name: &'static str,
+    /// Opens it for one instance.
+    pub open: fn(&GatewayConfig) -> Surroundings,
+}
+
 /// A form in which the burn report is written, chosen by name.
 #[derive(Debug)]
 pub struct ReportWriter {
@@ -24,6 +39,10 @@
 #[linkme::distributed_slice]
 pub static PLATFORM_DRIVERS: [PlatformDriver];
 
+/// Places of this binary.
+#[linkme::distributed_slice]
+pub static PLACES: [Place];
+
 /// Report writers of this binary.
 #[linkme::distributed_slice]
 pub static REPORT_WRITERS: [ReportWriter];
@@ -33,6 +52,11 @@
     PLATFORM_DRIVERS.iter().find(|d| d.name == name)
 }
 
+/// Finds a place by name.
+pub fn place(name: &str) -> Option<&'static Place> {
+    PLACES.iter().find(|p| p.name == name)
+}
+
 /// Finds a report writer by name.
 pub fn report_writer(name: &str) -> Option<&'static ReportWriter> {
     REPORT_WRITERS.iter().find(|w| w.name == name)
--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -4,6 +4,7 @@
 pub mod limit;
 
 use std::{
+    collections::BTreeMap,
     fmt::Write as _,
     io::Write as _,
     sync::{Arc, Mutex, OnceLock, PoisonError},
@@ -18,7 +19,6 @@
 };
 use crate::{
     error::{Error, ErrorKind, Result},
-    settings::Config,
     units::MonoTime,
 };
 
@@ -41,18 +41,17 @@
     }
 }
 
-/// Starts logging as the settings say.
+/// Starts logging from a level on, with levels of single modules and a limit for each module and event.
 ///
 /// # Errors
 ///
 /// [`ErrorKind::Settings`] when a logger is set already.
-pub fn start(config: &Config) -> Result<()> {
-    let shared =
-        SharedLimiter { origin: Instant::now(), limiter: Mutex::new(Limiter::new(config.log_lines_per_s)) };
+pub fn start(lines_per_s: u64, level: LevelFilter, levels: &BTreeMap<String, LevelFilter>) -> Result<()> {
+    let shared = SharedLimiter { origin: Instant::now(), limiter: Mutex::new(Limiter::new(lines_per_s)) };
     let shared = LIMITER.get_or_init(|| Arc::new(shared));
     let output = LimitedOutput { shared: Arc::clone(shared) };
-    let mut dispatch = fern::Dispatch::new().level(config.log_level);
-    for (module, level) in &config.log_levels {
+    let mut dispatch = fern::Dispatch::new().level(level);
+    for (module, level) in levels {
         dispatch = dispatch.level_for(module.clone(), *level);
     }
     dispatch
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -11,7 +11,7 @@
 use crate::{
     collections::{HashMap, HashSet},
     peer::frame::{Heartbeat, Hello},
-    platform::ListedInstance,
+    store::ListedInstance,
     units::{DataCentre, InstanceId, MonoTime, PlanVersion, RunId},
 };
 
--- a/src/observe/coverage.rs
+++ b/src/observe/coverage.rs
@@ -10,7 +10,7 @@
     window::Window,
 };
 use crate::{
-    platform::ListedInstance,
+    store::ListedInstance,
     units::{InstanceId, RunId},
 };
 
--- a/src/observe/minutes.rs
+++ b/src/observe/minutes.rs
@@ -17,7 +17,7 @@
 use crate::{
     collections::HashMap,
     plan::{IntendedAction, Plan},
-    platform::WriteResult,
+    store::WriteResult,
     units::ServiceName,
 };
 
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -47,7 +47,7 @@
     kernel::Kernel,
     logging,
     plan::{IntendedAction, Plan},
-    platform::{ObjectCondition, WriteResult, share::Purpose},
+    store::{ObjectCondition, WriteResult, share::Purpose},
     units::PlanVersion,
 };
 
--- a/src/observe/report.rs
+++ b/src/observe/report.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     plan::{Objective, Plan},
-    platform::ListedInstance,
+    store::ListedInstance,
     units::{InstanceId, PlanVersion, ServiceName},
 };
 
--- a/src/observe/store.rs
+++ b/src/observe/store.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     collections::{HashMap, HashSet},
-    platform::{Platform, ReadError},
+    store::{Platform, ReadError},
 };
 
 /// Part of this instance's share of store reads that one report may use.
--- a/src/observe/store_calls.rs
+++ b/src/observe/store_calls.rs
@@ -16,7 +16,7 @@
 };
 use tokio::time::Instant;
 
-use crate::platform::{DriverFn, Platform, ReadError, WriteResult};
+use crate::store::{DriverFn, Platform, ReadError, WriteResult};
 
 /// Operation and result of a call of the platform's service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
--- a/src/plan/accept.rs
+++ b/src/plan/accept.rs
@@ -13,7 +13,7 @@
     record::{BODY_OBJECTS, Body, ChangeRecord, Head, INLINE_BYTES, change_key, digest, head_key, to_value},
 };
 use crate::{
-    platform::{Condition, RowChange, RowWrite, WriteResult},
+    store::{Condition, RowChange, RowWrite, WriteResult},
     units::{ChangeId, MonoTime, PlanVersion},
 };
 
@@ -113,7 +113,7 @@
 /// ```
 /// use arbutusshelf::{
 ///     plan::{Plan, accept::{Acceptance, Event, Rows, Step, Submission, Verdict}},
-///     platform::WriteResult,
+///     store::WriteResult,
 ///     units::MonoTime,
 /// };
 ///
--- a/src/plan/commit.rs
+++ b/src/plan/commit.rs
@@ -8,7 +8,7 @@
 use crate::{
     error::Result,
     kernel::clock::Clock,
-    platform::{ObjectCondition, Platform, RowKey},
+    store::{ObjectCondition, Platform, RowKey},
     units::{ChangeId, MonoTime},
 };
 
--- a/src/plan/poll.rs
+++ b/src/plan/poll.rs
@@ -15,7 +15,7 @@
     membership::table::Change,
     observe::unix_s,
     peer::{budget::OVERHEAD_BYTES, loads::REFRESH_PERIOD, state::LoadSample},
-    platform::ListedInstance,
+    store::ListedInstance,
     units::{InstanceId, MonoTime, PlanVersion, ServiceName},
 };
 
@@ -138,7 +138,7 @@
     }
 }
 
-async fn take_head(kernel: &Kernel, row: &crate::platform::Row) -> Result<PlanVersion> {
+async fn take_head(kernel: &Kernel, row: &crate::store::Row) -> Result<PlanVersion> {
     let head = from_row::<Head>(row)?;
     if head.version > kernel.plan.version() {
         kernel.offer_plan(record::read_body(&kernel.platform, &head).await?);
--- a/src/plan/record.rs
+++ b/src/plan/record.rs
@@ -7,7 +7,7 @@
 use super::Plan;
 use crate::{
     error::{Error, ErrorKind, Result},
-    platform::{Platform, ReadError, Row, RowKey},
+    store::{Platform, ReadError, Row, RowKey},
     units::{ChangeId, PlanVersion},
 };
 
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -22,7 +22,7 @@
 const MAX_ONCE_BODY_BYTES: u64 = 1 << 20;
 
 /// Largest body of an idempotent request that is kept so that it can be sent again.
-const MAX_REPEATABLE_BODY_BYTES: u64 = 256 << 10;
+pub const MAX_REPEATABLE_BODY_BYTES: u64 = 256 << 10;
 
 /// Bytes of other bodies that are taken before the send begins, so that slow callers hold no slot for them.
 const FIRST_BYTES: u64 = 64 << 10;
@@ -85,15 +85,29 @@
     let limit = kernel.config.max_body_bytes as u64;
     let whole_only = kind == RequestKind::AtMostOnce;
     let limit = if whole_only { limit.min(MAX_ONCE_BODY_BYTES) } else { limit };
-    if body.size_hint().lower() > limit {
-        return Err(ErrorKind::BodyTooLarge);
-    }
     let enough = match kind {
         RequestKind::AtMostOnce => u64::MAX,
         RequestKind::Idempotent => MAX_REPEATABLE_BODY_BYTES,
         RequestKind::Unstated => FIRST_BYTES,
     };
-    let progress_timeout = Duration::from_millis(kernel.config.progress_timeout_ms);
+    take_start(body, limit, enough, Duration::from_millis(kernel.config.progress_timeout_ms)).await
+}
+
+/// Takes a body of at most `limit` bytes until it ends or `enough` have arrived.
+///
+/// # Errors
+///
+/// [`ErrorKind::BodyTooLarge`], and [`ErrorKind::BodyIncomplete`] when it is cut or nothing of it comes for the
+/// progress timeout.
+pub async fn take_start(
+    body: &mut Incoming,
+    limit: u64,
+    enough: u64,
+    progress_timeout: Duration,
+) -> Result<Bytes, ErrorKind> {
+    if body.size_hint().lower() > limit {
+        return Err(ErrorKind::BodyTooLarge);
+    }
     let mut taken = Bytes::new();
     while !body.is_end_stream() && (taken.len() as u64) < enough {
         let frame = timeout(progress_timeout, body.frame()).await;
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{
-    Request, Response, StatusCode, Uri, Version,
+    Request, Response, StatusCode,
     body::{Body, Incoming},
     header::{self, HeaderValue},
     http::response,
@@ -356,20 +356,8 @@
     target: &TargetSpec,
     body: RequestBody,
 ) -> Option<Request<RequestBody>> {
-    let mut request = Request::new(body);
-    *request.method_mut() = parts.head.method.clone();
-    let path = parts.head.uri.path_and_query()?.clone();
-    *request.uri_mut() = Uri::from(path);
-    *request.version_mut() = Version::HTTP_11;
+    let mut request = parts.forward(body, target.address)?;
     let fields = request.headers_mut();
-    fields.clone_from(&parts.head.headers);
-    headers::strip(fields);
-    fields.remove(header::CONTENT_LENGTH);
-    fields.remove(header::EXPECT);
-    if !fields.contains_key(header::HOST) {
-        let host = parts.head.uri.authority().map_or_else(|| target.address.to_string(), ToString::to_string);
-        fields.insert(header::HOST, HeaderValue::from_str(&host).ok()?);
-    }
     let remaining_ms = u64::try_from(context.remaining().as_millis()).unwrap_or(u64::MAX);
     fields.insert(headers::DEADLINE_MS, HeaderValue::from(remaining_ms));
     let attempts = context.call.prior_attempts.saturating_add(attempt.0);
--- a/src/proxy/upload.rs
+++ b/src/proxy/upload.rs
@@ -1,6 +1,7 @@
 //! A request's body on its way to a target.
 
 use std::{
+    net::SocketAddr,
     pin::Pin,
     sync::{
         Arc, Mutex, PoisonError,
@@ -13,12 +14,14 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
+    Request, Uri, Version,
     body::{Body, Frame, Incoming, SizeHint},
+    header::{self, HeaderValue},
     http::request::Parts,
 };
 use tokio::time::{Instant, Sleep, sleep};
 
-use super::body::BodyError;
+use super::{body::BodyError, headers};
 
 /// Body of a request to a target.
 #[derive(Debug)]
@@ -231,6 +234,24 @@
         upload.lock().unwrap_or_else(PoisonError::into_inner).take().map(RequestBody::Streamed)
     }
 
+    /// Makes the request that is sent to a target at an address; `None` when the head can't be passed on.
+    pub fn forward(&self, body: RequestBody, address: SocketAddr) -> Option<Request<RequestBody>> {
+        let mut request = Request::new(body);
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = Uri::from(self.head.uri.path_and_query()?.clone());
+        *request.version_mut() = Version::HTTP_11;
+        let fields = request.headers_mut();
+        fields.clone_from(&self.head.headers);
+        headers::strip(fields);
+        fields.remove(header::CONTENT_LENGTH);
+        fields.remove(header::EXPECT);
+        if !fields.contains_key(header::HOST) {
+            let host = self.head.uri.authority().map_or_else(|| address.to_string(), ToString::to_string);
+            fields.insert(header::HOST, HeaderValue::from_str(&host).ok()?);
+        }
+        Some(request)
+    }
+
     /// Takes back the body of a request that was handed back unsent.
     pub fn put_back(&self, body: RequestBody) {
         if let (Some(slot), RequestBody::Streamed(upload)) = (&self.upload, body) {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -55,7 +55,7 @@
 ///
 /// [`ErrorKind::AddressUnavailable`] and [`ErrorKind::Settings`].
 pub async fn serve(mut config: Config) -> Result<()> {
-    logging::start(&config)?;
+    logging::start(config.log_lines_per_s, config.log_level, &config.log_levels)?;
     let listeners = Listeners::bind(&mut config).await?;
     let kernel = Kernel::open(config)?;
     let signals = tokio::spawn(leave_on_signal(Arc::clone(&kernel)));
--- a/src/platform/breaker.rs
+++ b/src/store/breaker.rs
@@ -47,7 +47,7 @@
 ///
 /// ```
 /// use arbutusshelf::{
-///     platform::breaker::{Breaker, Health},
+///     store::breaker::{Breaker, Health},
 ///     units::MonoTime,
 /// };
 ///
--- a/src/platform/share.rs
+++ b/src/store/share.rs
@@ -105,7 +105,7 @@
 /// ```
 /// use arbutusshelf::{
 ///     plan::Budgets,
-///     platform::share::{Access, Purpose, Shares},
+///     store::share::{Access, Purpose, Shares},
 ///     units::MonoTime,
 /// };
 ///
--- a/tests/claim_commit.rs
+++ b/tests/claim_commit.rs
@@ -10,7 +10,7 @@
     claims::commit::{Commit, CommitSettings, Entry},
     decide::claim::{Version, Wrote},
     plan::Priority,
-    platform::{Condition, RowChange, RowKey, RowWrite, WriteResult},
+    store::{Condition, RowChange, RowKey, RowWrite, WriteResult},
 };
 use bytes::Bytes;
 use futures::future::join_all;
--- a/tests/claim_faults.rs
+++ b/tests/claim_faults.rs
@@ -8,7 +8,7 @@
     claims::{ClaimResult, RunEnd, WholeAnswer},
     decide::claim::{RETENTION_MARGIN_H, StoredBody},
     error::ErrorKind,
-    platform::{Condition, RowChange, RowWrite, embedded::SharedStore},
+    store::{Condition, RowChange, RowWrite, embedded::SharedStore},
 };
 use bytes::Bytes;
 use claim_table::{DEADLINE, Fate, Instance, RowState, answered, request, row_state, service, settled};
--- a/tests/claim_table/mod.rs
+++ b/tests/claim_table/mod.rs
@@ -15,7 +15,7 @@
     decide::claim::{ClaimRow, ClaimState, Fingerprint},
     kernel::clock::Clock,
     plan::Priority,
-    platform::{
+    store::{
         Platform, ReadError, RowWrite, WriteResult,
         embedded::{self, SharedStore},
     },
--- a/tests/membership_table.rs
+++ b/tests/membership_table.rs
@@ -6,7 +6,7 @@
         table::{Change, MemberTable, REMOVE_AFTER, SUSPECT_AFTER, Trust},
     },
     peer::frame::{Heartbeat, Hello, PROTOCOL_VERSION},
-    platform::ListedInstance,
+    store::ListedInstance,
     units::{DataCentre, InstanceId, MonoTime, RunId},
 };
 
--- a/tests/observe_metrics.rs
+++ b/tests/observe_metrics.rs
@@ -10,7 +10,7 @@
         tally::{CallEnd, Tally},
     },
     plan::{Plan, RequestKind, sheet},
-    platform::{Condition, RowChange, RowKey, RowWrite, embedded},
+    store::{Condition, RowChange, RowKey, RowWrite, embedded},
 };
 use bytes::Bytes;
 
--- a/tests/observe_rollups.rs
+++ b/tests/observe_rollups.rs
@@ -14,7 +14,7 @@
         window::Window,
     },
     plan::{Plan, RequestKind, sheet},
-    platform::{ObjectCondition, WriteResult, embedded},
+    store::{ObjectCondition, WriteResult, embedded},
 };
 use bytes::Bytes;
 use quickcheck::{Arbitrary, Gen};
@@ -393,7 +393,7 @@
     assert!(report.store_fault.expect("it is told").contains("1 have another format"));
 
     let mut platform = embedded::driver(&store);
-    let down = || Box::pin(std::future::ready(Err(arbutusshelf::platform::ReadError::Unavailable)));
+    let down = || Box::pin(std::future::ready(Err(arbutusshelf::store::ReadError::Unavailable)));
     platform.list_objects = Arc::new(move |_| down());
     let mut cache = store::Cache::default();
     let gathered = store::gather(&platform, &mut cache, UnixMinute::of_second(START_S), 1_000.0).await;
--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -14,7 +14,7 @@
     },
     error::ErrorKind,
     peer::frame::{Frame, Heartbeat, Hello, PROTOCOL_VERSION, encode, encode_raw},
-    platform::ListedInstance,
+    store::ListedInstance,
     units::{RunId, TargetId},
 };
 use arbutusshelf_bench::{
--- a/tests/plan_accept.rs
+++ b/tests/plan_accept.rs
@@ -8,7 +8,7 @@
         accept::{Acceptance, Event, RETRY_PAUSE, Rows, Step, Submission, Verdict},
         record::{Body, CHANGE_ROWS, ChangeRecord, HEAD_ROW, Head, change_key, digest, head_key},
     },
-    platform::{Condition, RowWrite, WriteResult},
+    store::{Condition, RowWrite, WriteResult},
     units::{ChangeId, MonoTime, PlanVersion},
 };
 
@@ -238,7 +238,7 @@
         let step = acceptance.handle(at(5), Event::BodyPut(put));
         let Step::Write(writes) = step else { panic!("no write: {step:?}") };
         let value = writes.iter().find_map(|w: &RowWrite| match &w.change {
-            arbutusshelf::platform::RowChange::Put(value) if w.key.0 == HEAD_ROW => Some(value.clone()),
+            arbutusshelf::store::RowChange::Put(value) if w.key.0 == HEAD_ROW => Some(value.clone()),
             _ => None,
         });
         let head = serde_json::from_slice::<Head>(&value.expect("the head is written")).expect("a head");
--- a/tests/platform_contract.rs
+++ b/tests/platform_contract.rs
@@ -4,7 +4,7 @@
 
 use arbutusshelf::{
     plan::Budgets,
-    platform::{
+    store::{
         Condition, ListedInstance, ObjectCondition, Platform, ReadError, RowChange, RowKey, RowWrite,
         WriteResult,
         breaker::{Breaker, Health},
--- a/tests/schedules/mod.rs
+++ b/tests/schedules/mod.rs
@@ -13,7 +13,7 @@
         keeper::PlanInForce,
         record::{Body, Head, change_key, from_row, head_key},
     },
-    platform::{ListedInstance, RowWrite, WriteResult, embedded::Store},
+    store::{ListedInstance, RowWrite, WriteResult, embedded::Store},
     units::{ChangeId, InstanceId, MonoTime, PlanVersion, RunId},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
