--- a/src/proxy/connection.rs
+++ b/src/proxy/connection.rs
@@ -17,7 +17,7 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::TcpStream,
     sync::Notify,
@@ -43,6 +43,11 @@
 /// Time after which the system ends a connection whose bytes the other end does not acknowledge.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time without a byte after which the system asks whether the other end is there, and between two such questions.
+///
+/// A peer that became unreachable while an answer is waited for is noticed in no other way.
+const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
+
 /// Most bytes that one connection buffers; also the largest piece of an answer's body.
 pub const READ_BUFFER_BYTES: usize = 64 << 10;
 
@@ -262,7 +267,10 @@
 async fn open(address: SocketAddr, target: Arc<TargetConnections>, opened: Opened) -> Option<Connection> {
     let stream = TcpStream::connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
-    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT)).ok()?;
+    let socket = SockRef::from(&stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT)).ok()?;
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_PERIOD).with_interval(KEEPALIVE_PERIOD);
+    socket.set_tcp_keepalive(&keepalive).ok()?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(READ_BUFFER_BYTES);
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
