--- a/src/decide/directory.rs
+++ b/src/decide/directory.rs
@@ -13,7 +13,7 @@
 /// Time after the store's return for which lapsed entries may still come back.
 ///
 /// Source: the platform states about two seconds.
-const RETURN_GRACE: Duration = Duration::from_millis(2_000);
+const RETURN_GRACE: Duration = Duration::from_secs(2);
 
 /// One target as listed.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/decide/probed.rs
+++ b/src/decide/probed.rs
@@ -238,21 +238,18 @@
         self.probes(now, ask, wanted)
     }
 
-    /// Takes the target's word on its load; `None` when a probe was not answered well.
+    /// Takes the end of a probe; no reading means that it was not answered well.
     pub fn probed(&mut self, now: MonoTime, id: &TargetId, sent_before: u64, reading: Option<Reading>) {
         let Some(target) = self.targets.get_mut(id) else { return };
         target.is_probed = false;
-        match reading {
-            Some(reading) => {
-                let running = reading.running.max(target.own);
-                target.reading = Some((Reading { running, ..reading }, now));
-                target.sent_since = u32::try_from(target.sent - sent_before).unwrap_or(u32::MAX);
-            }
-            None => {
-                target.reading = None;
-                target.add_fault(now, 1.0);
-            }
-        }
+        let Some(reading) = reading else {
+            target.reading = None;
+            target.add_fault(now, 1.0);
+            return;
+        };
+        let running = reading.running.max(target.own);
+        target.reading = Some((Reading { running, ..reading }, now));
+        target.sent_since = u32::try_from(target.sent - sent_before).unwrap_or(u32::MAX);
     }
 
     /// Notes that a probe starts; returns the mark to give with its result, or `None` when one is under way.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Gateway,
-    surroundings::{FollowFrom, RowPut, StoreError, Table, TableRow, TableRows},
+    surroundings::{DecodedRouting, FollowFrom, RowPut, StoreError, Table, TableRow, TableRows},
 };
 use crate::decide::{
     directory::{Change, DirectoryRow},
@@ -115,7 +115,7 @@
     for row in rows.rows.iter().filter(|r| r.key == gateway.place.routing_key) {
         let Some(value) = &row.value else { continue };
         match (gateway.place.decode_routing)(value) {
-            Ok((spec, faults)) => {
+            Ok(DecodedRouting { spec, faults }) => {
                 for fault in faults {
                     log::warn!("event=routing-fault version={} error={fault:?}", spec.version);
                 }
--- a/src/gateway/surroundings.rs
+++ b/src/gateway/surroundings.rs
@@ -85,6 +85,15 @@
     pub value: Bytes,
 }
 
+/// A routing table as decoded.
+#[derive(Debug, Clone)]
+pub struct DecodedRouting {
+    /// What could be read.
+    pub spec: RoutingSpec,
+    /// What was left out, and why.
+    pub faults: Vec<String>,
+}
+
 /// Headers that calls carry.
 #[derive(Debug, Clone)]
 pub struct CallHeaders {
@@ -115,8 +124,8 @@
     pub put: DriverFn<RowPut, Result<(), StoreError>>,
     /// Key of the row that holds the routing table.
     pub routing_key: &'static str,
-    /// Decodes the routing table; faults of single parts are returned beside the rest.
-    pub decode_routing: fn(&[u8]) -> Result<(RoutingSpec, Vec<String>), String>,
+    /// Decodes the routing table, or says why it can't be read as a whole.
+    pub decode_routing: fn(&[u8]) -> Result<DecodedRouting, String>,
     /// Decodes a row of the directory, given its key.
     pub decode_listing: fn(&str, &[u8]) -> Result<Listing, String>,
     /// Headers that calls carry.
