--- a/src/main.rs
+++ b/src/main.rs
@@ -4,9 +4,6 @@
 
 use arbutusshelf::{cli::Cli, commands, error::Result};
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 fn main() -> ExitCode {
     match run() {
         Ok(code) => code,
