--- a/src/decide/duration.rs
+++ b/src/decide/duration.rs
@@ -67,6 +67,11 @@
         self.total >= LEAST_SAMPLES
     }
 
+    /// Returns the median as of the latest samples.
+    pub fn median(&self) -> Duration {
+        self.median
+    }
+
     /// Returns the upper end of the bucket that holds a quantile.
     fn quantile(&self, quantile: f64) -> Duration {
         let mut left = f64::from(self.total) * quantile;
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -31,13 +31,22 @@
     /// Services that had a target or a request; kept, since their number is bounded by the operators.
     services: HashMap<ServiceName, Service>,
     allowance: RepeatAllowance,
+    /// Set once the number of instances is known.
+    probes_per_target_per_s: Option<f64>,
 }
 
 impl Fleet {
     /// Creates a fleet without targets, whose services may not repeat until an allowance is set.
     pub fn new(data_centre: DataCentre, seed: u64) -> Self {
         let allowance = RepeatAllowance { ratio: 0.0, extra: 0.0, window: Duration::from_secs(1) };
-        Self { directory: Directory::default(), data_centre, seed, services: HashMap::default(), allowance }
+        Self {
+            directory: Directory::default(),
+            data_centre,
+            seed,
+            services: HashMap::default(),
+            allowance,
+            probes_per_target_per_s: None,
+        }
     }
 
     /// Sets what may be repeated to each service.
@@ -99,6 +108,24 @@
         self.service(service).pool.read(now, target, reading);
     }
 
+    /// Sets how many probes a second one target may get from this instance.
+    pub fn set_probes(&mut self, per_target_per_s: f64) {
+        self.probes_per_target_per_s = Some(per_target_per_s);
+        for service in self.services.values_mut() {
+            service.pool.set_probes(per_target_per_s);
+        }
+    }
+
+    /// Returns the usual time from a send to a service to the end of its answer.
+    pub fn usual_time(&mut self, service: &ServiceName) -> Duration {
+        self.service(service).pool.usual_time()
+    }
+
+    /// Notes how long a send took that was answered.
+    pub fn took(&mut self, service: &ServiceName, time: Duration) {
+        self.service(service).pool.took(time);
+    }
+
     /// Notes the end of a send.
     pub fn ended(&mut self, now: MonoTime, service: &ServiceName, target: &TargetId, end: SendEnd) {
         self.service(service).pool.ended(now, target, end);
@@ -116,9 +143,13 @@
 
     fn service(&mut self, name: &ServiceName) -> &mut Service {
         let (allowance, data_centre, seed) = (self.allowance, &self.data_centre, &mut self.seed);
+        let probes_per_target_per_s = self.probes_per_target_per_s;
         self.services.entry(name.clone()).or_insert_with(|| {
             *seed = seed.wrapping_add(1);
-            let pool = ProbedPool::new(data_centre.clone(), SmallRng::seed_from_u64(*seed));
+            let mut pool = ProbedPool::new(data_centre.clone(), SmallRng::seed_from_u64(*seed));
+            if let Some(rate) = probes_per_target_per_s {
+                pool.set_probes(rate);
+            }
             Service { pool, budget: RepeatBudget::new(allowance) }
         })
     }
--- a/src/decide/probed.rs
+++ b/src/decide/probed.rs
@@ -8,7 +8,10 @@
 
 use rand::{Rng, rngs::SmallRng};
 
-use super::directory::{Change, Listing};
+use super::{
+    directory::{Change, Listing},
+    duration::DurationHistogram,
+};
 use crate::{
     collections::HashMap,
     units::{DataCentre, MonoTime, TargetId},
@@ -29,6 +32,12 @@
 /// Part of the slots up to which a target does not slow down by its own load.
 const EASY_FILL: f64 = 0.8;
 
+/// Seconds of probes that may be saved up for a crest.
+const PROBES_SAVED_S: f64 = 10.0;
+
+/// Probes a second and target that are assumed to be allowed while the number of instances is not known.
+const ASSUMED_PROBES_PER_S: f64 = 1.0;
+
 /// Slowdown of a target whose slots are nearly all taken.
 const FULL_PACE: f64 = 1.7;
 
@@ -38,6 +47,9 @@
 /// Targets probed at once in later rounds.
 const MORE_PROBES: usize = 3;
 
+/// Random part of the order in which targets are probed, so that instances do not all ask the same ones.
+const RANK_JITTER: f64 = 0.3;
+
 /// Load that the way to another data centre stands for, in parts of one request's time.
 const FAR_COST: f64 = 0.02;
 
@@ -136,7 +148,7 @@
             Some(r) => (r.pace, f64::from(r.running + r.waiting + self.sent_since)),
             None => (UNKNOWN_PACE, f64::from(self.own)),
         };
-        let fill = if (held + 1.0) > slots * EASY_FILL && held > 0.0 { FULL_PACE } else { 1.0 };
+        let fill = if has_easy_room(held, slots) { 1.0 } else { FULL_PACE };
         let queue = (held + 1.0 - slots).max(0.0) / slots;
         let way = if self.is_near { 0.0 } else { FAR_COST };
         pace * (fill + queue) + way + self.fault(now) * FAULT_COST
@@ -149,16 +161,32 @@
         let has_room = held == 0.0 || held < f64::from(reading.slots) * EASY_FILL;
         now.since(at) <= FRESH && reading.pace <= CALM_PACE && has_room && self.fault(now) < SUSPICIOUS_FAULT
     }
+}
 
-    /// Returns the order in which targets are worth a probe; lower goes first.
-    fn probe_rank(&self, now: MonoTime) -> f64 {
-        let expected = self.expected(now);
-        // What was calm a moment ago mostly still is; what was slow mostly still is, too.
-        if self.age(now).is_some_and(|age| age <= FRESH) {
-            expected + MOST_FAULT * FAULT_COST
-        } else {
-            expected
-        }
+/// Returns whether a target that holds some requests takes one more without slowing down.
+fn has_easy_room(held: f64, slots: f64) -> bool {
+    held == 0.0 || held + 1.0 <= slots * EASY_FILL
+}
+
+/// Probes that may be sent, saved up over a while.
+#[derive(Debug)]
+struct ProbeBudget {
+    /// Probes a second that one target may get from this instance.
+    per_target_per_s: f64,
+    saved: f64,
+    filled_at: MonoTime,
+}
+
+impl ProbeBudget {
+    /// Takes up to `wanted` probes.
+    fn take(&mut self, now: MonoTime, targets: usize, wanted: usize) -> usize {
+        let per_s = self.per_target_per_s * targets as f64;
+        let filled = self.saved + now.since(self.filled_at).as_secs_f64() * per_s;
+        self.saved = filled.min(per_s * PROBES_SAVED_S);
+        self.filled_at = now;
+        let taken = wanted.min(self.saved as usize);
+        self.saved -= taken as f64;
+        taken
     }
 }
 
@@ -169,8 +197,8 @@
     Send(Listing),
     /// Probe these targets, then ask again once one has answered.
     Probe(Vec<Listing>),
-    /// Wait for probes that are under way.
-    Wait,
+    /// Ask again when something is known, at the latest after this time.
+    Wait(Duration),
     /// No target may take the call.
     Nothing,
 }
@@ -182,7 +210,9 @@
     pub without: &'a [TargetId],
     /// Rounds of probes that were made for this choice.
     pub rounds: u32,
-    /// Whether time for probing is over and the best known target is taken.
+    /// Whether the call would rather not be sent than to a target that is slow or full.
+    pub only_calm: bool,
+    /// Whether time for waiting is over and the best known target is taken.
     pub must_decide: bool,
 }
 
@@ -191,13 +221,32 @@
 pub struct ProbedPool {
     data_centre: DataCentre,
     targets: HashMap<TargetId, Target>,
+    /// Times of sends that were answered.
+    times: DurationHistogram,
+    probe_budget: ProbeBudget,
     rng: SmallRng,
 }
 
 impl ProbedPool {
     /// Creates a pool without targets for an instance in a data centre.
     pub fn new(data_centre: DataCentre, rng: SmallRng) -> Self {
-        Self { data_centre, targets: HashMap::default(), rng }
+        let probe_budget = ProbeBudget {
+            per_target_per_s: ASSUMED_PROBES_PER_S,
+            saved: f64::INFINITY,
+            filled_at: MonoTime::default(),
+        };
+        let times = DurationHistogram::default();
+        Self { data_centre, targets: HashMap::default(), times, probe_budget, rng }
+    }
+
+    /// Sets how many probes a second one target may get from this instance.
+    pub fn set_probes(&mut self, per_target_per_s: f64) {
+        self.probe_budget.per_target_per_s = per_target_per_s;
+    }
+
+    /// Returns the usual time from a send to the end of its answer.
+    pub fn usual_time(&self) -> Duration {
+        self.times.median()
     }
 
     /// Follows a change of the directory.
@@ -230,12 +279,14 @@
             return self.send_to(now, &best);
         }
         if ask.must_decide {
+            if ask.only_calm {
+                return Pick::Nothing;
+            }
             let told = |t: &Target| t.age(now).is_some_and(|age| age <= TELLING * 2);
             let best = self.best(now, ask, told).or_else(|| self.best(now, ask, |_| true));
             return best.map_or(Pick::Nothing, |id| self.send_to(now, &id));
         }
-        let wanted = if ask.rounds == 0 { FIRST_PROBES } else { MORE_PROBES };
-        self.probes(now, ask, wanted)
+        self.probes(now, ask)
     }
 
     /// Takes the end of a probe; no reading means that it was not answered well.
@@ -266,6 +317,11 @@
         target.sent_since = u32::from(just_sent);
     }
 
+    /// Notes how long a send took that was answered.
+    pub fn took(&mut self, time: Duration) {
+        self.times.record(time);
+    }
+
     /// Notes the end of a send.
     pub fn ended(&mut self, now: MonoTime, id: &TargetId, end: SendEnd) {
         let Some(target) = self.targets.get_mut(id) else { return };
@@ -289,26 +345,25 @@
         best.map(|t| t.listing.id.clone())
     }
 
-    fn probes(&mut self, now: MonoTime, ask: &Ask, wanted: usize) -> Pick {
+    fn probes(&mut self, now: MonoTime, ask: &Ask) -> Pick {
         let eligible = self.targets.values().filter(|t| is_eligible(t, ask)).collect::<Vec<_>>();
         if eligible.is_empty() {
             return Pick::Nothing;
         }
         let under_way = eligible.iter().filter(|t| t.is_probed).count();
+        let wanted = if ask.rounds == 0 { FIRST_PROBES } else { MORE_PROBES };
         let rng = &mut self.rng;
         let mut open = eligible
             .into_iter()
             .filter(|t| !t.is_probed && t.age(now).is_none_or(|age| age > FRESH))
-            .map(|t| (t.probe_rank(now) + rng.random_range(0.0..0.3), t))
+            .map(|t| (t.expected(now) + rng.random_range(0.0..RANK_JITTER), t))
             .collect::<Vec<_>>();
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let probes = open.into_iter().take(wanted).map(|(_, t)| t.listing.clone()).collect::<Vec<_>>();
-        if probes.is_empty() && under_way > 0 {
-            return Pick::Wait;
-        }
+        let wanted = wanted.saturating_sub(under_way).min(open.len());
+        let allowed = self.probe_budget.take(now, self.targets.len(), wanted);
+        let probes = open.into_iter().take(allowed).map(|(_, t)| t.listing.clone()).collect::<Vec<_>>();
         if probes.is_empty() {
-            // Every target was read a moment ago and none is calm.
-            return self.pick(now, &Ask { must_decide: true, ..*ask });
+            return Pick::Wait(FRESH / 2);
         }
         Pick::Probe(probes)
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -25,7 +25,7 @@
     probe,
 };
 use crate::{
-    decide::probed::{Ask, Pick},
+    decide::probed::{Ask, Pick, SendEnd},
     error::ErrorKind,
     plan::RequestKind,
     proxy::{
@@ -37,8 +37,11 @@
     units::{MonoTime, ServiceName, TargetId},
 };
 
-/// Longest time that a choice spends on probes, as a part of the route's objective.
-const CHOICE_PART: u32 = 8;
+/// Least time that a choice may take, as a part of the route's objective.
+const LEAST_CHOICE_PART: u32 = 8;
+
+/// Times the usual time of an answer that is kept back from the objective when a call waits for a calm target.
+const ANSWER_MARGIN: f64 = 1.3;
 
 /// Part of the objective after which an idempotent request without an answer is sent to a second target.
 const HEDGE_PART: f64 = 0.5;
@@ -175,7 +178,7 @@
             () = sleep_until(deadline) => return sends.out_of_time(),
             () = &mut hedge, if may_hedge => {
                 may_hedge = false;
-                sends.start_repeat("hedge");
+                sends.hedge();
             }
         }
     }
@@ -196,7 +199,15 @@
 impl Sends<'_> {
     fn start(&mut self) {
         self.started += 1;
-        self.legs.push(Box::pin(leg(self.call)));
+        self.legs.push(Box::pin(leg(self.call, false)));
+    }
+
+    /// Sends the call to a second target if a calm one is found and the budget allows it.
+    fn hedge(&mut self) {
+        if self.started < self.call.route.spec.max_sends {
+            self.started += 1;
+            self.legs.push(Box::pin(leg(self.call, true)));
+        }
     }
 
     /// Starts another send if the route and the budget allow it; returns whether it did.
@@ -278,10 +289,22 @@
     Response::from_parts(answer.head, answer.body)
 }
 
+/// Returns until when a call waits for a target that is calm and has room.
+fn calm_until(call: &CallHead, is_hedge: bool) -> MonoTime {
+    let now = call.gateway.now();
+    let objective = call.route.spec.objective;
+    let least = now + objective / LEAST_CHOICE_PART;
+    if is_hedge {
+        return least;
+    }
+    let answer = call.gateway.fleet().usual_time(&call.service).mul_f64(ANSWER_MARGIN);
+    least.max(call.arrived + objective.saturating_sub(answer))
+}
+
 /// Chooses a target and sends the call to it.
-async fn leg(call: &CallHead) -> LegEnd {
+async fn leg(call: &CallHead, is_hedge: bool) -> LegEnd {
     let gateway = &call.gateway;
-    let choice_until = gateway.now() + call.route.spec.objective / CHOICE_PART;
+    let calm_until = calm_until(call, is_hedge);
     let mut rounds = 0;
     loop {
         let mut news = Box::pin(gateway.news.notified());
@@ -289,10 +312,14 @@
         Pin::as_mut(&mut news).enable();
         let now = gateway.now();
         let tried = call.tried();
-        let ask = Ask { without: &tried, rounds, must_decide: now >= choice_until };
+        let ask = Ask { without: &tried, rounds, only_calm: is_hedge, must_decide: now >= calm_until };
         let pick = gateway.fleet().pick(now, &call.service, &ask);
-        match pick {
+        let look_at = match pick {
             Pick::Send(listing) => {
+                if is_hedge && !gateway.fleet().spend_repeat(now, &call.service) {
+                    gateway.fleet().ended(now, &call.service, &listing.id, SendEnd::Dropped);
+                    return LegEnd::NoTarget;
+                }
                 call.tried.lock().unwrap_or_else(PoisonError::into_inner).push(listing.id.clone());
                 return LegEnd::Sent(send(call, listing).await);
             }
@@ -302,10 +329,11 @@
                 for listing in listings {
                     probe::start(gateway, listing);
                 }
+                calm_until
             }
-            Pick::Wait => {}
-        }
-        // Without news until then, the next look decides.
-        let _news_or_time = timeout_at(gateway.clock.instant(choice_until), news).await;
+            Pick::Wait(time) => calm_until.min(now + time),
+        };
+        // Without news until then, the next look decides what to do.
+        let _news_or_time = timeout_at(gateway.clock.instant(look_at), news).await;
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,6 +20,7 @@
         connection::{Connection, Freshness, Sent, allowance},
         headers,
     },
+    units::MonoTime,
 };
 
 /// Largest part of an answer that is held until all of it has arrived; the rest of larger ones is passed on.
@@ -61,6 +62,7 @@
     listing: Listing,
     /// Reused once the answer is complete, closed otherwise.
     connection: Option<Connection>,
+    started: MonoTime,
     is_reported: bool,
     _in_progress: InProgress,
 }
@@ -73,6 +75,7 @@
             gateway: Arc::clone(gateway),
             listing,
             connection: None,
+            started: gateway.now(),
             is_reported: false,
             _in_progress: in_progress,
         }
@@ -99,6 +102,9 @@
         if !std::mem::replace(&mut self.is_reported, true) {
             let now = self.gateway.now();
             let mut fleet = self.gateway.fleet();
+            if end == SendEnd::Answered {
+                fleet.took(&self.listing.service, now.since(self.started));
+            }
             fleet.ended(now, &self.listing.service, &self.listing.id, end);
         }
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -225,7 +225,7 @@
     }
 }
 
-/// Gives this instance its share of what may be repeated.
+/// Gives this instance its share of what may be repeated and probed.
 fn set_allowance(gateway: &Gateway) {
     let config = &gateway.config;
     let Some(instances) = gateway.instances() else { return };
@@ -234,5 +234,8 @@
         extra: config.repeat_extra * ALLOWANCE_PART / instances as f64,
         window: Duration::from_secs_f64(config.repeat_window_s),
     };
-    gateway.fleet().set_allowance(allowance);
+    let probes = config.probes_per_target_per_s * ALLOWANCE_PART / instances as f64;
+    let mut fleet = gateway.fleet();
+    fleet.set_allowance(allowance);
+    fleet.set_probes(probes);
 }
