--- a/src/decide/probed.rs
+++ b/src/decide/probed.rs
@@ -154,11 +154,11 @@
         pace * (fill + queue) + way + self.fault(now) * FAULT_COST
     }
 
-    /// Returns whether a request would be served at once and at the usual speed.
-    fn is_calm(&self, now: MonoTime) -> bool {
+    /// Returns whether a request would be served at once, and at the usual speed unless `may_fill` the last slots.
+    fn is_calm(&self, now: MonoTime, may_fill: bool) -> bool {
         let Some((reading, at)) = self.reading else { return false };
         let held = f64::from(reading.running + reading.waiting + self.sent_since);
-        let has_room = held == 0.0 || held < f64::from(reading.slots) * EASY_FILL;
+        let has_room = has_room(held, f64::from(reading.slots), may_fill);
         now.since(at) <= FRESH && reading.pace <= CALM_PACE && has_room && self.fault(now) < SUSPICIOUS_FAULT
     }
 }
@@ -168,6 +168,10 @@
     held == 0.0 || held + 1.0 <= slots * EASY_FILL
 }
 
+fn has_room(held: f64, slots: f64, may_fill: bool) -> bool {
+    has_easy_room(held, slots) || (may_fill && held + 1.0 <= slots)
+}
+
 /// Probes that may be sent, saved up over a while.
 #[derive(Debug)]
 struct ProbeBudget {
@@ -212,6 +216,8 @@
     pub rounds: u32,
     /// Whether the call would rather not be sent than to a target that is slow or full.
     pub only_calm: bool,
+    /// Whether the call takes the last slots of a target.
+    pub may_fill: bool,
     /// Whether time for waiting is over and the best known target is taken.
     pub must_decide: bool,
 }
@@ -274,7 +280,7 @@
 
     /// Chooses a target for a call, or what to do first.
     pub fn pick(&mut self, now: MonoTime, ask: &Ask) -> Pick {
-        let best = self.best(now, ask, |t| t.is_calm(now));
+        let best = self.best(now, ask, |t| t.is_calm(now, ask.may_fill));
         if let Some(best) = best {
             return self.send_to(now, &best);
         }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -40,6 +40,9 @@
 /// Least time that a choice may take, as a part of the route's objective.
 const LEAST_CHOICE_PART: u32 = 8;
 
+/// Time that a call waits for a target that is not nearly full, as a part of the route's objective.
+const FILL_PART: u32 = 16;
+
 /// Times the usual time of an answer that is kept back from the objective when a call waits for a calm target.
 const ANSWER_MARGIN: f64 = 1.3;
 
@@ -305,6 +308,7 @@
 async fn leg(call: &CallHead, is_hedge: bool) -> LegEnd {
     let gateway = &call.gateway;
     let calm_until = calm_until(call, is_hedge);
+    let fill_from = gateway.now() + call.route.spec.objective / FILL_PART;
     let mut rounds = 0;
     loop {
         let mut news = Box::pin(gateway.news.notified());
@@ -312,7 +316,13 @@
         Pin::as_mut(&mut news).enable();
         let now = gateway.now();
         let tried = call.tried();
-        let ask = Ask { without: &tried, rounds, only_calm: is_hedge, must_decide: now >= calm_until };
+        let ask = Ask {
+            without: &tried,
+            rounds,
+            only_calm: is_hedge,
+            may_fill: now >= fill_from,
+            must_decide: now >= calm_until,
+        };
         let pick = gateway.fleet().pick(now, &call.service, &ask);
         let look_at = match pick {
             Pick::Send(listing) => {
