--- a/bench/src/flood.rs
+++ b/bench/src/flood.rs
@@ -45,7 +45,7 @@
     /// admin address of the instance
     #[argh(option)]
     admin: SocketAddr,
-    /// file that the instance's standard error goes to
+    /// file that the instance's standard output goes to
     #[argh(option)]
     log: PathBuf,
     /// requests a second
--- a/bench/src/process.rs
+++ b/bench/src/process.rs
@@ -93,15 +93,15 @@
         let path = std::env::temp_dir().join(name);
         fs::write(&path, settings_json(settings)).map_err(file)?;
         let mut command = Command::new(binary);
-        command.arg("serve").arg("--settings").arg(&path).stderr(Stdio::piped());
+        command.arg("serve").arg("--settings").arg(&path).stdout(Stdio::piped());
         let mut child = command.spawn().map_err(file)?;
         let log = Arc::new(Mutex::new(Vec::new()));
         let (started, first) = channel();
         let kept = Arc::clone(&log);
-        let stderr = child.stderr.take();
+        let stdout = child.stdout.take();
         std::thread::spawn(move || {
             let lines =
-                stderr.into_iter().flat_map(|s| BufReader::new(s).lines().map_while(std::result::Result::ok));
+                stdout.into_iter().flat_map(|s| BufReader::new(s).lines().map_while(std::result::Result::ok));
             for event in lines.map(LogEvent::parse) {
                 if event.value("event") == Some("started") {
                     // The starter may have given up by now.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -2,7 +2,10 @@
 
 use std::{
     pin::Pin,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -23,10 +26,15 @@
     answer::{AnswerBody, refusal},
     exchange::{SendResult, TargetAnswer, send},
     probe,
+    trail::{End, RepeatCause, Step, Trail},
 };
 use crate::{
-    decide::probed::{Ask, Pick, SendEnd},
+    decide::{
+        directory::Listing,
+        probed::{Ask, Pick, SendEnd},
+    },
     error::ErrorKind,
+    logging::Quoted,
     plan::RequestKind,
     proxy::{
         headers,
@@ -74,6 +82,10 @@
     pub parts: RequestParts,
     /// Targets that have or had the request.
     tried: Mutex<Vec<TargetId>>,
+    /// What was decided on it.
+    trail: Trail,
+    /// Whether its end was told.
+    is_ended: AtomicBool,
 }
 
 impl CallHead {
@@ -86,11 +98,37 @@
         self.tried.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    fn note(&self, step: Step) {
+        self.trail.note(self.gateway.now(), step);
+    }
+
+    /// Logs and counts the end, once.
+    fn end(&self, end: End) {
+        if self.is_ended.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let now = self.gateway.now();
+        self.trail.end(now, end, &self.gateway.trail_limit);
+        let result = match end {
+            End::Answered(status) => format!("status-{}xx", status / 100),
+            End::Refused(kind) => kind.to_string(),
+            End::CallerLeft => "caller-left".to_owned(),
+        };
+        let kind = self.route.spec.kind;
+        self.gateway.metrics.request(&self.service, kind, result, now.since(self.arrived));
+    }
+
     fn may_repeat(&self) -> bool {
         self.route.spec.kind == RequestKind::Idempotent && self.parts.upload.is_none()
     }
 }
 
+impl Drop for CallHead {
+    fn drop(&mut self) {
+        self.end(End::CallerLeft);
+    }
+}
+
 /// Answers one request.
 pub async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
     let _in_progress = gateway.enter();
@@ -99,8 +137,9 @@
     let mut response = match prepare(&gateway, arrived, request).await {
         Ok(call) => run(&call).await,
         Err(kind) => {
-            let id = request_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
-            log::info!("event=refused request={id:?} cause={kind} stage=intake");
+            let id = request_id.as_ref().map_or(&[][..], HeaderValue::as_bytes);
+            let id = String::from_utf8_lossy(id);
+            log::info!("event=request-refused request={} cause={kind}", Quoted(&id));
             refusal(kind, Some(RETRY_AFTER))
         }
     };
@@ -137,8 +176,11 @@
         (bytes::Bytes::new(), Some(Mutex::new(Some(Box::new(upload)))))
     };
     let service = route.next_service().clone();
+    let times = (arrived, deadline);
     Ok(CallHead {
         gateway: Arc::clone(gateway),
+        trail: Trail::new(request_id.as_bytes(), &route, &service, routing.version, times),
+        is_ended: AtomicBool::new(false),
         request_id,
         route,
         service,
@@ -214,13 +256,14 @@
     }
 
     /// Starts another send if the route and the budget allow it; returns whether it did.
-    fn start_repeat(&mut self, cause: &str) -> bool {
+    fn start_repeat(&mut self, cause: RepeatCause) -> bool {
         let call = self.call;
         if self.started >= call.route.spec.max_sends || call.parts.is_spent() {
             return false;
         }
         let may = call.gateway.fleet().spend_repeat(call.gateway.now(), &call.service);
-        log::info!("event=repeat request={:?} cause={cause} within_budget={may}", call.request_id);
+        call.gateway.metrics.repeat(cause, may);
+        call.note(Step::Repeat { cause, within_budget: may });
         if may {
             self.start();
         }
@@ -231,22 +274,22 @@
     fn ended(&mut self, end: LegEnd) -> Option<Response<AnswerBody>> {
         let may_repeat = self.call.may_repeat();
         match end {
-            LegEnd::Sent(SendResult::Answered(answer)) => return Some(pass_on(*answer)),
+            LegEnd::Sent(SendResult::Answered(answer)) => return Some(self.pass_on(*answer)),
             LegEnd::Sent(SendResult::Failed(answer)) => {
                 self.failed = Some(answer);
                 self.ran = Some(ErrorKind::ConnectionLost);
-                if may_repeat && self.start_repeat("failed") {
+                if may_repeat && self.start_repeat(RepeatCause::Failed) {
                     return None;
                 }
             }
             LegEnd::Sent(SendResult::Lost) => {
                 self.ran = Some(ErrorKind::ConnectionLost);
-                if may_repeat && self.start_repeat("lost") {
+                if may_repeat && self.start_repeat(RepeatCause::Lost) {
                     return None;
                 }
             }
             LegEnd::Sent(SendResult::NotRun) => {
-                if self.start_repeat("not-run") {
+                if self.start_repeat(RepeatCause::NotRun) {
                     return None;
                 }
             }
@@ -272,24 +315,17 @@
     /// Answers without a good answer of a target; `unsent` is told when nothing can have run.
     fn give_up(&mut self, unsent: ErrorKind) -> Response<AnswerBody> {
         if let Some(failed) = self.failed.take() {
-            return pass_on(*failed);
+            return self.pass_on(*failed);
         }
         let kind = self.ran.unwrap_or(unsent);
-        let call = self.call;
-        log::info!(
-            "event=refused request={:?} route={} service={} cause={kind} sends={} took_ms={}",
-            call.request_id,
-            call.route.spec.name,
-            call.service,
-            self.started,
-            call.gateway.now().since(call.arrived).as_millis()
-        );
+        self.call.end(End::Refused(kind));
         refusal(kind, Some(RETRY_AFTER))
     }
-}
 
-fn pass_on(answer: TargetAnswer) -> Response<AnswerBody> {
-    Response::from_parts(answer.head, answer.body)
+    fn pass_on(&self, answer: TargetAnswer) -> Response<AnswerBody> {
+        self.call.end(End::Answered(answer.head.status.as_u16()));
+        Response::from_parts(answer.head, answer.body)
+    }
 }
 
 /// Returns until when a call waits for a target that is calm and has room.
@@ -326,12 +362,11 @@
         let pick = gateway.fleet().pick(now, &call.service, &ask);
         let look_at = match pick {
             Pick::Send(listing) => {
-                if is_hedge && !gateway.fleet().spend_repeat(now, &call.service) {
+                if is_hedge && !spend_hedge(call) {
                     gateway.fleet().ended(now, &call.service, &listing.id, SendEnd::Dropped);
                     return LegEnd::NoTarget;
                 }
-                call.tried.lock().unwrap_or_else(PoisonError::into_inner).push(listing.id.clone());
-                return LegEnd::Sent(send(call, listing).await);
+                return LegEnd::Sent(send_noted(call, listing, rounds).await);
             }
             Pick::Nothing => return LegEnd::NoTarget,
             Pick::Probe(listings) => {
@@ -347,3 +382,22 @@
         let _news_or_time = timeout_at(gateway.clock.instant(look_at), news).await;
     }
 }
+
+fn spend_hedge(call: &CallHead) -> bool {
+    let within_budget = call.gateway.fleet().spend_repeat(call.gateway.now(), &call.service);
+    call.gateway.metrics.repeat(RepeatCause::Late, within_budget);
+    call.note(Step::Repeat { cause: RepeatCause::Late, within_budget });
+    within_budget
+}
+
+async fn send_noted(call: &CallHead, listing: Listing, rounds: u32) -> SendResult {
+    let target = listing.id.clone();
+    call.tried.lock().unwrap_or_else(PoisonError::into_inner).push(target.clone());
+    let reading = call.gateway.fleet().reading(call.gateway.now(), &listing.service, &target);
+    call.note(Step::Sent { target: target.clone(), reading, rounds });
+    let result = send(call, listing).await;
+    let outcome = result.outcome();
+    call.gateway.metrics.send(outcome);
+    call.note(Step::SendEnded { target, outcome });
+    result
+}
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -23,9 +23,12 @@
     /// Where callers connect.
     pub callers_address: SocketAddr,
 
-    /// Where the entry asks whether this instance is ready, and metrics are served.
+    /// Where the entry asks whether this instance is ready.
     pub ready_address: SocketAddr,
 
+    /// Where operators read metrics.
+    pub metrics_address: SocketAddr,
+
     /// Place by name, which decides the form of everything read from the store and of the calls' headers.
     pub place: String,
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -11,7 +11,7 @@
     http::response,
 };
 
-use super::{Gateway, answer::AnswerBody, call::CallHead};
+use super::{Gateway, answer::AnswerBody, call::CallHead, trail::SendOutcome};
 use crate::{
     decide::{directory::Listing, probed::SendEnd},
     kernel::in_progress::InProgress,
@@ -55,6 +55,19 @@
     Lost,
 }
 
+impl SendResult {
+    /// Returns the kind of result.
+    pub fn outcome(&self) -> SendOutcome {
+        match self {
+            Self::Answered(_) => SendOutcome::Answered,
+            Self::Failed(_) => SendOutcome::Failed,
+            Self::NotRun => SendOutcome::NotRun,
+            Self::Unsent => SendOutcome::Unsent,
+            Self::Lost => SendOutcome::Lost,
+        }
+    }
+}
+
 /// One send in progress; reports its end exactly once.
 #[derive(Debug)]
 pub struct SendGuard {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -80,6 +80,7 @@
                 (gateway.place.follow)(from).await.map(Taken::Changed)
             }
         };
+        gateway.metrics.store_call(read.as_ref().map_or_else(StoreError::label, |_| "answered"));
         match read {
             Ok(taken) => {
                 if std::mem::take(&mut is_lost) {
--- /dev/null
+++ b/src/gateway/metrics.rs
@@ -0,0 +1,186 @@
+//! Metrics of a gateway in the OpenMetrics text format.
+//!
+//! Label sets are closed lists and the services of the routing table.
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::{Registry, Unit},
+};
+
+use super::{
+    Gateway,
+    trail::{RepeatCause, SendOutcome},
+};
+use crate::{
+    error::{Error, ErrorKind, Result},
+    logging,
+    observe::snapshot::resident_bytes,
+    plan::RequestKind,
+    units::ServiceName,
+};
+
+/// Bounds of time histograms: 4 ms and doublings up to 4 s.
+const FIRST_BOUND_S: f64 = 0.004;
+const BOUNDS: u16 = 11;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    service: String,
+    kind: String,
+    result: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SendLabels {
+    outcome: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RepeatLabels {
+    cause: String,
+    within_budget: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResultLabels {
+    result: String,
+}
+
+type TimeFamily = Family<ServiceLabels, Histogram, fn() -> Histogram>;
+
+/// Counters, histograms and gauges of one gateway.
+#[derive(Debug)]
+pub struct Metrics {
+    requests: Family<RequestLabels, Counter>,
+    request_times: TimeFamily,
+    sends: Family<SendLabels, Counter>,
+    repeats: Family<RepeatLabels, Counter>,
+    probes: Family<ResultLabels, Counter>,
+    store_calls: Family<ResultLabels, Counter>,
+    lines_left_out: Counter,
+    routing_version: Gauge,
+    targets: Gauge,
+    instances: Gauge,
+    ready: Gauge,
+    in_progress: Gauge,
+    resident_bytes: Gauge,
+    registry: Mutex<Registry>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let times: fn() -> Histogram = || Histogram::new(exponential_buckets(FIRST_BOUND_S, 2.0, BOUNDS));
+        let metrics = Self {
+            requests: Family::default(),
+            request_times: Family::new_with_constructor(times),
+            sends: Family::default(),
+            repeats: Family::default(),
+            probes: Family::default(),
+            store_calls: Family::default(),
+            lines_left_out: Counter::default(),
+            routing_version: Gauge::default(),
+            targets: Gauge::default(),
+            instances: Gauge::default(),
+            ready: Gauge::default(),
+            in_progress: Gauge::default(),
+            resident_bytes: Gauge::default(),
+            registry: Mutex::new(Registry::with_prefix("arbutusshelf_gateway")),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&self) {
+        let mut r = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        r.register("requests", "Ended requests", self.requests.clone());
+        r.register_with_unit("request", "Time to the end", Unit::Seconds, self.request_times.clone());
+        r.register("sends", "Ended sends to targets", self.sends.clone());
+        r.register("repeats", "Sends after the first, wanted or made", self.repeats.clone());
+        r.register("probes", "Ended probes", self.probes.clone());
+        r.register("store_calls", "Calls of the store", self.store_calls.clone());
+        r.register("log_lines_left_out", "Log lines left out", self.lines_left_out.clone());
+        r.register("routing_version", "Version of the routing table", self.routing_version.clone());
+        r.register("targets", "Targets listed", self.targets.clone());
+        r.register("instances", "Instances that share the budgets", self.instances.clone());
+        r.register("ready", "1 while callers should be sent here", self.ready.clone());
+        r.register("requests_in_progress", "Requests in progress", self.in_progress.clone());
+        r.register_with_unit("resident", "Memory of the process", Unit::Bytes, self.resident_bytes.clone());
+    }
+
+    /// Counts a request that ended for its caller after a time.
+    pub fn request(&self, service: &ServiceName, kind: RequestKind, result: String, took: Duration) {
+        let name = service.to_string();
+        self.request_times
+            .get_or_create(&ServiceLabels { service: name.clone() })
+            .observe(took.as_secs_f64());
+        let labels = RequestLabels { service: name, kind: kind.to_string(), result };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts a send that ended.
+    pub fn send(&self, outcome: SendOutcome) {
+        self.sends.get_or_create(&SendLabels { outcome: outcome.to_string() }).inc();
+    }
+
+    /// Counts a repeat that was wanted.
+    pub fn repeat(&self, cause: RepeatCause, within_budget: bool) {
+        let labels = RepeatLabels { cause: cause.to_string(), within_budget: within_budget.to_string() };
+        self.repeats.get_or_create(&labels).inc();
+    }
+
+    /// Counts a probe.
+    pub fn probe(&self, answered: bool) {
+        let result = if answered { "answered" } else { "failed" };
+        self.probes.get_or_create(&ResultLabels { result: result.to_owned() }).inc();
+    }
+
+    /// Counts a call of the store.
+    pub fn store_call(&self, result: &str) {
+        self.store_calls.get_or_create(&ResultLabels { result: result.to_owned() }).inc();
+    }
+
+    /// Counts log lines that were left out.
+    pub fn count_left_out(&self) {
+        self.lines_left_out.inc_by(logging::take_dropped());
+    }
+
+    /// Writes all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::File`] when they can't be formatted.
+    pub fn write(&self, gateway: &Gateway) -> Result<String> {
+        self.count_left_out();
+        let version = gateway.routing().map_or(0, |table| u64::from(table.version));
+        self.routing_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        let targets = gateway.fleet().directory.listings().count();
+        self.targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
+        self.instances.set(gateway.instances().map_or(0, |n| i64::try_from(n).unwrap_or(i64::MAX)));
+        self.ready.set(i64::from(gateway.ready().is_ok()));
+        self.in_progress.set(i64::try_from(gateway.in_progress().requests()).unwrap_or(i64::MAX));
+        self.resident_bytes.set(i64::try_from(resident_bytes()).unwrap_or(i64::MAX));
+        let mut text = String::new();
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        text::encode(&mut text, &registry)
+            .map_err(|e| Error::new(ErrorKind::File, format!("metrics: {e}")))?;
+        Ok(text)
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,10 +9,12 @@
 pub mod exchange;
 pub mod follow;
 pub mod listen;
+pub mod metrics;
 pub mod probe;
 pub mod ready;
 pub mod serve;
 pub mod surroundings;
+pub mod trail;
 
 use std::sync::{
     Arc, Mutex, MutexGuard, PoisonError,
@@ -22,7 +24,7 @@
 use arc_swap::ArcSwapOption;
 use tokio::sync::{Notify, watch};
 
-use self::{config::Config, surroundings::Surroundings};
+use self::{config::Config, metrics::Metrics, surroundings::Surroundings, trail::TrailLimit};
 use crate::{
     decide::fleet::Fleet,
     error::{Error, ErrorKind, Result},
@@ -52,6 +54,10 @@
     pub place: Surroundings,
     /// Connections to targets.
     pub connections: Connections,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Decides which requests are logged.
+    pub trail_limit: TrailLimit,
     /// Notified when something became known of a target.
     pub news: Notify,
     routing: ArcSwapOption<RoutingTable>,
@@ -82,6 +88,8 @@
             run_id: RunId::from(seed),
             place,
             connections: Connections::default(),
+            metrics: Metrics::default(),
+            trail_limit: TrailLimit::default(),
             news: Notify::new(),
             routing: ArcSwapOption::empty(),
             fleet: Mutex::new(Fleet::new(config.data_centre.clone(), seed)),
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -25,6 +25,7 @@
     let gateway = Arc::clone(gateway);
     tokio::spawn(async move {
         let reading = timeout(PROBE_TIMEOUT, probe(&gateway, &listing)).await.ok().flatten();
+        gateway.metrics.probe(reading.is_some());
         if reading.is_none() {
             log::info!("event=probe-failed target={} service={}", listing.id, listing.service);
         }
--- a/src/gateway/ready.rs
+++ b/src/gateway/ready.rs
@@ -1,4 +1,4 @@
-//! Tells the entry whether callers should be sent here.
+//! Tells the entry whether callers should be sent here, and operators the metrics.
 
 use std::{convert::Infallible, sync::Arc};
 
@@ -10,6 +10,12 @@
 
 use super::Gateway;
 
+/// Path of the question whether callers should be sent here.
+const READY_PATH: &str = "/ready";
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
 /// Takes connections; runs until dropped.
 pub async fn listen(gateway: Arc<Gateway>, listener: TcpListener) {
     loop {
@@ -23,8 +29,8 @@
 }
 
 async fn serve(gateway: Arc<Gateway>, stream: TcpStream) {
-    let service = service_fn(move |_request: Request<Incoming>| {
-        let response = answer(&gateway);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let response = answer(&gateway, request.uri().path());
         async move { Ok::<_, Infallible>(response) }
     });
     if let Err(e) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await {
@@ -32,10 +38,17 @@
     }
 }
 
-fn answer(gateway: &Gateway) -> Response<Full<Bytes>> {
-    let (status, text) = match gateway.ready() {
-        Ok(()) => (StatusCode::OK, "ready\n".to_owned()),
-        Err(kind) => (StatusCode::SERVICE_UNAVAILABLE, format!("{kind}\n")),
+fn answer(gateway: &Gateway, path: &str) -> Response<Full<Bytes>> {
+    let (status, text) = match path {
+        READY_PATH => match gateway.ready() {
+            Ok(()) => (StatusCode::OK, "ready\n".to_owned()),
+            Err(kind) => (StatusCode::SERVICE_UNAVAILABLE, format!("{kind}\n")),
+        },
+        METRICS_PATH => match gateway.metrics.write(gateway) {
+            Ok(text) => (StatusCode::OK, text),
+            Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, format!("{e}\n")),
+        },
+        _ => (StatusCode::NOT_FOUND, String::new()),
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
     *response.status_mut() = status;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -20,6 +20,9 @@
 /// Part of the grace that is left for the end of the process.
 const EXIT_PART: f64 = 0.08;
 
+/// Time between two reports of what was left out of the log.
+const REPORT_PERIOD: Duration = Duration::from_secs(5);
+
 /// Connections that wait to be accepted; beyond it, opening packets are dropped and sent again seconds later.
 const BACKLOG: u32 = 1_024;
 
@@ -32,13 +35,17 @@
     logging::start(config.log_lines_per_s, config.log_level, &BTreeMap::new())?;
     let callers = bind("callers_address", config.callers_address)?;
     let ready_listener = bind("ready_address", config.ready_address)?;
+    let metrics_listener = bind("metrics_address", config.metrics_address)?;
     let gateway = Gateway::open(config)?;
     log_start(&gateway);
     tokio::spawn(ready::listen(Arc::clone(&gateway), ready_listener));
+    tokio::spawn(ready::listen(Arc::clone(&gateway), metrics_listener));
+    tokio::spawn(report_left_out(Arc::clone(&gateway)));
     tokio::spawn(follow::run(Arc::clone(&gateway)));
     tokio::spawn(listen::listen(Arc::clone(&gateway), callers));
     wait_signal().await?;
     leave(&gateway).await;
+    logging::flush();
     Ok(())
 }
 
@@ -54,17 +61,31 @@
 fn log_start(gateway: &Gateway) {
     let config = &gateway.config;
     log::info!(
-        "event=started instance={} run={} data_centre={} callers={} ready={} store={} place={}",
+        "event=started instance={} run={} data_centre={} callers={} ready={} metrics={} store={} place={}",
         config.instance,
         gateway.run_id,
         config.data_centre,
         config.callers_address,
         config.ready_address,
+        config.metrics_address,
         config.store_address,
         config.place
     );
 }
 
+/// Logs what was left out of the log.
+async fn report_left_out(gateway: Arc<Gateway>) {
+    loop {
+        sleep(REPORT_PERIOD).await;
+        logging::report_dropped();
+        gateway.metrics.count_left_out();
+        let requests = gateway.trail_limit.take_left_out();
+        if requests > 0 {
+            log::warn!("event=requests-not-logged requests={requests}");
+        }
+    }
+}
+
 /// Waits for the signal to leave.
 async fn wait_signal() -> Result<()> {
     let listen = |kind| signal(kind).map_err(|e| Error::new(ErrorKind::File, format!("signals: {e}")));
--- a/src/gateway/surroundings.rs
+++ b/src/gateway/surroundings.rs
@@ -63,6 +63,18 @@
     Silent,
 }
 
+impl StoreError {
+    /// Returns the kind of error as metrics name it.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Throttled => "throttled",
+            Self::HistoryGone => "history-gone",
+            Self::Unexpected(_) => "unexpected",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// A question for the changes of a table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FollowFrom {
--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -1,14 +1,14 @@
-//! Logs: one line of key=value pairs for each event, on standard error.
+//! Logs: one line of key=value pairs for each event, on standard output, bounded and never blocking.
 
 pub mod escape;
 pub mod limit;
+pub mod writer;
 
 use std::{
     collections::BTreeMap,
     fmt::Write as _,
-    io::Write as _,
     sync::{Arc, Mutex, OnceLock, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use log::{LevelFilter, Log, Metadata, Record};
@@ -16,6 +16,7 @@
 use self::{
     escape::OneLine,
     limit::{Dropped, Limiter},
+    writer::LineWriter,
 };
 use crate::{
     error::{Error, ErrorKind, Result},
@@ -27,11 +28,18 @@
 /// The limiter of this process's log; the `log` crate itself is global.
 static LIMITER: OnceLock<Arc<SharedLimiter>> = OnceLock::new();
 
-/// Limiter with the clock it runs on.
+/// Module name of lines that their writer limits itself, several at a time.
+pub const SELF_LIMITED: &str = "arbutusshelf::request";
+
+/// Longest wait for the last lines at the end of the process.
+const FLUSH_LIMIT: Duration = Duration::from_millis(100);
+
+/// Limiter with the clock it runs on, and where lines go.
 #[derive(Debug)]
 struct SharedLimiter {
     origin: Instant,
     limiter: Mutex<Limiter>,
+    writer: LineWriter,
 }
 
 impl SharedLimiter {
@@ -47,20 +55,20 @@
 ///
 /// [`ErrorKind::Settings`] when a logger is set already.
 pub fn start(lines_per_s: u64, level: LevelFilter, levels: &BTreeMap<String, LevelFilter>) -> Result<()> {
-    let shared = SharedLimiter { origin: Instant::now(), limiter: Mutex::new(Limiter::new(lines_per_s)) };
+    let failed = |e: &dyn std::fmt::Display| Error::new(ErrorKind::Settings, format!("logging: {e}"));
+    let writer = LineWriter::start(std::io::stdout()).map_err(|e| failed(&e))?;
+    let limiter = Mutex::new(Limiter::new(lines_per_s));
+    let shared = SharedLimiter { origin: Instant::now(), limiter, writer };
     let shared = LIMITER.get_or_init(|| Arc::new(shared));
     let output = LimitedOutput { shared: Arc::clone(shared) };
     let mut dispatch = fern::Dispatch::new().level(level);
     for (module, level) in levels {
         dispatch = dispatch.level_for(module.clone(), *level);
     }
-    dispatch
-        .chain(Box::new(output) as Box<dyn Log>)
-        .apply()
-        .map_err(|e| Error::new(ErrorKind::Settings, format!("logging: {e}")))
+    dispatch.chain(Box::new(output) as Box<dyn Log>).apply().map_err(|e| failed(&e))
 }
 
-/// Writes lines to standard error as far as the limiter lets them through.
+/// Writes lines as far as the limiter lets them through.
 struct LimitedOutput {
     shared: Arc<SharedLimiter>,
 }
@@ -74,14 +82,21 @@
         let mut message = String::new();
         // Text that can't be formatted is logged as far as it went.
         let _formatted = write!(message, "{}", record.args());
-        let admitted =
-            self.shared.with(|limiter, now| limiter.admit(now, record.target(), event_of(&message)));
-        if admitted {
-            write_line(&line(unix_ms(), record.level().to_level_filter(), record.target(), &message));
+        let is_limited = record.target() != SELF_LIMITED;
+        let admit = |limiter: &mut Limiter, now| limiter.admit(now, record.target(), event_of(&message));
+        if !is_limited || self.shared.with(admit) {
+            self.shared.writer.write(line(
+                unix_ms(),
+                record.level().to_level_filter(),
+                record.target(),
+                &message,
+            ));
         }
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        self.shared.writer.flush(FLUSH_LIMIT);
+    }
 }
 
 /// Returns the value of `event=` at the start of a message, or nothing.
@@ -95,20 +110,25 @@
     format!("at_ms={at_ms} level={level} module={} {}\n", OneLine(module), OneLine(message))
 }
 
-fn write_line(line: &str) {
-    // A closed standard error leaves nowhere to tell of it.
-    let _written = std::io::stderr().lock().write_all(line.as_bytes());
-}
-
 /// Logs how many lines were held back by floods that ended or go on.
 pub fn report_dropped() {
     let Some(shared) = LIMITER.get() else { return };
     for Dropped { module, event, lines } in shared.with(Limiter::take_due) {
         let message = format!("event=log-lines-dropped of={} lines={lines}", Quoted(&event));
-        write_line(&line(unix_ms(), LevelFilter::Warn, &module, &message));
+        shared.writer.write(line(unix_ms(), LevelFilter::Warn, &module, &message));
+    }
+    let lines = shared.writer.take_dropped();
+    if lines > 0 {
+        let message = format!("event=log-lines-dropped of=\"\" cause=output-full lines={lines}");
+        shared.writer.write(line(unix_ms(), LevelFilter::Warn, module_path!(), &message));
     }
 }
 
+/// Waits a moment for the last lines; called at the end of the process.
+pub fn flush() {
+    log::logger().flush();
+}
+
 /// Returns the lines held back since the last time this was asked.
 pub fn take_dropped() -> u64 {
     LIMITER.get().map_or(0, |shared| shared.with(|limiter, _| limiter.take_dropped_total()))
--- a/src/observe/snapshot.rs
+++ b/src/observe/snapshot.rs
@@ -63,7 +63,7 @@
 const PAGE_BYTES: u64 = 4_096;
 
 /// Reads the memory of this process from the kernel; 0 where it does not tell.
-fn resident_bytes() -> u64 {
+pub fn resident_bytes() -> u64 {
     let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
     pages.unwrap_or(0) * PAGE_BYTES
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -61,6 +61,7 @@
     let signals = tokio::spawn(leave_on_signal(Arc::clone(&kernel)));
     run(kernel, listeners).await;
     signals.abort();
+    logging::flush();
     Ok(())
 }
 
@@ -124,6 +125,7 @@
     name_in_progress(&kernel, "second-signal", 1);
     next(&mut terminate, &mut interrupt).await;
     name_in_progress(&kernel, "cut-off", 0);
+    logging::flush();
     std::process::exit(1);
 }
 
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -7,7 +7,7 @@
     io::{BufRead, BufReader},
     net::SocketAddr,
     path::PathBuf,
-    process::{Child, ChildStderr, Command, Output, Stdio},
+    process::{Child, ChildStdout, Command, Output, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
@@ -65,8 +65,8 @@
         settings.as_object_mut().expect("settings are an object").extend(extra);
         let path = self.write(&format!("{instance}.json"), &settings.to_string());
         let mut command = self.command(&["serve", "--settings", &path]);
-        let mut child = command.stderr(Stdio::piped()).spawn().expect("the binary starts");
-        let log = BufReader::new(child.stderr.take().expect("stderr is piped"));
+        let mut child = command.stdout(Stdio::piped()).spawn().expect("the binary starts");
+        let log = BufReader::new(child.stdout.take().expect("stdout is piped"));
         Instance::started(child, log)
     }
 }
@@ -81,7 +81,7 @@
 #[derive(Debug)]
 pub struct Instance {
     child: Child,
-    log: BufReader<ChildStderr>,
+    log: BufReader<ChildStdout>,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address for operators.
@@ -91,7 +91,7 @@
 }
 
 impl Instance {
-    fn started(child: Child, mut log: BufReader<ChildStderr>) -> Self {
+    fn started(child: Child, mut log: BufReader<ChildStdout>) -> Self {
         let mut line = String::new();
         while !line.contains("event=started") {
             line.clear();
