--- /dev/null
+++ b/src/decide/hedge.rs
@@ -0,0 +1,57 @@
+//! When a request that is in progress at one target is sent to a second one.
+//!
+//! A machine that was calm when the request was sent may slow down while it works on it, and its target tells so when
+//! it is probed. A request that takes long on a calm machine is a long request: a second target would take as long.
+
+use std::time::Duration;
+
+use super::probed::Reading;
+use crate::units::MonoTime;
+
+/// Looks at the target within the objective.
+const LOOKS: u32 = 6;
+
+/// Part of the usual time that a request is expected to need at least, however long it has been in progress.
+const LEAST_LEFT: f64 = 0.25;
+
+/// Times the usual time that the rest must be expected to take for a second target to be faster.
+const GAIN: f64 = 1.1;
+
+/// One request in progress.
+#[derive(Debug, Clone, Copy)]
+pub struct InProgress {
+    /// When the caller's request arrived.
+    pub arrived: MonoTime,
+    /// When it was sent.
+    pub sent: MonoTime,
+    /// Time after `arrived` within which the answer is of full use.
+    pub objective: Duration,
+    /// Usual time from a send to its answer.
+    pub usual: Duration,
+}
+
+/// What to do about a request in progress.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hedge {
+    /// Send it to a second target now.
+    Now,
+    /// Look again then.
+    LookAt(MonoTime),
+}
+
+/// Decides by the target's latest reading, if it is fresh.
+pub fn decide(now: MonoTime, request: &InProgress, reading: Option<Reading>) -> Hedge {
+    let useful_until = request.arrived + request.objective;
+    if now >= useful_until {
+        // Whatever holds it up, the answer is late; a second target guards against none at all.
+        return Hedge::Now;
+    }
+    let elapsed_s = now.since(request.sent).as_secs_f64();
+    let usual_s = request.usual.as_secs_f64();
+    let left_s = (usual_s - elapsed_s).max(usual_s * LEAST_LEFT);
+    let is_slow = reading.is_some_and(|r| left_s * r.pace > usual_s * GAIN);
+    if is_slow && now + request.usual <= useful_until {
+        return Hedge::Now;
+    }
+    Hedge::LookAt((now + request.objective / LOOKS).min(useful_until))
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,6 +10,7 @@
 pub mod estimate;
 pub mod fleet;
 pub mod health;
+pub mod hedge;
 pub mod pool;
 pub mod probe;
 pub mod probed;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -19,7 +19,7 @@
     header::{self, HeaderValue},
     http::request::Parts,
 };
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::{sleep_until, timeout, timeout_at};
 
 use super::{
     Gateway,
@@ -31,6 +31,7 @@
 use crate::{
     decide::{
         directory::Listing,
+        hedge::{self, Hedge, InProgress},
         probed::{Ask, Pick, SendEnd},
     },
     error::ErrorKind,
@@ -54,8 +55,8 @@
 /// Times the usual time of an answer that is kept back from the objective when a call waits for a calm target.
 const ANSWER_MARGIN: f64 = 1.3;
 
-/// Part of the objective after which an idempotent request without an answer is sent to a second target.
-const HEDGE_PART: f64 = 0.5;
+/// Time that the target of a request in progress may take to tell its load before the reading counts as missing.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(25);
 
 /// Time after which a caller may come back when no target took its request.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -82,6 +83,8 @@
     pub parts: RequestParts,
     /// Targets that have or had the request.
     tried: Mutex<Vec<TargetId>>,
+    /// Target of the first send, and when it was sent.
+    first_send: Mutex<Option<(Listing, MonoTime)>>,
     /// What was decided on it.
     trail: Trail,
     /// Whether its end was told.
@@ -98,6 +101,11 @@
         self.tried.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns the target of the first send and when it was sent.
+    fn first_send(&self) -> Option<(Listing, MonoTime)> {
+        self.first_send.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     fn note(&self, step: Step) {
         self.trail.note(self.gateway.now(), step);
     }
@@ -188,6 +196,7 @@
         deadline,
         parts: RequestParts { head, body, upload },
         tried: Mutex::default(),
+        first_send: Mutex::default(),
     })
 }
 
@@ -209,8 +218,7 @@
     let deadline = call.gateway.clock.instant(call.deadline);
     let mut sends = Sends { call, legs: FuturesUnordered::new(), started: 0, ran: None, failed: None };
     sends.start();
-    let hedge_at = call.arrived + call.route.spec.objective.mul_f64(HEDGE_PART);
-    let mut hedge = Box::pin(sleep_until(call.gateway.clock.instant(hedge_at)));
+    let mut watch = Box::pin(watch(call));
     let mut may_hedge = call.may_repeat();
     loop {
         tokio::select! {
@@ -221,7 +229,7 @@
                 }
             }
             () = sleep_until(deadline) => return sends.out_of_time(),
-            () = &mut hedge, if may_hedge => {
+            () = &mut watch, if may_hedge => {
                 may_hedge = false;
                 sends.hedge();
             }
@@ -328,6 +336,28 @@
     }
 }
 
+/// Watches a request in progress until it should be sent to a second target.
+async fn watch(call: &CallHead) {
+    let gateway = &call.gateway;
+    let objective = call.route.spec.objective;
+    loop {
+        let Some((listing, sent)) = call.first_send() else {
+            gateway.news.notified().await;
+            continue;
+        };
+        let usual = gateway.fleet().usual_time(&call.service);
+        let request = InProgress { arrived: call.arrived, sent, objective, usual };
+        let now = gateway.now();
+        let reading = gateway.fleet().reading(now, &listing.service, &listing.id);
+        let fresh = reading.filter(|(_, age)| *age <= LOOK_TIMEOUT).map(|(reading, _)| reading);
+        let Hedge::LookAt(at) = hedge::decide(now, &request, fresh) else { return };
+        sleep_until(gateway.clock.instant(at)).await;
+        probe::start(gateway, listing);
+        // The next decision is made with the reading or without.
+        let _news_or_time = timeout(LOOK_TIMEOUT, gateway.news.notified()).await;
+    }
+}
+
 /// Returns until when a call waits for a target that is calm and has room.
 fn calm_until(call: &CallHead, is_hedge: bool) -> MonoTime {
     let now = call.gateway.now();
@@ -393,7 +423,9 @@
 async fn send_noted(call: &CallHead, listing: Listing, rounds: u32) -> SendResult {
     let target = listing.id.clone();
     call.tried.lock().unwrap_or_else(PoisonError::into_inner).push(target.clone());
-    let reading = call.gateway.fleet().reading(call.gateway.now(), &listing.service, &target);
+    let now = call.gateway.now();
+    call.first_send.lock().unwrap_or_else(PoisonError::into_inner).get_or_insert((listing.clone(), now));
+    let reading = call.gateway.fleet().reading(now, &listing.service, &target);
     call.note(Step::Sent { target: target.clone(), reading, rounds });
     let result = send(call, listing).await;
     let outcome = result.outcome();
