--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -29,6 +29,17 @@
     /// Where operators read metrics.
     pub metrics_address: SocketAddr,
 
+    /// Where other instances connect.
+    pub peers_address: SocketAddr,
+
+    /// Addresses of instances that others follow rather than the store; the lowest one that lives reads the store.
+    #[serde(default)]
+    pub peer_seeds: Vec<SocketAddr>,
+
+    /// Whether the whole deployment starts for the first time, so that no callers wait.
+    #[serde(default)]
+    pub first_start: bool,
+
     /// Place by name, which decides the form of everything read from the store and of the calls' headers.
     pub place: String,
 
--- /dev/null
+++ b/src/gateway/downstream.rs
@@ -0,0 +1,174 @@
+//! Passes on what this instance follows in the store to instances that ask for it.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use futures::future::poll_fn;
+use h2::{RecvStream, SendStream, server};
+use hyper::Response;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::{MissedTickBehavior, interval, timeout},
+};
+
+use super::{Gateway, mirror::Reading, surroundings::Table};
+use crate::peer::{
+    frame::{Decoder, Frame, PROTOCOL_VERSION, StoreAsk, StoreRow, StoreRows, StoreState, encode},
+    link::{LinkError, send_all},
+};
+
+/// Time between two signs of life.
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(450);
+
+/// Time to open a link and to ask.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time after which an instance that takes no bytes is dropped.
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(300);
+
+/// Takes links from other instances; runs until dropped.
+pub async fn listen(gateway: Arc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                let gateway = Arc::clone(&gateway);
+                tokio::spawn(async move {
+                    if let Err(e) = serve(&gateway, stream).await {
+                        log::debug!("event=follower-lost address={address} error={:?}", e.to_string());
+                    }
+                });
+            }
+            Err(e) => {
+                log::warn!("event=peer-accept-failed error={:?}", e.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(gateway: &Gateway, stream: TcpStream) -> Result<(), LinkError> {
+    stream.set_nodelay(true)?;
+    let mut connection = timeout(OPEN_TIMEOUT, server::handshake(stream)).await??;
+    let Some(accepted) = timeout(OPEN_TIMEOUT, connection.accept()).await? else {
+        return Ok(());
+    };
+    let (request, mut respond) = accepted?;
+    let link = async {
+        let ask = timeout(OPEN_TIMEOUT, read_ask(request.into_body())).await??;
+        if ask.protocol_version != PROTOCOL_VERSION {
+            return Err(format!("protocol version {} is not {PROTOCOL_VERSION}", ask.protocol_version).into());
+        }
+        log::info!("event=follower instance={} followers={}", ask.instance, ask.followers);
+        let stream = respond.send_response(Response::new(()), false)?;
+        let _follower = gateway.add_follower(1 + ask.followers);
+        Follower { gateway, routing: ask.routing, targets: ask.targets, stream }.run().await
+    };
+    // The connection makes progress only while it is polled.
+    tokio::select! {
+        result = link => result,
+        closed = poll_fn(|cx| connection.poll_closed(cx)) => Ok(closed?),
+    }
+}
+
+async fn read_ask(mut body: RecvStream) -> Result<StoreAsk, LinkError> {
+    let mut decoder = Decoder::default();
+    loop {
+        let Some(chunk) = body.data().await else { return Err("no question".into()) };
+        let chunk = chunk?;
+        body.flow_control().release_capacity(chunk.len())?;
+        decoder.push(&chunk);
+        match decoder.next_frame()? {
+            Some(Frame::StoreAsk(ask)) => return Ok(ask),
+            Some(_) => return Err("first frame is no question".into()),
+            None => {}
+        }
+    }
+}
+
+/// An instance that follows this one.
+struct Follower<'a> {
+    gateway: &'a Gateway,
+    /// Version of the routing table's row that it knows.
+    routing: Option<u64>,
+    /// Version of the directory that it knows.
+    targets: Option<u64>,
+    stream: SendStream<Bytes>,
+}
+
+impl Follower<'_> {
+    async fn run(&mut self) -> Result<(), LinkError> {
+        let mut news: watch::Receiver<u64> = self.gateway.watch_mirror();
+        let mut period = interval(HEARTBEAT_PERIOD);
+        period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut told_lost = false;
+        loop {
+            let is_heartbeat = tokio::select! {
+                biased;
+                _ = period.tick() => true,
+                changed = news.changed() => {
+                    changed?;
+                    false
+                }
+            };
+            if self.gateway.is_leaving() {
+                return Ok(());
+            }
+            let state = self.state();
+            // A change of standing goes first: it says how missing rows are to be taken.
+            let mut frames = vec![Frame::StoreState(state)];
+            self.add_rows(Table::Routing, is_heartbeat, &mut frames);
+            self.add_rows(Table::Targets, is_heartbeat, &mut frames);
+            let is_news = frames.len() > 1 || state.is_store_lost != told_lost;
+            if is_heartbeat || is_news {
+                told_lost = state.is_store_lost;
+                self.send(&frames).await?;
+            }
+        }
+    }
+
+    fn state(&self) -> StoreState {
+        let standing = self.gateway.mirror().standing;
+        let age = standing.confirmed_at.map(|at| self.gateway.now().since(at));
+        StoreState {
+            confirmed_age_ms: age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
+            is_store_lost: standing.is_store_lost,
+            distance: standing.distance,
+            instances: self.gateway.count_instances(),
+        }
+    }
+
+    /// Adds what the other end does not know of a table; a newer version alone goes with the next heartbeat.
+    fn add_rows(&mut self, table: Table, is_heartbeat: bool, frames: &mut Vec<Frame>) {
+        let known = match table {
+            Table::Routing => &mut self.routing,
+            Table::Targets => &mut self.targets,
+        };
+        let Some(reading) = self.gateway.mirror().since(table, *known) else { return };
+        let is_all = matches!(reading, Reading::All(_));
+        let (Reading::All(rows) | Reading::Changed(rows)) = reading;
+        if rows.rows.is_empty() && !is_all && !is_heartbeat {
+            return;
+        }
+        *known = Some(rows.version);
+        let row =
+            |r: super::surroundings::TableRow| StoreRow { key: r.key, version: r.version, value: r.value };
+        frames.push(Frame::StoreRows(StoreRows {
+            of_targets: table == Table::Targets,
+            is_all,
+            version: rows.version,
+            rows: rows.rows.into_iter().map(row).collect(),
+        }));
+    }
+
+    async fn send(&mut self, frames: &[Frame]) -> Result<(), LinkError> {
+        let mut bytes = BytesMut::new();
+        for frame in frames {
+            bytes.extend_from_slice(&encode(frame));
+        }
+        timeout(SEND_TIMEOUT, send_all(&mut self.stream, bytes.freeze())).await?
+    }
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,24 +1,36 @@
-//! Follows the store: the routing table, the directory of targets, and the instances that share the budgets.
+//! Follows the store: the routing table and the directory of targets, from the store itself or from another instance.
+//!
+//! A call of the store has its price, and what all instances read is the same. So the first instance in the order of the
+//! seeds that lives reads the store, and the others follow it. Nothing rests on that: an instance that hears nothing
+//! current in time follows another seed or reads for itself.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::{
     Gateway,
-    surroundings::{DecodedRouting, FollowFrom, RowPut, StoreError, Table, TableRow, TableRows},
+    mirror::Reading,
+    surroundings::{DecodedRouting, FollowFrom, StoreError, Table, TableRow, TableRows},
+    upstream,
 };
-use crate::decide::{
-    directory::{Change, DirectoryRow},
-    repeat_budget::RepeatAllowance,
+use crate::{
+    decide::{
+        directory::{Change, DirectoryRow},
+        repeat_budget::RepeatAllowance,
+    },
+    units::MonoTime,
 };
 
-/// Time for which the store may hold back an answer while nothing changes.
-const FOLLOW_WAIT: Duration = Duration::from_secs(20);
+/// Time for which the store may hold back an answer while nothing changes: it is also the time after which the reader's
+/// copy is confirmed again, so that others notice within their bounds when it no longer is.
+const FOLLOW_WAIT: Duration = Duration::from_millis(600);
+
+/// Longest time assumed between a change and the answer that tells of it.
+const LONGEST_WAY: Duration = Duration::from_millis(300);
 
 /// Time for which changes gather before they are asked for again, well within the 2 s in which they must be in force.
-const GATHER: Duration = Duration::from_millis(250);
+const GATHER: Duration = Duration::from_millis(200);
 
 /// Pause after the first call that failed; doubles up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -26,23 +38,99 @@
 /// Longest pause between two calls to a store that fails them: each is paid for, and a return must be noticed soon.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
-/// Time between two counts of the instances.
-const COUNT_PERIOD: Duration = Duration::from_secs(30);
+/// Age from which a copy no longer counts as current: the longest time between two confirmations of a reader whose store
+/// answers a hundred times slower than usual.
+pub const CURRENT_AGE: Duration = Duration::from_millis(1_500);
+
+/// Time after which an instance that reads the store looks again for one to follow.
+const LOOK_PERIOD: Duration = Duration::from_secs(2);
+
+/// Time that the seeds are given to come up when a deployment starts for the first time, before callers arrive.
+const FIRST_START_PATIENCE: Duration = Duration::from_secs(2);
+
+/// The same at any other start: callers wait, and two calls of the store are cheaper than their requests.
+const RESTART_PATIENCE: Duration = Duration::from_millis(60);
+
+/// Pause between two tries to reach a seed at the start.
+const START_PAUSE: Duration = Duration::from_millis(30);
+
+/// Time after the start at which the number of instances is trusted; all of a deployment start within a second.
+const COUNT_AFTER: Duration = Duration::from_secs(3);
 
-/// Time after the start at which the instances are first counted; all of a deployment start within a second.
-const FIRST_COUNT: Duration = Duration::from_secs(3);
+/// Time between two looks at the number of instances.
+const COUNT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time for which the largest number of instances that was heard of counts.
+const COUNT_MEMORY: Duration = Duration::from_mins(1);
 
 /// Part of the allowance that is spent, for instances that were not yet counted.
 const ALLOWANCE_PART: f64 = 0.8;
 
+/// Instances between this one and the store that a follower accepts.
+const MAX_DISTANCE: u8 = 1;
+
 /// Runs all of it until dropped.
 pub async fn run(gateway: Arc<Gateway>) {
-    tokio::join!(
-        follow(&gateway, Table::Routing, take_routing),
-        follow(&gateway, Table::Targets, take_targets),
-        expire_targets(&gateway),
-        count_instances(&gateway),
-    );
+    tokio::join!(follow(&gateway), expire_targets(&gateway), count_instances(&gateway));
+}
+
+/// Follows a seed while one is current, and the store otherwise.
+async fn follow(gateway: &Gateway) {
+    let seeds = earlier_seeds(gateway);
+    follow_at_start(gateway, &seeds).await;
+    loop {
+        follow_seeds(gateway, &seeds).await;
+        log::info!("event=source source=store");
+        gateway.mirror().standing.distance = 0;
+        let _until_next_look = if seeds.is_empty() {
+            read_store(gateway).await;
+            Ok(())
+        } else {
+            timeout(LOOK_PERIOD.mul_f64(rand::random_range(0.75..1.5)), read_store(gateway)).await
+        };
+    }
+}
+
+/// Returns the seeds that go before this instance, in one order for all.
+fn earlier_seeds(gateway: &Gateway) -> Vec<SocketAddr> {
+    let own = gateway.config.peers_address;
+    let mut seeds = gateway.config.peer_seeds.clone();
+    seeds.sort_unstable();
+    seeds.dedup();
+    seeds.into_iter().take_while(|seed| *seed != own).collect()
+}
+
+/// Gives the seeds a moment to come up.
+async fn follow_at_start(gateway: &Gateway, seeds: &[SocketAddr]) {
+    let patience = if gateway.config.first_start { FIRST_START_PATIENCE } else { RESTART_PATIENCE };
+    let until = gateway.now() + patience;
+    while !seeds.is_empty() && gateway.now() < until {
+        follow_seeds(gateway, seeds).await;
+        sleep(START_PAUSE).await;
+    }
+}
+
+/// Follows one seed after the other while they are current; returns when none is.
+async fn follow_seeds(gateway: &Gateway, seeds: &[SocketAddr]) {
+    let mut index = 0;
+    while index < seeds.len() {
+        let address = seeds[index];
+        match upstream::follow(gateway, address, MAX_DISTANCE).await {
+            Ok(()) => {}
+            Err(ended) if ended.was_current => {
+                log::info!("event=source-lost source={address} error={:?}", ended.reason);
+                index = 0;
+                continue;
+            }
+            Err(ended) => log::debug!("event=source-unusable source={address} error={:?}", ended.reason),
+        }
+        index += 1;
+    }
+}
+
+/// Reads the store until dropped.
+async fn read_store(gateway: &Gateway) {
+    tokio::join!(read_table(gateway, Table::Routing), read_table(gateway, Table::Targets));
 }
 
 /// Pauses between calls that fail.
@@ -61,58 +149,87 @@
     }
 }
 
-/// What was read of a table: all of it, or changes.
-enum Taken {
-    All(TableRows),
-    Changed(TableRows),
-}
-
-/// Follows one table until dropped.
-async fn follow(gateway: &Gateway, table: Table, take: fn(&Gateway, Taken)) {
-    let mut known = None;
+async fn read_table(gateway: &Gateway, table: Table) {
     let mut backoff = Backoff::new();
-    let mut is_lost = false;
     loop {
+        let known = gateway.mirror().version(table);
+        let asked_at = gateway.now();
         let read = match known {
-            None => (gateway.place.read)(table).await.map(Taken::All),
+            None => (gateway.place.read)(table).await.map(Reading::All),
             Some(version) => {
                 let from = FollowFrom { table, version, wait: FOLLOW_WAIT };
-                (gateway.place.follow)(from).await.map(Taken::Changed)
+                (gateway.place.follow)(from).await.map(Reading::Changed)
             }
         };
         gateway.metrics.store_call(read.as_ref().map_or_else(StoreError::label, |_| "answered"));
         match read {
-            Ok(taken) => {
-                if std::mem::take(&mut is_lost) {
-                    log::info!("event=store-regained table={table}");
-                }
-                gateway.fleet().directory.store_answered(gateway.now());
+            Ok(reading) => {
                 backoff = Backoff::new();
-                let (Taken::All(rows) | Taken::Changed(rows)) = &taken;
+                let (Reading::All(rows) | Reading::Changed(rows)) = &reading;
                 let has_rows = !rows.rows.is_empty();
-                known = Some(rows.version);
-                take(gateway, taken);
+                confirm(gateway, table, confirmed_at(gateway.now(), asked_at, has_rows));
+                take(gateway, table, reading);
                 if has_rows {
                     sleep(GATHER).await;
                 }
             }
             Err(StoreError::HistoryGone) => {
                 log::info!("event=history-gone table={table}");
-                known = None;
+                gateway.mirror().forget_version(table);
             }
             Err(e) => {
-                if !std::mem::replace(&mut is_lost, true) {
-                    log::warn!("event=store-lost table={table} error={:?}", e.to_string());
-                }
-                gateway.fleet().directory.store_lost();
+                lose(gateway, table, &e);
                 backoff.wait().await;
             }
         }
     }
 }
 
-fn take_routing(gateway: &Gateway, taken: Taken) {
-    let (Taken::All(rows) | Taken::Changed(rows)) = taken;
+/// Returns when the store had nothing newer than an answer that comes now.
+///
+/// The store holds an answer back until something changes, or for the wait: what an answer took beyond that is the way.
+fn confirmed_at(now: MonoTime, asked_at: MonoTime, has_rows: bool) -> MonoTime {
+    let took = now.since(asked_at);
+    let way = if has_rows { took.min(LONGEST_WAY) } else { took.saturating_sub(FOLLOW_WAIT) };
+    now.checked_sub(way).unwrap_or_default()
+}
+
+fn confirm(gateway: &Gateway, table: Table, at: MonoTime) {
+    let mut mirror = gateway.mirror();
+    let standing = &mut mirror.standing;
+    if table == Table::Targets {
+        standing.confirmed_at = standing.confirmed_at.max(Some(at));
+        if std::mem::take(&mut standing.is_store_lost) {
+            log::info!("event=store-regained table={table}");
+        }
+    }
+    drop(mirror);
+    gateway.fleet().directory.store_answered(gateway.now());
+    gateway.tell_followers();
+}
+
+fn lose(gateway: &Gateway, table: Table, error: &StoreError) {
+    let mut mirror = gateway.mirror();
+    if !std::mem::replace(&mut mirror.standing.is_store_lost, true) {
+        log::warn!("event=store-lost table={table} error={:?}", error.to_string());
+    }
+    drop(mirror);
+    gateway.fleet().directory.store_lost();
+    gateway.tell_followers();
+}
+
+/// Takes what was read of a table, from the store or from another instance.
+pub fn take(gateway: &Gateway, table: Table, reading: Reading) {
+    gateway.mirror().take(table, &reading);
+    match table {
+        Table::Routing => take_routing(gateway, &reading),
+        Table::Targets => take_targets(gateway, reading),
+    }
+    gateway.tell_followers();
+}
+
+fn take_routing(gateway: &Gateway, reading: &Reading) {
+    let (Reading::All(rows) | Reading::Changed(rows)) = reading;
     for row in rows.rows.iter().filter(|r| r.key == gateway.place.routing_key) {
         let Some(value) = &row.value else { continue };
         match (gateway.place.decode_routing)(value) {
@@ -127,13 +244,13 @@
     }
 }
 
-fn take_targets(gateway: &Gateway, taken: Taken) {
+fn take_targets(gateway: &Gateway, reading: Reading) {
     let now = gateway.now();
     let decode = |rows: Vec<TableRow>| rows.into_iter().map(|row| listing(gateway, row)).collect();
     let mut fleet = gateway.fleet();
-    let changes = match taken {
-        Taken::All(rows) => fleet.directory.replace(now, decode(rows.rows), rows.version),
-        Taken::Changed(rows) => fleet.directory.apply(now, decode(rows.rows)),
+    let changes = match reading {
+        Reading::All(TableRows { rows, version }) => fleet.directory.replace(now, decode(rows), version),
+        Reading::Changed(TableRows { rows, .. }) => fleet.directory.apply(now, decode(rows)),
     };
     fleet.follow(&changes);
     drop(fleet);
@@ -199,37 +316,30 @@
     }
 }
 
-/// Registers this instance and counts all of them from time to time.
+/// Keeps this instance's share of the budgets to the number of instances.
 async fn count_instances(gateway: &Gateway) {
-    let value = Bytes::from(format!("{{\"run\":\"{}\"}}", gateway.run_id));
-    let row = RowPut { table: Table::Instances, key: gateway.config.instance.to_string(), value };
-    let mut backoff = Backoff::new();
-    while let Err(e) = (gateway.place.put)(row.clone()).await {
-        log::debug!("event=register-failed error={:?}", e.to_string());
-        backoff.wait().await;
-    }
-    sleep(FIRST_COUNT).await;
+    sleep(COUNT_AFTER).await;
+    let mut known = 0;
+    let mut known_at = gateway.now();
     loop {
-        match (gateway.place.read)(Table::Instances).await {
-            Ok(rows) => {
-                let instances = rows.rows.iter().filter(|r| r.value.is_some()).count().max(1);
-                gateway.set_instances(instances as u64);
-                set_allowance(gateway);
-                log::info!("event=instances-counted instances={instances}");
-                sleep(COUNT_PERIOD).await;
-            }
-            Err(e) => {
-                log::debug!("event=count-failed error={:?}", e.to_string());
-                backoff.wait().await;
+        let now = gateway.now();
+        let instances = u64::from(gateway.count_instances());
+        if instances >= known || now.since(known_at) > COUNT_MEMORY {
+            known_at = now;
+            if instances != known && instances > 0 {
+                log::info!("event=instances-counted instances={instances} was={known}");
+                known = instances;
+                gateway.set_instances(instances);
+                set_shares(gateway, instances);
             }
         }
+        sleep(COUNT_PERIOD).await;
     }
 }
 
 /// Gives this instance its share of what may be repeated and probed.
-fn set_allowance(gateway: &Gateway) {
+fn set_shares(gateway: &Gateway, instances: u64) {
     let config = &gateway.config;
-    let Some(instances) = gateway.instances() else { return };
     let allowance = RepeatAllowance {
         ratio: config.repeat_ratio * ALLOWANCE_PART,
         extra: config.repeat_extra * ALLOWANCE_PART / instances as f64,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,25 +6,31 @@
 pub mod answer;
 pub mod call;
 pub mod config;
+pub mod downstream;
 pub mod exchange;
 pub mod follow;
 pub mod listen;
 pub mod metrics;
+pub mod mirror;
 pub mod probe;
 pub mod ready;
 pub mod serve;
 pub mod surroundings;
 pub mod trail;
+pub mod upstream;
 
-use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use arc_swap::ArcSwapOption;
 use tokio::sync::{Notify, watch};
 
-use self::{config::Config, metrics::Metrics, surroundings::Surroundings, trail::TrailLimit};
+use self::{config::Config, metrics::Metrics, mirror::Mirror, surroundings::Surroundings, trail::TrailLimit};
 use crate::{
     decide::fleet::Fleet,
     error::{Error, ErrorKind, Result},
@@ -41,7 +47,7 @@
 
 /// Everything that the tasks of one gateway share.
 ///
-/// The fleet's lock is taken alone and not held across an await.
+/// The locks of the fleet and the mirror are taken alone and not held across an await.
 #[derive(Debug)]
 pub struct Gateway {
     /// Settings.
@@ -62,6 +68,11 @@
     pub news: Notify,
     routing: ArcSwapOption<RoutingTable>,
     fleet: Mutex<Fleet>,
+    mirror: Mutex<Mirror>,
+    /// Raised when followers may have to be told something.
+    mirror_news: watch::Sender<u64>,
+    /// Instances that follow this one.
+    followers: AtomicU32,
     has_targets: watch::Sender<bool>,
     /// Instances that share the budgets; 0 until it is known.
     instances: AtomicU64,
@@ -93,6 +104,9 @@
             news: Notify::new(),
             routing: ArcSwapOption::empty(),
             fleet: Mutex::new(Fleet::new(config.data_centre.clone(), seed)),
+            mirror: Mutex::default(),
+            mirror_news: watch::Sender::new(0),
+            followers: AtomicU32::new(0),
             has_targets: watch::Sender::new(false),
             instances: AtomicU64::new(0),
             phase: watch::Sender::new(Phase::Serving),
@@ -106,6 +120,11 @@
         self.clock.now()
     }
 
+    /// Returns the point `span` ago, or the start.
+    pub fn now_less(&self, span: Duration) -> MonoTime {
+        self.now().checked_sub(span).unwrap_or_default()
+    }
+
     /// Returns the routing table in force, if one is known.
     pub fn routing(&self) -> Option<Arc<RoutingTable>> {
         self.routing.load_full()
@@ -129,6 +148,44 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the copy of the store.
+    pub fn mirror(&self) -> MutexGuard<'_, Mirror> {
+        self.mirror.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lets followers look whether they have to be told something.
+    pub fn tell_followers(&self) {
+        self.mirror_news.send_modify(|n| *n += 1);
+    }
+
+    /// Returns what changes when followers may have to be told something.
+    pub fn watch_mirror(&self) -> watch::Receiver<u64> {
+        self.mirror_news.subscribe()
+    }
+
+    /// Counts an instance that follows this one, with those that follow it, until the guard is dropped.
+    pub fn add_follower(&self, instances: u32) -> FollowerGuard<'_> {
+        self.followers.fetch_add(instances, Ordering::AcqRel);
+        FollowerGuard { gateway: self, instances }
+    }
+
+    /// Returns how many instances follow this one.
+    pub fn followers(&self) -> u32 {
+        self.followers.load(Ordering::Acquire)
+    }
+
+    /// Returns how many instances there are as far as this one can tell, 0 when it can't.
+    ///
+    /// Only who reads the store and is followed can count.
+    pub fn count_instances(&self) -> u32 {
+        let standing = self.mirror().standing;
+        match (standing.distance, self.followers()) {
+            (0, 0) => u32::from(self.config.peer_seeds.is_empty()),
+            (0, followers) => followers + 1,
+            _ => standing.instances,
+        }
+    }
+
     /// Notes that the directory has been read.
     pub fn set_has_targets(&self) {
         self.has_targets.send_replace(true);
@@ -199,3 +256,16 @@
         });
     }
 }
+
+/// Counts a follower while it lives.
+#[derive(Debug)]
+pub struct FollowerGuard<'a> {
+    gateway: &'a Gateway,
+    instances: u32,
+}
+
+impl Drop for FollowerGuard<'_> {
+    fn drop(&mut self) {
+        self.gateway.followers.fetch_sub(self.instances, Ordering::AcqRel);
+    }
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -8,7 +8,7 @@
     time::{Instant, sleep, timeout_at},
 };
 
-use super::{Gateway, config::Config, follow, listen, ready};
+use super::{Gateway, config::Config, downstream, follow, listen, ready};
 use crate::{
     error::{Error, ErrorKind, Result},
     logging,
@@ -36,11 +36,13 @@
     let callers = bind("callers_address", config.callers_address)?;
     let ready_listener = bind("ready_address", config.ready_address)?;
     let metrics_listener = bind("metrics_address", config.metrics_address)?;
+    let peers = bind("peers_address", config.peers_address)?;
     let gateway = Gateway::open(config)?;
     log_start(&gateway);
     tokio::spawn(ready::listen(Arc::clone(&gateway), ready_listener));
     tokio::spawn(ready::listen(Arc::clone(&gateway), metrics_listener));
     tokio::spawn(report_left_out(Arc::clone(&gateway)));
+    tokio::spawn(downstream::listen(Arc::clone(&gateway), peers));
     tokio::spawn(follow::run(Arc::clone(&gateway)));
     tokio::spawn(listen::listen(Arc::clone(&gateway), callers));
     wait_signal().await?;
@@ -61,13 +63,14 @@
 fn log_start(gateway: &Gateway) {
     let config = &gateway.config;
     log::info!(
-        "event=started instance={} run={} data_centre={} callers={} ready={} metrics={} store={} place={}",
+        "event=started instance={} run={} data_centre={} callers={} ready={} metrics={} peers={} store={} place={}",
         config.instance,
         gateway.run_id,
         config.data_centre,
         config.callers_address,
         config.ready_address,
         config.metrics_address,
+        config.peers_address,
         config.store_address,
         config.place
     );
--- a/src/gateway/surroundings.rs
+++ b/src/gateway/surroundings.rs
@@ -22,8 +22,6 @@
     Routing,
     /// The directory of targets, a row each.
     Targets,
-    /// Instances of this system, a row each.
-    Instances,
 }
 
 /// One row of a table.
@@ -86,17 +84,6 @@
     pub wait: Duration,
 }
 
-/// A row to write, whatever is there.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RowPut {
-    /// Table.
-    pub table: Table,
-    /// Key.
-    pub key: String,
-    /// Value.
-    pub value: Bytes,
-}
-
 /// A routing table as decoded.
 #[derive(Debug, Clone)]
 pub struct DecodedRouting {
@@ -132,8 +119,6 @@
     pub read: DriverFn<Table, Result<TableRows, StoreError>>,
     /// Waits for changes of a table.
     pub follow: DriverFn<FollowFrom, Result<TableRows, StoreError>>,
-    /// Writes a row.
-    pub put: DriverFn<RowPut, Result<(), StoreError>>,
     /// Key of the row that holds the routing table.
     pub routing_key: &'static str,
     /// Decodes the routing table, or says why it can't be read as a whole.
--- /dev/null
+++ b/src/gateway/upstream.rs
@@ -0,0 +1,144 @@
+//! Follows the store through another instance.
+
+use std::{net::SocketAddr, time::Duration};
+
+use futures::future::poll_fn;
+use h2::{RecvStream, client};
+use hyper::Request;
+use tokio::{
+    net::TcpStream,
+    time::{timeout, timeout_at},
+};
+
+use super::{
+    Gateway,
+    follow::{CURRENT_AGE, take},
+    mirror::{Reading, Standing},
+    surroundings::{Table, TableRow, TableRows},
+};
+use crate::peer::{
+    frame::{Decoder, Frame, PROTOCOL_VERSION, StoreAsk, StoreRows, StoreState, encode},
+    link::{AbortOnDrop, LinkError, send_all},
+};
+
+/// Time to open a link: far more than a round trip within a region.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time between two signs of life after which the other end counts as gone: two heartbeats and a bit.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Why an instance is no longer followed.
+#[derive(Debug)]
+pub struct Ended {
+    /// Whether it was current for a time.
+    pub was_current: bool,
+    /// Why.
+    pub reason: String,
+}
+
+/// Follows an instance until it is no longer current; it must be at most so far from the store.
+///
+/// # Errors
+///
+/// [`Ended`] in any case but its clean end.
+pub async fn follow(gateway: &Gateway, address: SocketAddr, max_distance: u8) -> Result<(), Ended> {
+    let mut link = Link { gateway, address, max_distance, was_current: false };
+    let ended = link.run().await;
+    let was_current = link.was_current;
+    if was_current {
+        gateway.mirror().standing.instances = 0;
+    }
+    ended.map_err(|e| Ended { was_current, reason: e.to_string() })
+}
+
+/// A link to the instance that is followed.
+struct Link<'a> {
+    gateway: &'a Gateway,
+    address: SocketAddr,
+    max_distance: u8,
+    was_current: bool,
+}
+
+impl Link<'_> {
+    async fn run(&mut self) -> Result<(), LinkError> {
+        let until = tokio::time::Instant::now() + OPEN_TIMEOUT;
+        let stream = timeout_at(until, TcpStream::connect(self.address)).await??;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = timeout_at(until, client::handshake(stream)).await??;
+        let _connection = AbortOnDrop(tokio::spawn(connection));
+        let mut sender = timeout_at(until, sender.ready()).await??;
+        let request = Request::post("http://peer/store").body(())?;
+        let (response, mut body) = sender.send_request(request, false)?;
+        let ask = {
+            let mirror = self.gateway.mirror();
+            StoreAsk {
+                protocol_version: PROTOCOL_VERSION,
+                instance: self.gateway.config.instance.clone(),
+                routing: mirror.version(Table::Routing),
+                targets: mirror.version(Table::Targets),
+                followers: self.gateway.followers(),
+            }
+        };
+        send_all(&mut body, encode(&Frame::StoreAsk(ask))).await?;
+        let response = timeout_at(until, response).await??;
+        self.receive(response.into_body()).await
+    }
+
+    async fn receive(&mut self, mut body: RecvStream) -> Result<(), LinkError> {
+        let mut decoder = Decoder::default();
+        loop {
+            let chunk = timeout(SILENCE_LIMIT, poll_fn(|cx| body.poll_data(cx))).await?;
+            let Some(chunk) = chunk else { return Err("it ended the link".into()) };
+            let chunk = chunk?;
+            body.flow_control().release_capacity(chunk.len())?;
+            decoder.push(&chunk);
+            while let Some(frame) = decoder.next_frame()? {
+                match frame {
+                    Frame::StoreState(state) => self.take_state(state)?,
+                    Frame::StoreRows(rows) => self.take_rows(rows),
+                    _ => return Err("a frame that does not belong here".into()),
+                }
+            }
+        }
+    }
+
+    fn take_state(&mut self, state: StoreState) -> Result<(), LinkError> {
+        let age = state.confirmed_age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
+        let is_current = age.is_some_and(|age| age <= CURRENT_AGE);
+        if !is_current || state.distance > self.max_distance {
+            return Err(format!("not current: age {age:?}, distance {}", state.distance).into());
+        }
+        let gateway = self.gateway;
+        let confirmed_at = age.map(|age| gateway.now_less(age));
+        let was = {
+            let mut mirror = gateway.mirror();
+            let distance = state.distance + 1;
+            let standing = Standing {
+                confirmed_at,
+                is_store_lost: state.is_store_lost,
+                distance,
+                instances: state.instances,
+            };
+            std::mem::replace(&mut mirror.standing, standing)
+        };
+        if !self.was_current {
+            self.was_current = true;
+            log::info!("event=source source={} distance={}", self.address, state.distance + 1);
+        }
+        let directory = &mut gateway.fleet().directory;
+        match (was.is_store_lost, state.is_store_lost) {
+            (_, true) => directory.store_lost(),
+            (true, false) => directory.store_answered(gateway.now()),
+            (false, false) => {}
+        }
+        Ok(())
+    }
+
+    fn take_rows(&self, rows: StoreRows) {
+        let table = if rows.of_targets { Table::Targets } else { Table::Routing };
+        let row =
+            |r: crate::peer::frame::StoreRow| TableRow { key: r.key, version: r.version, value: r.value };
+        let taken = TableRows { rows: rows.rows.into_iter().map(row).collect(), version: rows.version };
+        take(self.gateway, table, if rows.is_all { Reading::All(taken) } else { Reading::Changed(taken) });
+    }
+}
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -73,6 +73,58 @@
     pub after_return_unix_s: u64,
 }
 
+/// Asks an instance to pass on what it follows in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreAsk {
+    /// [`PROTOCOL_VERSION`] of the sender.
+    pub protocol_version: u32,
+    /// Sender.
+    pub instance: InstanceId,
+    /// Version of the routing table's row that the sender knows.
+    pub routing: Option<u64>,
+    /// Version of the directory of targets that the sender knows.
+    pub targets: Option<u64>,
+    /// Instances that follow the sender.
+    pub followers: u32,
+}
+
+/// Sign of life with how current the sender's copy of the store is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct StoreState {
+    /// Milliseconds since the store is known to have had nothing newer; `None` before a first reading.
+    pub confirmed_age_ms: Option<u32>,
+    /// Whether the store does not answer the one who reads it.
+    pub is_store_lost: bool,
+    /// Instances between the sender and the store.
+    pub distance: u8,
+    /// Instances that follow the same reader, with it; 0 while that is not known.
+    pub instances: u32,
+}
+
+/// Rows of one table of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreRows {
+    /// Whether they are of the directory of targets rather than of the routing table.
+    pub of_targets: bool,
+    /// Whether they are all rows rather than those that changed.
+    pub is_all: bool,
+    /// Version of the store that they were read at.
+    pub version: u64,
+    /// Rows.
+    pub rows: Vec<StoreRow>,
+}
+
+/// One row of [`StoreRows`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreRow {
+    /// Key.
+    pub key: String,
+    /// Version.
+    pub version: u64,
+    /// Value; `None` when the row was removed or can't be read.
+    pub value: Option<Bytes>,
+}
+
 /// One message between two instances.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Frame {
@@ -88,6 +140,12 @@
     Loads(Loads),
     /// A target drains.
     TargetSign(TargetSign),
+    /// Asks for the store's rows.
+    StoreAsk(StoreAsk),
+    /// How current the sender's copy of the store is.
+    StoreState(StoreState),
+    /// Rows of the store.
+    StoreRows(StoreRows),
 }
 
 const TAG_HELLO: u8 = 1;
@@ -96,11 +154,14 @@
 const TAG_PLAN: u8 = 4;
 const TAG_LOADS: u8 = 5;
 const TAG_TARGET_SIGN: u8 = 6;
+const TAG_STORE_ASK: u8 = 7;
+const TAG_STORE_STATE: u8 = 8;
+const TAG_STORE_ROWS: u8 = 9;
 
 /// Largest frame taken from a peer, tag and body, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
 
-/// Largest frame of any type but a plan, in bytes.
+/// Largest frame of any type but a plan and the store's rows, in bytes.
 pub const MAX_SMALL_FRAME_BYTES: usize = 64 << 10;
 
 /// Length of the prefix that gives a frame's size.
@@ -141,6 +202,9 @@
         Frame::Plan(json) => (TAG_PLAN, json.to_vec()),
         Frame::Loads(loads) => (TAG_LOADS, to_bytes(loads)),
         Frame::TargetSign(sign) => (TAG_TARGET_SIGN, to_bytes(sign)),
+        Frame::StoreAsk(ask) => (TAG_STORE_ASK, to_bytes(ask)),
+        Frame::StoreState(state) => (TAG_STORE_STATE, to_bytes(state)),
+        Frame::StoreRows(rows) => (TAG_STORE_ROWS, to_bytes(rows)),
     };
     encode_raw(tag, &body)
 }
@@ -208,7 +272,7 @@
         let Some(&tag) = self.buffer.get(PREFIX_BYTES) else {
             return Ok(None);
         };
-        let limit = if tag == TAG_PLAN { MAX_FRAME_BYTES } else { MAX_SMALL_FRAME_BYTES };
+        let limit = largest(tag);
         if bytes > limit {
             return Err(FrameError::TooLarge { bytes, tag, limit });
         }
@@ -229,13 +293,26 @@
         TAG_PLAN => Frame::Plan(body),
         TAG_LOADS => Frame::Loads(from_bytes(tag, &body)?),
         TAG_TARGET_SIGN => Frame::TargetSign(from_bytes(tag, &body)?),
+        TAG_STORE_ASK => Frame::StoreAsk(from_bytes(tag, &body)?),
+        TAG_STORE_STATE => Frame::StoreState(from_bytes(tag, &body)?),
+        TAG_STORE_ROWS => Frame::StoreRows(from_bytes_within::<_, MAX_FRAME_BYTES>(tag, &body)?),
         _ => return Ok(None),
     }))
 }
 
+/// Returns the largest size of a type of frame.
+fn largest(tag: u8) -> usize {
+    if matches!(tag, TAG_PLAN | TAG_STORE_ROWS) { MAX_FRAME_BYTES } else { MAX_SMALL_FRAME_BYTES }
+}
+
 fn from_bytes<T: DeserializeOwned>(tag: u8, body: &[u8]) -> Result<T, FrameError> {
+    from_bytes_within::<T, MAX_SMALL_FRAME_BYTES>(tag, body)
+}
+
+/// Decodes a body that claims to hold at most `LIMIT` bytes.
+fn from_bytes_within<T: DeserializeOwned, const LIMIT: usize>(tag: u8, body: &[u8]) -> Result<T, FrameError> {
     let malformed = |reason: String| FrameError::Malformed { tag, reason };
-    let config = bincode::config::standard().with_limit::<MAX_SMALL_FRAME_BYTES>();
+    let config = bincode::config::standard().with_limit::<LIMIT>();
     match bincode::serde::decode_from_slice(body, config) {
         Ok((value, read)) if read == body.len() => Ok(value),
         Ok((_, read)) => Err(malformed(format!("{} bytes too many", body.len() - read))),
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -125,8 +125,9 @@
     }
 }
 
-/// Ends the connection's task with the link.
-struct AbortOnDrop(tokio::task::JoinHandle<Result<(), h2::Error>>);
+/// Ends a connection's task with the link.
+#[derive(Debug)]
+pub struct AbortOnDrop(pub tokio::task::JoinHandle<Result<(), h2::Error>>);
 
 impl Drop for AbortOnDrop {
     fn drop(&mut self) {
@@ -298,7 +299,12 @@
     }
 }
 
-async fn send_all(stream: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), LinkError> {
+/// Sends bytes as the other end takes them.
+///
+/// # Errors
+///
+/// When the stream is closed.
+pub async fn send_all(stream: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), LinkError> {
     while !bytes.is_empty() {
         stream.reserve_capacity(bytes.len());
         let capacity = poll_fn(|cx| stream.poll_capacity(cx)).await.ok_or("stream closed")??;
--- a/src/peer/receive.rs
+++ b/src/peer/receive.rs
@@ -125,7 +125,8 @@
             }
             Frame::TargetSign(sign) => self.take_sign(&sign),
             Frame::Loads(loads) => self.take_loads(&loads),
-            Frame::Hello(_) => {}
+            // The store's rows go over links of their own.
+            Frame::Hello(_) | Frame::StoreAsk(_) | Frame::StoreState(_) | Frame::StoreRows(_) => {}
         }
         Ok(())
     }
