--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -122,8 +122,8 @@
     }
 
     /// Notes how long a send took that was answered.
-    pub fn took(&mut self, service: &ServiceName, time: Duration) {
-        self.service(service).pool.took(time);
+    pub fn took(&mut self, service: &ServiceName, time: Duration, took_last_slot: bool) {
+        self.service(service).pool.took(time, took_last_slot);
     }
 
     /// Notes the end of a send.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -18,6 +18,7 @@
 pub mod quota;
 pub mod repeat_budget;
 pub mod retry;
+pub mod stages;
 pub mod target;
 pub mod timer;
 
--- a/src/decide/probed.rs
+++ b/src/decide/probed.rs
@@ -11,6 +11,7 @@
 use super::{
     directory::{Change, Listing},
     duration::DurationHistogram,
+    stages::Stage,
 };
 use crate::{
     collections::HashMap,
@@ -23,6 +24,9 @@
 /// Age up to which a reading says more than nothing; machines change about as often.
 const TELLING: Duration = Duration::from_millis(150);
 
+/// Age up to which a reading shows that probes are answered.
+const READ_LATELY: Duration = Duration::from_secs(1);
+
 /// Slowdown up to which a machine counts as calm.
 const CALM_PACE: f64 = 1.5;
 
@@ -32,11 +36,17 @@
 /// Part of the slots up to which a target does not slow down by its own load.
 const EASY_FILL: f64 = 0.8;
 
+/// Part of a calm target's slots up to which calls that are late take one.
+const SPARE_FILL: f64 = 0.5;
+
+/// Times the usual time from which on targets count as slowed by their own load.
+const SLOWED: f64 = 1.25;
+
 /// Seconds of probes that may be saved up for a crest.
-const PROBES_SAVED_S: f64 = 10.0;
+const PROBES_SAVED_S: f64 = 20.0;
 
 /// Probes a second and target that are assumed to be allowed while the number of instances is not known.
-const ASSUMED_PROBES_PER_S: f64 = 1.0;
+const ASSUMED_PROBES_PER_S: f64 = 4.0;
 
 /// Slowdown of a target whose slots are nearly all taken.
 const FULL_PACE: f64 = 1.7;
@@ -161,6 +171,18 @@
         let has_room = has_room(held, f64::from(reading.slots), may_fill);
         now.since(at) <= FRESH && reading.pace <= CALM_PACE && has_room && self.fault(now) < SUSPICIOUS_FAULT
     }
+
+    /// Returns whether it has a free slot that calls in time have no use for: on a slow machine, or one of many.
+    fn has_spare_slot(&self, now: MonoTime, may_fill: bool) -> bool {
+        let Some((reading, at)) = self.reading else { return false };
+        if now.since(at) > TELLING {
+            return false;
+        }
+        let held = f64::from(reading.running + reading.waiting + self.sent_since);
+        let slots = f64::from(reading.slots);
+        let is_wanted = reading.pace <= CALM_PACE && self.fault(now) < SUSPICIOUS_FAULT;
+        if is_wanted { held + 1.0 <= slots * SPARE_FILL } else { has_room(held, slots, may_fill) }
+    }
 }
 
 /// Returns whether a target that holds some requests takes one more without slowing down.
@@ -198,7 +220,12 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Pick {
     /// Send to this target.
-    Send(Listing),
+    Send {
+        /// Target.
+        listing: Listing,
+        /// Whether the call takes one of its last slots.
+        takes_last_slot: bool,
+    },
     /// Probe these targets, then ask again once one has answered.
     Probe(Vec<Listing>),
     /// Ask again when something is known, at the latest after this time.
@@ -214,12 +241,8 @@
     pub without: &'a [TargetId],
     /// Rounds of probes that were made for this choice.
     pub rounds: u32,
-    /// Whether the call would rather not be sent than to a target that is slow or full.
-    pub only_calm: bool,
-    /// Whether the call takes the last slots of a target.
-    pub may_fill: bool,
-    /// Whether time for waiting is over and the best known target is taken.
-    pub must_decide: bool,
+    /// How particular the call is.
+    pub stage: Stage,
 }
 
 /// Targets of one service.
@@ -227,8 +250,10 @@
 pub struct ProbedPool {
     data_centre: DataCentre,
     targets: HashMap<TargetId, Target>,
-    /// Times of sends that were answered.
-    times: DurationHistogram,
+    /// Times of answered sends to targets with room to spare.
+    easy_times: DurationHistogram,
+    /// Times of answered sends that took one of the last slots.
+    full_times: DurationHistogram,
     probe_budget: ProbeBudget,
     rng: SmallRng,
 }
@@ -241,8 +266,14 @@
             saved: f64::INFINITY,
             filled_at: MonoTime::default(),
         };
-        let times = DurationHistogram::default();
-        Self { data_centre, targets: HashMap::default(), times, probe_budget, rng }
+        Self {
+            data_centre,
+            targets: HashMap::default(),
+            easy_times: DurationHistogram::default(),
+            full_times: DurationHistogram::default(),
+            probe_budget,
+            rng,
+        }
     }
 
     /// Sets how many probes a second one target may get from this instance.
@@ -252,7 +283,15 @@
 
     /// Returns the usual time from a send to the end of its answer.
     pub fn usual_time(&self) -> Duration {
-        self.times.median()
+        self.easy_times.median()
+    }
+
+    /// Returns whether targets work much slower when nearly all of their slots are taken.
+    ///
+    /// A request in the last slot then delays those in the others, too.
+    fn slows_when_full(&self) -> bool {
+        let is_learned = self.easy_times.is_learned() && self.full_times.is_learned();
+        is_learned && self.full_times.median() > self.easy_times.median().mul_f64(SLOWED)
     }
 
     /// Follows a change of the directory.
@@ -280,17 +319,18 @@
 
     /// Chooses a target for a call, or what to do first.
     pub fn pick(&mut self, now: MonoTime, ask: &Ask) -> Pick {
-        let best = self.best(now, ask, |t| t.is_calm(now, ask.may_fill));
-        if let Some(best) = best {
+        let may_fill = !self.slows_when_full();
+        let may = |t: &Target| match ask.stage {
+            Stage::Easy => t.is_calm(now, false),
+            Stage::Calm => t.is_calm(now, may_fill),
+            Stage::Spare => t.has_spare_slot(now, may_fill),
+            Stage::Over => false,
+        };
+        if let Some(best) = self.best(now, ask, may) {
             return self.send_to(now, &best);
         }
-        if ask.must_decide {
-            if ask.only_calm {
-                return Pick::Nothing;
-            }
-            let told = |t: &Target| t.age(now).is_some_and(|age| age <= TELLING * 2);
-            let best = self.best(now, ask, told).or_else(|| self.best(now, ask, |_| true));
-            return best.map_or(Pick::Nothing, |id| self.send_to(now, &id));
+        if ask.stage == Stage::Over {
+            return self.pick_unread(now, ask);
         }
         self.probes(now, ask)
     }
@@ -324,8 +364,9 @@
     }
 
     /// Notes how long a send took that was answered.
-    pub fn took(&mut self, time: Duration) {
-        self.times.record(time);
+    pub fn took(&mut self, time: Duration, took_last_slot: bool) {
+        let times = if took_last_slot { &mut self.full_times } else { &mut self.easy_times };
+        times.record(time);
     }
 
     /// Notes the end of a send.
@@ -368,19 +409,32 @@
         let wanted = wanted.saturating_sub(under_way).min(open.len());
         let allowed = self.probe_budget.take(now, self.targets.len(), wanted);
         let probes = open.into_iter().take(allowed).map(|(_, t)| t.listing.clone()).collect::<Vec<_>>();
-        if probes.is_empty() {
-            return Pick::Wait(FRESH / 2);
+        if !probes.is_empty() {
+            return Pick::Probe(probes);
+        }
+        Pick::Wait(FRESH / 2)
+    }
+
+    /// Chooses without readings when none could be had, so that a service whose probes fail is still served.
+    fn pick_unread(&mut self, now: MonoTime, ask: &Ask) -> Pick {
+        let is_read = |t: &Target| t.age(now).is_some_and(|age| age <= READ_LATELY);
+        if self.targets.values().any(is_read) {
+            return Pick::Nothing;
         }
-        Pick::Probe(probes)
+        let best = self.best(now, ask, |t| t.own < t.listing.slots);
+        best.map_or(Pick::Nothing, |id| self.send_to(now, &id))
     }
 
     fn send_to(&mut self, now: MonoTime, id: &TargetId) -> Pick {
         let Some(target) = self.targets.get_mut(id) else { return Pick::Nothing };
+        let told = target.reading.map(|(r, _)| (f64::from(r.running + r.waiting), f64::from(r.slots)));
+        let takes_last_slot =
+            told.is_some_and(|(held, slots)| !has_easy_room(held + f64::from(target.sent_since), slots));
         target.own += 1;
         target.sent += 1;
         target.sent_since += 1;
         target.last_sent_at = now;
-        Pick::Send(target.listing.clone())
+        Pick::Send { listing: target.listing.clone(), takes_last_slot }
     }
 }
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -33,6 +33,7 @@
         directory::Listing,
         hedge::{self, Hedge, InProgress},
         probed::{Ask, Pick, SendEnd},
+        stages::{CallTimes, Stage},
     },
     error::ErrorKind,
     logging::Quoted,
@@ -46,15 +47,6 @@
     units::{MonoTime, ServiceName, TargetId},
 };
 
-/// Least time that a choice may take, as a part of the route's objective.
-const LEAST_CHOICE_PART: u32 = 8;
-
-/// Time that a call waits for a target that is not nearly full, as a part of the route's objective.
-const FILL_PART: u32 = 16;
-
-/// Times the usual time of an answer that is kept back from the objective when a call waits for a calm target.
-const ANSWER_MARGIN: f64 = 1.3;
-
 /// Time that the target of a request in progress may take to tell its load before the reading counts as missing.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(25);
 
@@ -310,7 +302,7 @@
             }
             LegEnd::NoTarget => {}
         }
-        self.legs.is_empty().then(|| self.give_up(ErrorKind::NoTarget))
+        self.legs.is_empty().then(|| self.give_up(ErrorKind::Overloaded))
     }
 
     fn out_of_time(&mut self) -> Response<AnswerBody> {
@@ -358,45 +350,36 @@
     }
 }
 
-/// Returns until when a call waits for a target that is calm and has room.
-fn calm_until(call: &CallHead, is_hedge: bool) -> MonoTime {
-    let now = call.gateway.now();
-    let objective = call.route.spec.objective;
-    let least = now + objective / LEAST_CHOICE_PART;
-    if is_hedge {
-        return least;
-    }
-    let answer = call.gateway.fleet().usual_time(&call.service).mul_f64(ANSWER_MARGIN);
-    least.max(call.arrived + objective.saturating_sub(answer))
-}
-
 /// Chooses a target and sends the call to it.
 async fn leg(call: &CallHead, is_hedge: bool) -> LegEnd {
     let gateway = &call.gateway;
-    let calm_until = calm_until(call, is_hedge);
-    let fill_from = gateway.now() + call.route.spec.objective / FILL_PART;
+    let since = gateway.now();
+    let times = CallTimes {
+        arrived: call.arrived,
+        deadline: call.deadline,
+        objective: call.route.spec.objective,
+        usual: gateway.fleet().usual_time(&call.service),
+    };
     let mut rounds = 0;
     loop {
         let mut news = Box::pin(gateway.news.notified());
         // Registered before the look, so that no news is missed.
         Pin::as_mut(&mut news).enable();
         let now = gateway.now();
+        let (stage, stage_until) = times.stage(now, since);
+        if is_hedge && stage != Stage::Easy {
+            return LegEnd::NoTarget;
+        }
         let tried = call.tried();
-        let ask = Ask {
-            without: &tried,
-            rounds,
-            only_calm: is_hedge,
-            may_fill: now >= fill_from,
-            must_decide: now >= calm_until,
-        };
+        let ask = Ask { without: &tried, rounds, stage };
         let pick = gateway.fleet().pick(now, &call.service, &ask);
         let look_at = match pick {
-            Pick::Send(listing) => {
+            Pick::Send { listing, takes_last_slot } => {
                 if is_hedge && !spend_hedge(call) {
                     gateway.fleet().ended(now, &call.service, &listing.id, SendEnd::Dropped);
                     return LegEnd::NoTarget;
                 }
-                return LegEnd::Sent(send_noted(call, listing, rounds).await);
+                return LegEnd::Sent(send_noted(call, listing, takes_last_slot, rounds).await);
             }
             Pick::Nothing => return LegEnd::NoTarget,
             Pick::Probe(listings) => {
@@ -404,9 +387,9 @@
                 for listing in listings {
                     probe::start(gateway, listing);
                 }
-                calm_until
+                stage_until
             }
-            Pick::Wait(time) => calm_until.min(now + time),
+            Pick::Wait(time) => stage_until.min(now + time),
         };
         // Without news until then, the next look decides what to do.
         let _news_or_time = timeout_at(gateway.clock.instant(look_at), news).await;
@@ -420,14 +403,14 @@
     within_budget
 }
 
-async fn send_noted(call: &CallHead, listing: Listing, rounds: u32) -> SendResult {
+async fn send_noted(call: &CallHead, listing: Listing, takes_last_slot: bool, rounds: u32) -> SendResult {
     let target = listing.id.clone();
     call.tried.lock().unwrap_or_else(PoisonError::into_inner).push(target.clone());
     let now = call.gateway.now();
     call.first_send.lock().unwrap_or_else(PoisonError::into_inner).get_or_insert((listing.clone(), now));
     let reading = call.gateway.fleet().reading(now, &listing.service, &target);
     call.note(Step::Sent { target: target.clone(), reading, rounds });
-    let result = send(call, listing).await;
+    let result = send(call, listing, takes_last_slot).await;
     let outcome = result.outcome();
     call.gateway.metrics.send(outcome);
     call.note(Step::SendEnded { target, outcome });
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -76,19 +76,21 @@
     /// Reused once the answer is complete, closed otherwise.
     connection: Option<Connection>,
     started: MonoTime,
+    takes_last_slot: bool,
     is_reported: bool,
     _in_progress: InProgress,
 }
 
 impl SendGuard {
     /// Starts a send that the fleet has chosen a target for.
-    pub fn new(gateway: &Arc<Gateway>, listing: Listing) -> Self {
+    pub fn new(gateway: &Arc<Gateway>, listing: Listing, takes_last_slot: bool) -> Self {
         let in_progress = gateway.enter();
         Self {
             gateway: Arc::clone(gateway),
             listing,
             connection: None,
             started: gateway.now(),
+            takes_last_slot,
             is_reported: false,
             _in_progress: in_progress,
         }
@@ -116,7 +118,7 @@
             let now = self.gateway.now();
             let mut fleet = self.gateway.fleet();
             if end == SendEnd::Answered {
-                fleet.took(&self.listing.service, now.since(self.started));
+                fleet.took(&self.listing.service, now.since(self.started), self.takes_last_slot);
             }
             fleet.ended(now, &self.listing.service, &self.listing.id, end);
         }
@@ -130,8 +132,8 @@
 }
 
 /// Sends a call to a target and waits for its answer, whole unless it is large.
-pub async fn send(call: &CallHead, listing: Listing) -> SendResult {
-    let mut guard = SendGuard::new(&call.gateway, listing);
+pub async fn send(call: &CallHead, listing: Listing, takes_last_slot: bool) -> SendResult {
+    let mut guard = SendGuard::new(&call.gateway, listing, takes_last_slot);
     let Some(mut connection) = checkout(call, &guard.listing).await else {
         guard.report(SendEnd::Failed);
         return SendResult::Unsent;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -66,6 +66,9 @@
 /// Part of the allowance that is spent, for instances that were not yet counted.
 const ALLOWANCE_PART: f64 = 0.8;
 
+/// Part of the probes that are spent in the long run; besides, some seconds of them are saved up.
+const PROBES_PART: f64 = 0.6;
+
 /// Instances between this one and the store that a follower accepts.
 const MAX_DISTANCE: u8 = 1;
 
@@ -345,7 +348,7 @@
         extra: config.repeat_extra * ALLOWANCE_PART / instances as f64,
         window: Duration::from_secs_f64(config.repeat_window_s),
     };
-    let probes = config.probes_per_target_per_s * ALLOWANCE_PART / instances as f64;
+    let probes = config.probes_per_target_per_s * PROBES_PART / instances as f64;
     let mut fleet = gateway.fleet();
     fleet.set_allowance(allowance);
     fleet.set_probes(probes);
