--- /dev/null
+++ b/bench/src/rows.rs
@@ -0,0 +1,169 @@
+//! Stand-in of the users' store: rows in tables with one version counter, and a feed of their changes.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use hyper::{Request, StatusCode, body::Incoming};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::http::{Answer, Cut, Server, json as json_answer, query, serve, whole};
+
+/// What the store does to every call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum RowsFault {
+    /// It answers.
+    #[default]
+    None,
+    /// It closes the connection.
+    Down,
+    /// It answers 429.
+    Throttled,
+    /// It answers something that is not JSON.
+    Garbage,
+}
+
+#[derive(Debug, Clone)]
+struct StoredRow {
+    value: Option<Vec<u8>>,
+    version: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Rows and dropped rows by table and key.
+    rows: BTreeMap<(String, String), StoredRow>,
+    version: u64,
+    /// Changes up to this version are no longer told.
+    forgotten: u64,
+    fault: RowsFault,
+    calls: u64,
+}
+
+/// A running stand-in of the store.
+#[derive(Debug)]
+pub struct RowsStandIn {
+    /// Its server.
+    pub server: Server,
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl RowsStandIn {
+    /// Starts on a port that the system chooses.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error of binding.
+    pub async fn start() -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(State::default()));
+        let changed = watch::Sender::new(0);
+        let (shared, news) = (Arc::clone(&state), changed.clone());
+        let address = ([127, 0, 0, 1], 0).into();
+        let server =
+            serve(address, move |request| answer(Arc::clone(&shared), news.subscribe(), request)).await?;
+        Ok(Self { server, state, changed })
+    }
+
+    /// Writes a row of a table.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_raw(table, key, Some(value.to_string().into_bytes()));
+    }
+
+    /// Writes bytes into a row of a table.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        self.put_raw(table, key, Some(value.to_vec()));
+    }
+
+    /// Drops a row of a table.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.put_raw(table, key, None);
+    }
+
+    /// Forgets all changes so far, so that a feed must read again.
+    pub fn forget_history(&self) {
+        let mut state = lock(&self.state);
+        state.forgotten = state.version;
+    }
+
+    /// Sets what is done to every call from now on.
+    pub fn set_fault(&self, fault: RowsFault) {
+        lock(&self.state).fault = fault;
+    }
+
+    /// Returns the calls that arrived so far.
+    pub fn calls(&self) -> u64 {
+        lock(&self.state).calls
+    }
+
+    fn put_raw(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        let mut state = lock(&self.state);
+        state.version += 1;
+        let version = state.version;
+        state.rows.insert((table.to_owned(), key.to_owned()), StoredRow { value, version });
+        drop(state);
+        self.changed.send_replace(version);
+    }
+}
+
+async fn answer(
+    state: Arc<Mutex<State>>,
+    mut news: watch::Receiver<u64>,
+    request: Request<Incoming>,
+) -> Result<Answer, Cut> {
+    let fault = {
+        let mut state = lock(&state);
+        state.calls += 1;
+        state.fault
+    };
+    match fault {
+        RowsFault::None => {}
+        RowsFault::Down => return Err(Cut),
+        RowsFault::Throttled => return Ok(whole(StatusCode::TOO_MANY_REQUESTS, "")),
+        RowsFault::Garbage => return Ok(whole(StatusCode::OK, "<html>")),
+    }
+    let table = query(&request, "table").unwrap_or_default();
+    if request.uri().path() == "/rows-get" {
+        let from = query(&request, "from").unwrap_or_default();
+        return Ok(json_answer(
+            StatusCode::OK,
+            &rows_answer(&lock(&state), &table, |key, row| key >= from.as_str() && row.value.is_some()),
+        ));
+    }
+    let number = |name: &str| query(&request, name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+    let (after, wait) = (number("after"), Duration::from_millis(number("waitMs")));
+    let is_new = |state: &State| state.rows.iter().any(|((t, _), row)| *t == table && row.version > after);
+    let until_change = async { while !is_new(&lock(&state)) && news.changed().await.is_ok() {} };
+    // Without a change in time the answer has no rows.
+    let _changed_or_time = tokio::time::timeout(wait, until_change).await;
+    let state = lock(&state);
+    if state.fault == RowsFault::Down {
+        return Err(Cut);
+    }
+    if after < state.forgotten {
+        return Ok(whole(StatusCode::GONE, ""));
+    }
+    Ok(json_answer(StatusCode::OK, &rows_answer(&state, &table, |_, row| row.version > after)))
+}
+
+fn rows_answer(state: &State, table: &str, is_wanted: impl Fn(&str, &StoredRow) -> bool) -> Value {
+    let wanted = state.rows.iter().filter(|((t, key), row)| t == table && is_wanted(key, row));
+    let mut rows = wanted.collect::<Vec<_>>();
+    rows.sort_by_key(|(_, row)| row.version);
+    let row = |((_, key), row): &(&(String, String), &StoredRow)| match &row.value {
+        Some(value) => {
+            json!({"table": table, "part": "", "key": key, "value": BASE64_STANDARD.encode(value), "ver": row.version})
+        }
+        None => json!({"table": table, "part": "", "key": key, "ver": row.version, "removed": true}),
+    };
+    let rows = rows.iter().map(row).collect::<Vec<_>>();
+    json!({"rows": rows, "hasMore": false, "ver": state.version, "nowS": 0.0})
+}
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -168,11 +168,11 @@
     let timeout = route.spec.timeout;
     let deadline = arrived + stated.map_or(timeout, |stated| stated.min(timeout));
     let limit = routing.limits.max_body_bytes;
-    let taken = take_start(&mut body, limit, MAX_REPEATABLE_BODY_BYTES, BODY_PROGRESS_TIMEOUT).await?;
-    let (body, upload) = if body.is_end_stream() {
-        (taken, None)
+    let start = take_start(&mut body, limit, MAX_REPEATABLE_BODY_BYTES, BODY_PROGRESS_TIMEOUT).await?;
+    let (body, upload) = if start.is_whole {
+        (start.taken, None)
     } else {
-        let upload = Upload::new(taken, body, limit, BODY_PROGRESS_TIMEOUT);
+        let upload = Upload::new(start.taken, body, limit, BODY_PROGRESS_TIMEOUT);
         (bytes::Bytes::new(), Some(Mutex::new(Some(Box::new(upload)))))
     };
     let service = route.next_service().clone();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -31,12 +31,12 @@
 /// # Errors
 ///
 /// [`ErrorKind::AddressUnavailable`] and [`ErrorKind::Settings`].
-pub async fn serve(config: Config) -> Result<()> {
+pub async fn serve(mut config: Config) -> Result<()> {
     logging::start(config.log_lines_per_s, config.log_level, &BTreeMap::new())?;
-    let callers = bind("callers_address", config.callers_address)?;
-    let ready_listener = bind("ready_address", config.ready_address)?;
-    let metrics_listener = bind("metrics_address", config.metrics_address)?;
-    let peers = bind("peers_address", config.peers_address)?;
+    let callers = bind("callers_address", &mut config.callers_address)?;
+    let ready_listener = bind("ready_address", &mut config.ready_address)?;
+    let metrics_listener = bind("metrics_address", &mut config.metrics_address)?;
+    let peers = bind("peers_address", &mut config.peers_address)?;
     let gateway = Gateway::open(config)?;
     log_start(&gateway);
     tokio::spawn(ready::listen(Arc::clone(&gateway), ready_listener));
@@ -51,13 +51,17 @@
     Ok(())
 }
 
-fn bind(field: &str, address: SocketAddr) -> Result<TcpListener> {
+/// Binds an address and writes the bound one back, for port 0.
+fn bind(field: &str, address: &mut SocketAddr) -> Result<TcpListener> {
+    let wanted = *address;
     let unavailable =
-        |e: std::io::Error| Error::new(ErrorKind::AddressUnavailable, format!("{field} {address}: {e}"));
+        |e: std::io::Error| Error::new(ErrorKind::AddressUnavailable, format!("{field} {wanted}: {e}"));
     let socket = TcpSocket::new_v4().map_err(unavailable)?;
     socket.set_reuseaddr(true).map_err(unavailable)?;
-    socket.bind(address).map_err(unavailable)?;
-    socket.listen(BACKLOG).map_err(unavailable)
+    socket.bind(wanted).map_err(unavailable)?;
+    let listener = socket.listen(BACKLOG).map_err(unavailable)?;
+    *address = listener.local_addr().map_err(unavailable)?;
+    Ok(listener)
 }
 
 fn log_start(gateway: &Gateway) {
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -60,28 +60,28 @@
     headers::check_unambiguous(head)?;
     let plan = kernel.plan.current();
     let service = plan.service_for_path(head.uri.path()).ok_or(ErrorKind::UnknownService)?;
-    let mut taken = Bytes::new();
+    let mut start = Start { taken: Bytes::new(), is_whole: true };
     if !body.is_end_stream() {
         let route = service.route(head.method.as_str(), head.uri.path());
         let kind = route.map_or(RequestKind::Unstated, |r| r.kind);
-        taken = take(kernel, &mut body, kind).await?;
+        start = take(kernel, &mut body, kind).await?;
         if !head.headers.contains_key(headers::DEADLINE_MS) {
             arrived = kernel.clock.now();
         }
     }
     let mut context = CallContext::new(kernel, service, arrived, head)?;
-    if body.is_end_stream() {
-        return Ok(Checked { context, body: taken, upload: None });
+    if start.is_whole {
+        return Ok(Checked { context, body: start.taken, upload: None });
     }
     context.send_once();
     let limit = kernel.config.max_body_bytes as u64;
-    let upload = Upload::new(taken, body, limit, context.progress_timeout());
+    let upload = Upload::new(start.taken, body, limit, context.progress_timeout());
     let upload = Some(std::sync::Mutex::new(Some(Box::new(upload))));
     Ok(Checked { context, body: Bytes::new(), upload })
 }
 
 /// Takes the start of a body: all of it, or as much as is kept for its kind.
-async fn take(kernel: &Kernel, body: &mut Incoming, kind: RequestKind) -> Result<Bytes, ErrorKind> {
+async fn take(kernel: &Kernel, body: &mut Incoming, kind: RequestKind) -> Result<Start, ErrorKind> {
     let limit = kernel.config.max_body_bytes as u64;
     let whole_only = kind == RequestKind::AtMostOnce;
     let limit = if whole_only { limit.min(MAX_ONCE_BODY_BYTES) } else { limit };
@@ -93,6 +93,15 @@
     take_start(body, limit, enough, Duration::from_millis(kernel.config.progress_timeout_ms)).await
 }
 
+/// The start of a body.
+#[derive(Debug)]
+pub struct Start {
+    /// What has arrived.
+    pub taken: Bytes,
+    /// Whether that is all of it.
+    pub is_whole: bool,
+}
+
 /// Takes a body of at most `limit` bytes until it ends or `enough` have arrived.
 ///
 /// # Errors
@@ -104,7 +113,7 @@
     limit: u64,
     enough: u64,
     progress_timeout: Duration,
-) -> Result<Bytes, ErrorKind> {
+) -> Result<Start, ErrorKind> {
     if body.size_hint().lower() > limit {
         return Err(ErrorKind::BodyTooLarge);
     }
@@ -112,14 +121,15 @@
     while !body.is_end_stream() && (taken.len() as u64) < enough {
         let frame = timeout(progress_timeout, body.frame()).await;
         let frame = frame.map_err(|_elapsed| ErrorKind::BodyIncomplete)?;
-        let Some(frame) = frame else { break };
+        // A body in chunks tells its end only here.
+        let Some(frame) = frame else { return Ok(Start { taken, is_whole: true }) };
         let Ok(data) = frame.map_err(|_cut| ErrorKind::BodyIncomplete)?.into_data() else { continue };
         if taken.len() as u64 + data.len() as u64 > limit {
             return Err(ErrorKind::BodyTooLarge);
         }
         taken = join(taken, data);
     }
-    Ok(taken)
+    Ok(Start { taken, is_whole: body.is_end_stream() })
 }
 
 fn join(taken: Bytes, data: Bytes) -> Bytes {
--- /dev/null
+++ b/tests/gateway_decisions.rs
@@ -0,0 +1,374 @@
+//! Decisions of a gateway without network: directory, budgets, choice, hedges, stages and routes.
+
+use std::time::Duration;
+
+use arbutusshelf::{
+    collections::HashMap,
+    decide::{
+        directory::{Change, Directory, DirectoryRow, Listing},
+        hedge::{self, Hedge, InProgress},
+        probed::{Ask, Pick, ProbedPool, Reading, SendEnd},
+        repeat_budget::{RepeatAllowance, RepeatBudget},
+        stages::{CallTimes, Stage},
+    },
+    gateway::{
+        mirror::{Mirror, Reading as TableReading},
+        surroundings::{Table, TableRow, TableRows},
+        trail::TrailLimit,
+    },
+    plan::RequestKind,
+    platform,
+    routing::{Backend, CallerLimits, RouteSpec, RoutingSpec, RoutingTable, RoutingVersion},
+    units::{MonoTime, TargetId},
+};
+use hyper::header::HeaderValue;
+use quickcheck::quickcheck;
+use rand::{SeedableRng, rngs::SmallRng};
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from(ms * 1_000)
+}
+
+fn listing(id: &str) -> Listing {
+    Listing {
+        id: id.parse().expect("a name"),
+        service: "plan".parse().expect("a name"),
+        address: ([127, 0, 0, 1], 80).into(),
+        data_centre: "ost-a".parse().expect("a name"),
+        slots: 3,
+        draining: false,
+        warm_up: Duration::ZERO,
+        started_unix_ms: Some(1),
+    }
+}
+
+fn row(key: &str, version: u64, listing: Option<Listing>) -> DirectoryRow {
+    DirectoryRow { key: key.to_owned(), version, listing }
+}
+
+fn ids(directory: &Directory) -> Vec<String> {
+    let mut ids = directory.listings().map(|l| l.id.to_string()).collect::<Vec<_>>();
+    ids.sort();
+    ids
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_is_kept_until_it_must_be_back() {
+    let mut directory = Directory::default();
+    directory.apply(at(0), vec![row("a", 1, Some(listing("a"))), row("b", 2, Some(listing("b")))]);
+    directory.store_lost();
+    directory.store_answered(at(10_000));
+    directory.apply(at(10_100), vec![row("a", 5, None), row("b", 6, None)]);
+    assert_eq!(ids(&directory), ["a", "b"]);
+    directory.apply(at(11_000), vec![row("b", 7, Some(listing("b")))]);
+    assert!(directory.expire(at(11_999)).is_empty());
+    assert_eq!(directory.expire(at(12_000)), [Change::Removed("a".parse().expect("a name"))]);
+    assert_eq!(ids(&directory), ["b"]);
+}
+
+#[test]
+fn an_entry_that_said_it_was_leaving_does_not_outlive_its_removal() {
+    let mut directory = Directory::default();
+    let leaving = Listing { draining: true, ..listing("a") };
+    directory.apply(at(0), vec![row("a", 1, Some(leaving))]);
+    directory.store_lost();
+    directory.store_answered(at(1_000));
+    directory.apply(at(1_100), vec![row("a", 2, None)]);
+    assert!(ids(&directory).is_empty());
+}
+
+#[test]
+fn older_rows_and_readings_change_nothing() {
+    let mut directory = Directory::default();
+    directory.apply(at(0), vec![row("a", 9, Some(Listing { draining: true, ..listing("a") }))]);
+    assert!(directory.apply(at(1), vec![row("a", 8, Some(listing("a")))]).is_empty());
+    directory.replace(at(2), vec![row("a", 9, Some(Listing { draining: true, ..listing("a") }))], 20);
+    assert!(directory.replace(at(3), Vec::new(), 12).is_empty());
+    assert_eq!(directory.replace(at(4), Vec::new(), 21), [Change::Removed("a".parse().expect("a name"))]);
+}
+
+#[test]
+fn another_run_under_a_known_id_is_another_target() {
+    let mut directory = Directory::default();
+    directory.apply(at(0), vec![row("a", 1, Some(listing("a")))]);
+    let reborn = Listing { started_unix_ms: Some(2), ..listing("a") };
+    let changes = directory.apply(at(1), vec![row("a", 2, Some(reborn.clone()))]);
+    assert_eq!(changes, [Change::Removed(reborn.id.clone()), Change::Added(reborn)]);
+}
+
+quickcheck! {
+    /// However requests come and repeats are wanted, no window of ten seconds has more repeats than is allowed.
+    fn repeats_keep_to_the_budget_in_every_window(gaps_ms: Vec<u8>, wants: Vec<bool>) -> bool {
+        let allowance = RepeatAllowance { ratio: 0.2, extra: 3.0, window: Duration::from_secs(10) };
+        let mut budget = RepeatBudget::new(allowance);
+        let (mut now_ms, mut requests, mut repeats) = (0_u64, Vec::new(), Vec::new());
+        for (gap, want) in gaps_ms.iter().zip(wants.iter().cycle()) {
+            now_ms += u64::from(*gap) * 10;
+            budget.request(at(now_ms));
+            requests.push(now_ms);
+            if *want && budget.spend(at(now_ms)) {
+                repeats.push(now_ms);
+            }
+        }
+        repeats.iter().all(|end| {
+            let within = |t: &&u64| **t <= *end && **t + 10_000 > *end;
+            let allowed = 0.2 * requests.iter().filter(within).count() as f64 + 3.0;
+            repeats.iter().filter(within).count() as f64 <= allowed
+        })
+    }
+}
+
+fn reading(running: u32, pace: f64) -> Reading {
+    Reading { running, waiting: 0, slots: 3, pace }
+}
+
+fn pool(targets: &[(&str, Option<Reading>)], now: MonoTime) -> ProbedPool {
+    let mut pool = ProbedPool::new("ost-a".parse().expect("a name"), SmallRng::seed_from_u64(7));
+    for (id, reading) in targets {
+        pool.follow(&Change::Added(listing(id)));
+        if let Some(reading) = reading {
+            pool.read(now, &id.parse::<TargetId>().expect("a name"), *reading);
+        }
+    }
+    pool
+}
+
+fn sent_to(pick: &Pick) -> Option<&str> {
+    match pick {
+        Pick::Send { listing, .. } => Some(listing.id.as_str()),
+        Pick::Probe(_) | Pick::Wait(_) | Pick::Nothing => None,
+    }
+}
+
+const EASY: Ask<'static> = Ask { without: &[], rounds: 0, stage: Stage::Easy };
+
+#[test]
+fn a_call_goes_to_a_calm_target_and_asks_before_it_goes_to_an_unknown_one() {
+    let now = at(1_000);
+    let mut known = pool(&[("slow", Some(reading(0, 5.0))), ("calm", Some(reading(1, 1.0)))], now);
+    assert_eq!(sent_to(&known.pick(now, &EASY)), Some("calm"));
+    let mut unknown = pool(&[("one", None), ("two", None), ("three", None)], now);
+    let Pick::Probe(probes) = unknown.pick(now, &EASY) else { panic!("probes come first") };
+    assert_eq!(probes.len(), 2);
+}
+
+#[test]
+fn an_old_reading_is_asked_for_again() {
+    let mut pool = pool(&[("calm", Some(reading(0, 1.0)))], at(1_000));
+    assert!(matches!(pool.pick(at(1_200), &EASY), Pick::Probe(_)));
+}
+
+#[test]
+fn a_draining_target_is_never_chosen() {
+    let mut pool = pool(&[("a", Some(reading(0, 1.0)))], at(0));
+    pool.follow(&Change::Updated(Listing { draining: true, ..listing("a") }));
+    for stage in [Stage::Easy, Stage::Calm, Stage::Spare, Stage::Over] {
+        assert_eq!(pool.pick(at(1), &Ask { stage, ..EASY }), Pick::Nothing);
+    }
+}
+
+#[test]
+fn a_target_that_keeps_failing_gets_nothing_while_another_is_calm() {
+    let now = at(1_000);
+    let mut pool = pool(&[("bad", Some(reading(0, 1.0))), ("good", Some(reading(1, 1.0)))], now);
+    for _ in 0..2 {
+        pool.ended(now, &"bad".parse().expect("a name"), SendEnd::Failed);
+    }
+    assert_eq!(sent_to(&pool.pick(now, &EASY)), Some("good"));
+}
+
+/// Pattern: more calls than a service can answer in time. Late calls must not queue where calls in time could go.
+#[test]
+fn at_the_crest_a_late_call_takes_no_slot_that_a_call_in_time_can_use() {
+    let now = at(1_000);
+    let spare = Ask { stage: Stage::Spare, ..EASY };
+    let mut busy = pool(&[("calm", Some(reading(1, 1.0)))], now);
+    assert_eq!(sent_to(&busy.pick(now, &spare)), None);
+    let mut with_slow = pool(&[("calm", Some(reading(1, 1.0))), ("slow", Some(reading(1, 5.0)))], now);
+    assert_eq!(sent_to(&with_slow.pick(now, &spare)), Some("slow"));
+    let mut idle = pool(&[("calm", Some(reading(0, 1.0)))], now);
+    assert_eq!(sent_to(&idle.pick(now, &spare)), Some("calm"));
+}
+
+/// Pattern: targets that work much slower once nearly all of their slots are taken.
+#[test]
+fn last_slots_are_left_free_once_they_are_known_to_slow_a_target() {
+    let now = at(1_000);
+    let calm = Ask { stage: Stage::Calm, ..EASY };
+    let mut unlearned = pool(&[("a", Some(reading(2, 1.0)))], now);
+    assert_eq!(sent_to(&unlearned.pick(now, &calm)), Some("a"));
+    let mut learned = pool(&[("a", Some(reading(2, 1.0)))], now);
+    for _ in 0..32 {
+        learned.took(Duration::from_millis(100), false);
+        learned.took(Duration::from_millis(170), true);
+    }
+    assert_eq!(sent_to(&learned.pick(now, &calm)), None);
+}
+
+/// Pattern: many calls at once ask the same targets.
+#[test]
+fn probes_keep_to_their_rate() {
+    let mut pool = pool(&[("a", None), ("b", None)], at(0));
+    pool.set_probes(1.0);
+    let mut probes = 0;
+    for ms in 0..60_000 {
+        if let Pick::Probe(listings) = pool.pick(at(ms), &EASY) {
+            for listing in listings {
+                let mark = pool.probing(&listing.id);
+                pool.probed(at(ms), &listing.id, mark.unwrap_or_default(), Some(reading(3, 1.0)));
+                probes += 1;
+            }
+        }
+    }
+    // Two targets for a minute, and 20 s saved up.
+    assert!(probes <= 2 * (60 + 20), "{probes}");
+}
+
+#[test]
+fn a_service_whose_probes_all_fail_is_still_served() {
+    let mut pool = pool(&[("a", None)], at(0));
+    let over = Ask { stage: Stage::Over, ..EASY };
+    assert_eq!(sent_to(&pool.pick(at(500), &over)), Some("a"));
+}
+
+#[test]
+fn a_call_gets_less_choosy_and_is_given_up_before_its_caller_gives_up() {
+    let times = CallTimes {
+        arrived: at(0),
+        deadline: at(2_000),
+        objective: Duration::from_millis(400),
+        usual: Duration::from_millis(100),
+    };
+    let stages = [0, 50, 200, 1_300].map(|ms| times.stage(at(ms), at(0)).0);
+    assert_eq!(stages, [Stage::Easy, Stage::Calm, Stage::Spare, Stage::Over]);
+    for ms in 0..2_000 {
+        let (_, ends) = times.stage(at(ms), at(0));
+        assert!(ends > at(ms) || times.stage(at(ms), at(0)).0 == Stage::Over);
+    }
+}
+
+/// Pattern: a machine turns slow while it works; a long request on a calm machine is left alone.
+#[test]
+fn a_hedge_goes_out_when_the_first_machine_has_turned_slow() {
+    let request = InProgress {
+        arrived: at(0),
+        sent: at(5),
+        objective: Duration::from_millis(400),
+        usual: Duration::from_millis(100),
+    };
+    assert_eq!(hedge::decide(at(60), &request, Some(reading(1, 5.0))), Hedge::Now);
+    assert!(matches!(hedge::decide(at(250), &request, Some(reading(1, 1.0))), Hedge::LookAt(_)));
+    assert!(matches!(hedge::decide(at(60), &request, None), Hedge::LookAt(_)));
+    assert!(matches!(hedge::decide(at(350), &request, Some(reading(1, 5.0))), Hedge::LookAt(_)));
+    assert_eq!(hedge::decide(at(400), &request, Some(reading(1, 1.0))), Hedge::Now);
+}
+
+fn spec(name: &str, host: &str, prefix: &str, weights: &[u32]) -> RouteSpec {
+    let backend = |(i, weight): (usize, &u32)| Backend {
+        service: format!("s{i}").parse().expect("a name"),
+        weight: *weight,
+    };
+    RouteSpec {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        priority: 1,
+        max_sends: 2,
+        backends: weights.iter().enumerate().map(backend).collect(),
+    }
+}
+
+fn table(routes: Vec<RouteSpec>) -> RoutingTable {
+    let limits = CallerLimits {
+        max_head_bytes: 16_384,
+        max_body_bytes: 1 << 20,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let spec = RoutingSpec { version: RoutingVersion::from(1), routes, services: HashMap::default(), limits };
+    RoutingTable::new(spec, 3)
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table(vec![
+        spec("root", "a.example", "/", &[1]),
+        spec("long", "a.example", "/x/y/", &[1]),
+        spec("short", "a.example", "/x/", &[1]),
+    ]);
+    let name = |host: &str, path: &str| table.find(host, path).map(|r| r.spec.name.clone());
+    assert_eq!(name("a.example:80", "/x/y/z").as_deref(), Some("long"));
+    assert_eq!(name("A.example", "/x/z").as_deref(), Some("short"));
+    assert_eq!(name("a.example", "/x").as_deref(), Some("root"));
+    assert_eq!(name("b.example", "/x/"), None);
+}
+
+#[test]
+fn shares_follow_the_weights_closely() {
+    let table = table(vec![spec("split", "a.example", "/", &[70, 20, 10, 0])]);
+    let route = table.find("a.example", "/").expect("a route");
+    let mut counts = HashMap::<String, u32>::default();
+    for _ in 0..200 {
+        *counts.entry(route.next_service().to_string()).or_default() += 1;
+    }
+    for (service, share) in [("s0", 140), ("s1", 40), ("s2", 20)] {
+        assert!(counts[service].abs_diff(share) <= 3, "{counts:?}");
+    }
+    assert!(!counts.contains_key("s3"));
+}
+
+fn rows(version: u64, keys: &[(&str, u64, bool)]) -> TableRows {
+    let row = |(key, version, is_there): &(&str, u64, bool)| TableRow {
+        key: (*key).to_owned(),
+        version: *version,
+        value: is_there.then(|| "v".into()),
+    };
+    TableRows { rows: keys.iter().map(row).collect(), version }
+}
+
+#[test]
+fn who_knows_a_version_is_told_what_came_after_it() {
+    let mut mirror = Mirror::default();
+    assert_eq!(mirror.since(Table::Targets, None), None);
+    mirror.take(Table::Targets, &TableReading::All(rows(5, &[("a", 3, true), ("b", 5, true)])));
+    mirror.take(Table::Targets, &TableReading::Changed(rows(8, &[("a", 8, false)])));
+    let Some(TableReading::All(all)) = mirror.since(Table::Targets, None) else { panic!("all rows") };
+    assert_eq!(all.rows.len(), 1);
+    let changed = TableReading::Changed(rows(8, &[("a", 8, false)]));
+    assert_eq!(mirror.since(Table::Targets, Some(5)), Some(changed));
+    assert_eq!(mirror.since(Table::Targets, Some(8)), None);
+    // What changed before the first reading is not known, so everything is told.
+    assert!(matches!(mirror.since(Table::Targets, Some(4)), Some(TableReading::All(_))));
+}
+
+#[test]
+fn failed_requests_are_logged_up_to_a_rate_and_counted_beyond() {
+    let limit = TrailLimit::default();
+    let written = (0..1_000).filter(|_| limit.admit(at(0), true)).count();
+    assert_eq!((written, limit.take_left_out()), (400, 600));
+    assert!(limit.admit(at(1_000), true));
+    let plain = (0..640).filter(|_| limit.admit(at(1_000), false)).count();
+    assert_eq!(plain, 10);
+}
+
+#[test]
+fn a_load_is_read_with_and_without_the_machines_pace() {
+    let read = |text: &'static str| platform::decode_load(&HeaderValue::from_static(text));
+    assert_eq!(read("3,1,8"), Some(Reading { running: 3, waiting: 1, slots: 8, pace: 1.0 }));
+    assert_eq!(read("0, 0, 3, 520"), Some(Reading { running: 0, waiting: 0, slots: 3, pace: 5.2 }));
+    for text in ["", "3,1", "a,b,c", "1,2,3,x", "1,2,3,-5", "-1,0,3"] {
+        assert_eq!(read(text), None, "{text}");
+    }
+}
+
+quickcheck! {
+    /// Whatever bytes stand in the store, decoding them ends in a value or an error.
+    fn decoding_never_panics(bytes: Vec<u8>) -> bool {
+        let _listing = platform::decode_listing("i-1", &bytes);
+        let _routing = platform::decode_routing(&bytes);
+        true
+    }
+}
--- /dev/null
+++ b/tests/gateway_env/mod.rs
@@ -0,0 +1,253 @@
+//! A gateway as a process, between stand-ins of the users' store and workers.
+
+#![allow(dead_code, clippy::allow_attributes, reason = "each test file uses its own part of the environment")]
+
+#[path = "../testenv/mod.rs"]
+pub mod testenv;
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, Stdio},
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use arbutusshelf_bench::{
+    client::{Caller, NoAnswer, Received},
+    rows::RowsStandIn,
+    worker::WorkerStandIn,
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use serde_json::{Value, json};
+
+use self::testenv::{PATIENCE, TestEnv};
+
+/// Host that all routes are of.
+pub const HOST: &str = "hall.example";
+
+/// A running gateway; killed when dropped.
+#[derive(Debug)]
+pub struct GatewayProcess {
+    child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the entry asks.
+    pub ready: SocketAddr,
+    /// Where operators read metrics.
+    pub metrics: SocketAddr,
+    /// Where other instances connect.
+    pub peers: SocketAddr,
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        let _ended = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+}
+
+impl GatewayProcess {
+    /// Returns whether it logged a line that has all of the words.
+    pub fn logged(&self, words: &[&str]) -> bool {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        log.iter().any(|line| words.iter().all(|w| line.contains(w)))
+    }
+
+    /// Returns the log so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Sends a signal by name, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let status =
+            std::process::Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// Waits for the end of the process and returns whether it ended well.
+    pub async fn ended(&mut self) -> bool {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the process can be asked") {
+                return status.success();
+            }
+            assert!(Instant::now() < until, "the gateway did not end");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// Stand-ins of the users' store and workers.
+#[derive(Debug)]
+pub struct Hosted {
+    /// The store.
+    pub store: RowsStandIn,
+    env: TestEnv,
+    /// Sends requests.
+    pub caller: Caller,
+    version: Mutex<u32>,
+}
+
+impl Hosted {
+    /// Starts the store with the routes that most tests use.
+    pub async fn start() -> Self {
+        let store = RowsStandIn::start().await.expect("the store starts");
+        let hosted = Self { store, env: TestEnv::new(), caller: Caller::default(), version: Mutex::new(0) };
+        hosted.put_routes(&[
+            route("read", "/read/", "idempotent", "plan", 2_000),
+            route("charge", "/charge/", "non_idempotent", "plan", 2_000),
+        ]);
+        hosted
+    }
+
+    /// Puts a manifest with the routes in force, one version up.
+    pub fn put_routes(&self, routes: &[Value]) {
+        let mut version = self.version.lock().unwrap_or_else(PoisonError::into_inner);
+        *version += 3;
+        self.store.put("op", "config", &manifest(*version, routes));
+    }
+
+    /// Starts a worker and registers it.
+    pub async fn worker(&self, id: &str) -> WorkerStandIn {
+        let worker = WorkerStandIn::start(id).await.expect("the worker starts");
+        self.register(&worker, "ready");
+        worker
+    }
+
+    /// Writes a worker's entry.
+    pub fn register(&self, worker: &WorkerStandIn, state: &str) {
+        self.store.put("servers", &worker.id, &entry(worker.address, "plan", state));
+    }
+
+    /// Starts a gateway and waits until it is ready.
+    pub async fn gateway(&self, name: &str, extra: &Value) -> GatewayProcess {
+        let gateway = self.start_gateway(name, extra);
+        self.until("the gateway is ready", || async {
+            self.caller.get(gateway.ready, "/ready").await.is_ok_and(|r| r.status == 200)
+        })
+        .await;
+        gateway
+    }
+
+    /// Starts a gateway.
+    pub fn start_gateway(&self, name: &str, extra: &Value) -> GatewayProcess {
+        let mut settings = json!({
+            "instance": name,
+            "data_centre": "ost-a",
+            "callers_address": "127.0.0.1:0",
+            "ready_address": "127.0.0.1:0",
+            "metrics_address": "127.0.0.1:0",
+            "peers_address": "127.0.0.1:0",
+            "place": "stadtwerke",
+            "store_address": self.store.server.address,
+            "grace_s": 6.0,
+            "repeat_ratio": 0.2,
+            "repeat_window_s": 10.0,
+            "repeat_extra": 56.0,
+            "probes_per_target_per_s": 60.0,
+            "log_lines_per_s": 1_000,
+        });
+        let extra = extra.as_object().cloned().unwrap_or_default();
+        settings.as_object_mut().expect("settings are an object").extend(extra);
+        let path = self.env.write(&format!("{name}.json"), &settings.to_string());
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_arbutusshelf"));
+        command.args(["gateway", "--settings", &path]).stdout(Stdio::piped());
+        let mut child = command.spawn().expect("the binary starts");
+        let mut lines = BufReader::new(child.stdout.take().expect("stdout is piped")).lines();
+        let started = lines
+            .by_ref()
+            .map_while(Result::ok)
+            .find(|line| line.contains("event=started"))
+            .expect("the gateway starts");
+        let address = |name: &str| {
+            let value = started.split_whitespace().find_map(|pair| pair.strip_prefix(name));
+            value.expect("the start line has the address").parse().expect("it is an address")
+        };
+        let (callers, ready) = (address("callers="), address("ready="));
+        let (metrics, peers) = (address("metrics="), address("peers="));
+        let log = Arc::new(Mutex::new(vec![started]));
+        let kept = Arc::clone(&log);
+        std::thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                kept.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+            }
+        });
+        GatewayProcess { child, log, callers, ready, metrics, peers }
+    }
+
+    /// Sends a request that waits for two seconds at most.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        method: Method,
+        path: &str,
+        id: &str,
+    ) -> Result<Received, NoAnswer> {
+        self.send_within(to, method, path, id, 2_000).await
+    }
+
+    /// Sends a request that waits for a time at most.
+    pub async fn send_within(
+        &self,
+        to: SocketAddr,
+        method: Method,
+        path: &str,
+        id: &str,
+        deadline_ms: u64,
+    ) -> Result<Received, NoAnswer> {
+        let body = if method == Method::POST { Bytes::from(format!("booking {id}")) } else { Bytes::new() };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{to}{path}"))
+            .header("Host", HOST)
+            .header("X-Attempt-Id", id)
+            .header("X-Request-Deadline-Ms", deadline_ms)
+            .body(Full::new(body))
+            .expect("a valid request");
+        self.caller.send(request).await
+    }
+
+    /// Waits until a condition holds.
+    pub async fn until<F: Future<Output = bool>>(&self, what: &str, condition: impl Fn() -> F) {
+        let until = Instant::now() + PATIENCE;
+        while !condition().await {
+            assert!(Instant::now() < until, "waited in vain until {what}");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+/// Returns a route of one service.
+pub fn route(name: &str, prefix: &str, kind: &str, service: &str, timeout_ms: u32) -> Value {
+    json!({"resourceKind": "routes", "metadata": {"name": name}, "spec": {
+        "host": HOST, "prefix": prefix, "kind": kind, "service": service, "priority": 1,
+        "timeoutS": f64::from(timeout_ms) / 1_000.0, "objectiveS": 0.4, "maxAttempts": 2,
+    }})
+}
+
+/// Returns a manifest with the routes, the service `plan`, and limits.
+pub fn manifest(version: u32, routes: &[Value]) -> Value {
+    let mut resources = routes.to_vec();
+    resources.push(json!({"resourceKind": "services", "metadata": {"name": "plan"}, "spec": {
+        "healthPath": "/healthz", "maxConns": 220, "protocol": "h1", "tls": false,
+    }}));
+    resources.push(json!({"resourceKind": "limits", "metadata": {}, "spec": {
+        "maxHeaderBytes": 16_384, "maxBodyBytes": 67_108_864, "headerTimeoutS": 3, "idleTimeoutS": 15,
+    }}));
+    json!({"version": format!("{version:08x}"), "resources": resources})
+}
+
+/// Returns the entry of a worker.
+pub fn entry(address: SocketAddr, service: &str, state: &str) -> Value {
+    json!({
+        "address": address,
+        "info": {"service": service, "version": "v1", "zone": "ost-a", "slots": 3},
+        "status": {"state": state, "seq": 1, "warmupLeftS": 0},
+        "born": 1_780_000_000_000_u64,
+    })
+}
--- /dev/null
+++ b/tests/gateway_follow.rs
@@ -0,0 +1,191 @@
+//! A gateway follows routes and targets through changes and outages of the store, alone and behind a seed.
+
+mod gateway_env;
+
+use arbutusshelf_bench::rows::RowsFault;
+use gateway_env::{Hosted, manifest, route};
+use hyper::Method;
+use serde_json::json;
+
+#[tokio::test]
+async fn a_new_version_comes_into_force_and_an_older_one_does_not() {
+    let hosted = Hosted::start().await;
+    let _worker = hosted.worker("i-1").await;
+    let gateway = hosted.gateway("one", &json!({})).await;
+    hosted.put_routes(&[route("new", "/new/", "idempotent", "plan", 2_000)]);
+    hosted
+        .until("the new route is served", || async {
+            hosted.send(gateway.callers, Method::GET, "/new/x", "a1").await.is_ok_and(|r| r.status == 200)
+        })
+        .await;
+    hosted.store.put("op", "config", &manifest(1, &[route("old", "/old/", "idempotent", "plan", 2_000)]));
+    hosted.put_routes(&[route("last", "/last/", "idempotent", "plan", 2_000)]);
+    hosted
+        .until("the last route is served", || async {
+            hosted.send(gateway.callers, Method::GET, "/last/x", "a2").await.is_ok_and(|r| r.status == 200)
+        })
+        .await;
+    let old = hosted.send(gateway.callers, Method::GET, "/old/x", "a3").await.expect("an answer");
+    assert_eq!(old.status, 404);
+    assert!(!gateway.logged(&["event=routing-in-force", "version=00000001"]));
+}
+
+#[tokio::test]
+async fn a_faulty_route_is_left_out_and_the_others_hold() {
+    let hosted = Hosted::start().await;
+    let _worker = hosted.worker("i-1").await;
+    let gateway = hosted.gateway("one", &json!({})).await;
+    let mut bad = route("bad", "/bad", "idempotent", "plan", 2_000);
+    hosted.put_routes(&[bad.clone(), route("good", "/good/", "idempotent", "plan", 2_000)]);
+    hosted
+        .until("the good route is served", || async {
+            hosted.send(gateway.callers, Method::GET, "/good/x", "a1").await.is_ok_and(|r| r.status == 200)
+        })
+        .await;
+    hosted.until("the fault is logged", || async { gateway.logged(&["event=routing-fault", "bad"]) }).await;
+    bad["spec"] = json!("not a route");
+    hosted.store.put_bytes("op", "config", b"{\"version\": ");
+    hosted.until("it is logged", || async { gateway.logged(&["event=routing-unreadable"]) }).await;
+    let still = hosted.send(gateway.callers, Method::GET, "/good/x", "a2").await.expect("an answer");
+    assert_eq!(still.status, 200);
+}
+
+#[tokio::test]
+async fn a_draining_target_gets_nothing_more() {
+    let hosted = Hosted::start().await;
+    let (leaving, staying) = (hosted.worker("i-1").await, hosted.worker("i-2").await);
+    let gateway = hosted.gateway("one", &json!({})).await;
+    hosted.register(&leaving, "draining");
+    hosted
+        .until("the drain is known", || async { gateway.logged(&["event=target-updated", "draining=true"]) })
+        .await;
+    let before = leaving.runs().len();
+    for number in 0..10 {
+        hosted.send(gateway.callers, Method::GET, "/read/x", &format!("a{number}")).await.expect("an answer");
+    }
+    assert_eq!(leaving.runs().len(), before);
+    assert_eq!(staying.runs().len(), 10);
+}
+
+#[tokio::test]
+async fn an_unreadable_entry_names_no_target() {
+    let hosted = Hosted::start().await;
+    let worker = hosted.worker("i-1").await;
+    hosted.store.put_bytes("servers", "i-2", b"\xff\xfe");
+    hosted.store.put("servers", "i-3", &json!({"address": 7, "info": {}, "status": {"state": "asleep"}}));
+    let gateway = hosted.gateway("one", &json!({})).await;
+    let answer = hosted.send(gateway.callers, Method::GET, "/read/x", "a1").await.expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert_eq!(worker.runs().len(), 1);
+    for key in ["i-2", "i-3"] {
+        assert!(gateway.logged(&["event=listing-unreadable", key]));
+    }
+}
+
+#[tokio::test]
+async fn a_store_that_forgot_its_history_is_read_again() {
+    let hosted = Hosted::start().await;
+    let _first = hosted.worker("i-1").await;
+    let gateway = hosted.gateway("one", &json!({})).await;
+    hosted.store.set_fault(RowsFault::Down);
+    hosted.until("the store is lost", || async { gateway.logged(&["event=store-lost"]) }).await;
+    let second = hosted.worker("i-2").await;
+    hosted.store.forget_history();
+    hosted.store.set_fault(RowsFault::None);
+    hosted
+        .until("the target that came meanwhile is known", || async {
+            gateway.logged(&["event=target-added", "target=i-2"])
+        })
+        .await;
+    assert!(gateway.logged(&["event=history-gone"]));
+    drop(second);
+}
+
+#[tokio::test]
+async fn an_outage_of_the_store_is_survived_with_what_is_known() {
+    for fault in [RowsFault::Down, RowsFault::Throttled, RowsFault::Garbage] {
+        let hosted = Hosted::start().await;
+        let worker = hosted.worker("i-1").await;
+        let gateway = hosted.gateway("one", &json!({})).await;
+        hosted.store.set_fault(fault);
+        hosted.until("the store is lost", || async { gateway.logged(&["event=store-lost"]) }).await;
+        let answer = hosted.send(gateway.callers, Method::POST, "/charge/x", "a1").await.expect("an answer");
+        assert_eq!(answer.status, 200);
+        // The entry lapses while the store is away, and the target lives.
+        hosted.store.remove("servers", "i-1");
+        hosted.store.set_fault(RowsFault::None);
+        hosted.until("the store is back", || async { gateway.logged(&["event=store-regained"]) }).await;
+        let answer = hosted.send(gateway.callers, Method::POST, "/charge/x", "a2").await.expect("an answer");
+        assert_eq!(answer.status, 200, "{fault:?}");
+        assert_eq!(worker.runs().len(), 2);
+        hosted
+            .until("the entry that did not come back is gone", || async {
+                gateway.logged(&["event=target-removed", "i-1"])
+            })
+            .await;
+    }
+}
+
+#[tokio::test]
+async fn one_instance_reads_the_store_for_all_and_another_takes_over_when_it_dies() {
+    let hosted = Hosted::start().await;
+    let _worker = hosted.worker("i-1").await;
+    let reader = hosted.gateway("reader", &json!({"peer_seeds": []})).await;
+    let seeds = json!({"peer_seeds": [reader.peers]});
+    let followers = [hosted.gateway("one", &seeds).await, hosted.gateway("two", &seeds).await];
+    for follower in &followers {
+        hosted
+            .until("it follows the seed", || async { follower.logged(&["event=source", "distance=1"]) })
+            .await;
+    }
+    let calls = hosted.store.calls();
+    hosted.put_routes(&[route("new", "/new/", "idempotent", "plan", 2_000)]);
+    for follower in &followers {
+        hosted
+            .until("the new route is served", || async {
+                hosted
+                    .send(follower.callers, Method::GET, "/new/x", "a1")
+                    .await
+                    .is_ok_and(|r| r.status == 200)
+            })
+            .await;
+    }
+    // Two tables, each asked for again after 0.6 s or a change, by one instance.
+    assert!(hosted.store.calls() - calls < 20, "{}", hosted.store.calls() - calls);
+    drop(reader);
+    for follower in &followers {
+        hosted
+            .until("it reads the store", || async { follower.logged(&["event=source", "source=store"]) })
+            .await;
+    }
+    hosted.put_routes(&[route("last", "/last/", "idempotent", "plan", 2_000)]);
+    for follower in &followers {
+        hosted
+            .until("the last route is served", || async {
+                hosted
+                    .send(follower.callers, Method::GET, "/last/x", "a2")
+                    .await
+                    .is_ok_and(|r| r.status == 200)
+            })
+            .await;
+    }
+}
+
+#[tokio::test]
+async fn a_follower_of_a_seed_without_store_reads_for_itself() {
+    let hosted = Hosted::start().await;
+    let _worker = hosted.worker("i-1").await;
+    let other = Hosted::start().await;
+    let reader = other.gateway("reader", &json!({})).await;
+    let follower = hosted.gateway("follower", &json!({"peer_seeds": [reader.peers]})).await;
+    hosted.until("it follows the seed", || async { follower.logged(&["event=source", "distance=1"]) }).await;
+    other.store.set_fault(RowsFault::Down);
+    hosted.until("it reads the store", || async { follower.logged(&["event=source", "source=store"]) }).await;
+    // What is known of targets that the seed never listed comes from the own store.
+    hosted
+        .until("it serves", || async {
+            let answer = hosted.send(follower.callers, Method::GET, "/read/x", "a1");
+            answer.await.is_ok_and(|r| r.status == 200)
+        })
+        .await;
+}
