--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -15,7 +15,7 @@
 };
 use hyper::{
     Request, Response,
-    body::{Body, Incoming},
+    body::Incoming,
     header::{self, HeaderValue},
     http::request::Parts,
 };
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -25,7 +25,7 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time between two signs of life after which the other end counts as gone: two heartbeats and a bit.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_000);
+const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Why an instance is no longer followed.
 #[derive(Debug)]
