--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -74,7 +74,12 @@
 
 /// Runs all of it until dropped.
 pub async fn run(gateway: Arc<Gateway>) {
-    tokio::join!(follow(&gateway), expire_targets(&gateway), count_instances(&gateway));
+    tokio::join!(
+        follow(&gateway),
+        read_at_start(&gateway),
+        expire_targets(&gateway),
+        count_instances(&gateway)
+    );
 }
 
 /// Follows a seed while one is current, and the store otherwise.
@@ -103,10 +108,30 @@
     seeds.into_iter().take_while(|seed| *seed != own).collect()
 }
 
+/// Reads the store once if the seeds have not told what is in it by then: at a restart they may be gone, too.
+async fn read_at_start(gateway: &Gateway) {
+    sleep(start_patience(gateway)).await;
+    let read = |table: Table| async move {
+        if gateway.mirror().version(table).is_some() {
+            return;
+        }
+        let read = (gateway.place.read)(table).await;
+        gateway.metrics.store_call(read.as_ref().map_or_else(StoreError::label, |_| "answered"));
+        match read {
+            Ok(rows) => take(gateway, table, Reading::All(rows)),
+            Err(e) => log::info!("event=read-at-start table={table} error={:?}", e.to_string()),
+        }
+    };
+    tokio::join!(read(Table::Routing), read(Table::Targets));
+}
+
+fn start_patience(gateway: &Gateway) -> Duration {
+    if gateway.config.first_start { FIRST_START_PATIENCE } else { RESTART_PATIENCE }
+}
+
 /// Gives the seeds a moment to come up.
 async fn follow_at_start(gateway: &Gateway, seeds: &[SocketAddr]) {
-    let patience = if gateway.config.first_start { FIRST_START_PATIENCE } else { RESTART_PATIENCE };
-    let until = gateway.now() + patience;
+    let until = gateway.now() + start_patience(gateway);
     while !seeds.is_empty() && gateway.now() < until {
         follow_seeds(gateway, seeds).await;
         sleep(START_PAUSE).await;
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -4,7 +4,10 @@
 
 use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 
 use super::{Gateway, call};
 use crate::kernel::Phase;
@@ -18,8 +21,14 @@
 /// Pause after a failed accept, such as for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for which connections wait at the start until routes and targets are known, rather than be refused: less than
+/// the second that callers give a connection.
+const KNOWN_WAIT: Duration = Duration::from_millis(400);
+
 /// Takes connections from callers; runs until dropped.
 pub async fn listen(gateway: Arc<Gateway>, listener: TcpListener) {
+    // What is still unknown then is told to each caller.
+    let _known_or_time = timeout(KNOWN_WAIT, gateway.wait_known()).await;
     loop {
         match listener.accept().await {
             Ok((stream, _address)) => {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -140,6 +140,7 @@
         let was = before.unwrap_or_default();
         log::info!("event=routing-in-force version={} was={was} routes={}", table.version, table.len());
         self.routing.store(Some(Arc::new(table)));
+        self.news.notify_waiters();
         true
     }
 
@@ -216,6 +217,19 @@
         Ok(())
     }
 
+    /// Waits until routes and targets are known.
+    pub async fn wait_known(&self) {
+        loop {
+            let mut news = Box::pin(self.news.notified());
+            // Registered before the look, so that no news is missed.
+            news.as_mut().enable();
+            if self.ready().is_ok() {
+                return;
+            }
+            news.await;
+        }
+    }
+
     /// Starts leaving; later calls change nothing.
     pub fn leave(&self) {
         self.advance(Phase::Leaving);
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -189,3 +189,20 @@
         })
         .await;
 }
+
+/// Pattern: all instances lose power at once, and a restart finds the seeds silent.
+#[tokio::test]
+async fn a_restart_behind_silent_seeds_reads_the_store_at_once() {
+    let hosted = Hosted::start().await;
+    let _worker = hosted.worker("i-1").await;
+    let mut silent = Vec::new();
+    for _ in 0..20 {
+        silent.push(tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port"));
+    }
+    let seeds = silent.iter().map(|s| s.local_addr().expect("an address")).collect::<Vec<_>>();
+    let asked = std::time::Instant::now();
+    let gateway = hosted.gateway("one", &json!({"peer_seeds": seeds})).await;
+    // One seed after the other takes 0.3 s each; the users want service within a second or two.
+    assert!(asked.elapsed() < std::time::Duration::from_secs(2), "{:?}", asked.elapsed());
+    drop(gateway);
+}
