--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -202,12 +202,12 @@
         (state.mode, state.work)
     };
     let refusal = match mode {
-        WorkerMode::Shed => Some("503 Service Unavailable"),
+        WorkerMode::Shed => Some("503 Service Unavailable\r\nX-Not-Executed: 1"),
         WorkerMode::Misdirected => Some("421 Misdirected Request"),
         _ => None,
     };
-    if let Some(status) = refusal {
-        let answer = format!("HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\n{load}Content-Length: 0\r\n\r\n");
+    if let Some(refusal) = refusal {
+        let answer = format!("HTTP/1.1 {refusal}\r\n{load}Content-Length: 0\r\n\r\n");
         stream.write_all(answer.as_bytes()).await?;
         return Ok(true);
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -53,6 +53,9 @@
 /// Time after which a caller may come back when no target took its request.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Targets that are tried for one request when no connection to them can be had; each takes up to half a second.
+const MAX_TARGETS_TRIED: usize = 4;
+
 /// Longest time that a part of a request's body may take to arrive.
 const BODY_PROGRESS_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -295,7 +298,8 @@
             }
             LegEnd::Sent(SendResult::Unsent) => {
                 self.started -= 1;
-                if self.legs.is_empty() && !self.call.remaining().is_zero() && self.call.tried().len() < 4 {
+                let may_try = !self.call.remaining().is_zero() && self.call.tried().len() < MAX_TARGETS_TRIED;
+                if self.legs.is_empty() && may_try {
                     self.start();
                     return None;
                 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
-    Response,
+    Response, StatusCode,
     body::Incoming,
     header::{self, HeaderValue},
     http::response,
@@ -193,7 +193,9 @@
         let now = call.gateway.now();
         call.gateway.fleet().read(now, &guard.listing.service, &guard.listing.id, reading);
     }
-    if fields.contains_key(&names.not_run) {
+    // A target that is not the one meant runs nothing, whether it says so besides or not.
+    let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    if is_misdirected || fields.contains_key(&names.not_run) {
         if let Ok(_whole) = response.into_body().collect().await {
             guard.give_back();
         }
