--- a/src/gateway/downstream.rs
+++ b/src/gateway/downstream.rs
@@ -12,7 +12,11 @@
     time::{MissedTickBehavior, interval, timeout},
 };
 
-use super::{Gateway, mirror::Reading, surroundings::Table};
+use super::{
+    Gateway,
+    mirror::Reading,
+    surroundings::{Table, TableRows},
+};
 use crate::peer::{
     frame::{Decoder, Frame, PROTOCOL_VERSION, StoreAsk, StoreRow, StoreRows, StoreState, encode},
     link::{LinkError, send_all},
@@ -27,6 +31,10 @@
 /// Time after which an instance that takes no bytes is dropped.
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Most bytes of rows that are passed on at once. A hundred followers behind a link of 10 Mbit/s wait 20 s for as much; a
+/// table that is larger is read from the store by each.
+const MAX_PASSED_BYTES: usize = 256 << 10;
+
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -154,11 +162,15 @@
             return;
         }
         *known = Some(rows.version);
+        let bytes = rows.rows.iter().filter_map(|r| r.value.as_ref()).map(Bytes::len).sum::<usize>();
+        let must_read = bytes > MAX_PASSED_BYTES;
+        let rows = if must_read { TableRows { rows: Vec::new(), version: rows.version } } else { rows };
         let row =
             |r: super::surroundings::TableRow| StoreRow { key: r.key, version: r.version, value: r.value };
         frames.push(Frame::StoreRows(StoreRows {
             of_targets: table == Table::Targets,
             is_all,
+            must_read,
             version: rows.version,
             rows: rows.rows.into_iter().map(row).collect(),
         }));
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -57,6 +57,9 @@
 /// Time after the start at which the number of instances is trusted; all of a deployment start within a second.
 const COUNT_AFTER: Duration = Duration::from_secs(3);
 
+/// Time for which a seed must have been followed for it to be tried again at once when it is lost.
+const LASTING: Duration = Duration::from_secs(5);
+
 /// Time between two looks at the number of instances.
 const COUNT_PERIOD: Duration = Duration::from_secs(1);
 
@@ -112,19 +115,27 @@
 async fn read_at_start(gateway: &Gateway) {
     sleep(start_patience(gateway)).await;
     let read = |table: Table| async move {
-        if gateway.mirror().version(table).is_some() {
-            return;
-        }
-        let read = (gateway.place.read)(table).await;
-        gateway.metrics.store_call(read.as_ref().map_or_else(StoreError::label, |_| "answered"));
-        match read {
-            Ok(rows) => take(gateway, table, Reading::All(rows)),
-            Err(e) => log::info!("event=read-at-start table={table} error={:?}", e.to_string()),
+        if gateway.mirror().version(table).is_none()
+            && let Err(e) = read_once(gateway, table).await
+        {
+            log::info!("event=read-at-start table={table} error={:?}", e.to_string());
         }
     };
     tokio::join!(read(Table::Routing), read(Table::Targets));
 }
 
+/// Reads all rows of a table from the store.
+///
+/// # Errors
+///
+/// Why the store gave nothing.
+pub async fn read_once(gateway: &Gateway, table: Table) -> Result<(), StoreError> {
+    let read = (gateway.place.read)(table).await;
+    gateway.metrics.store_call(read.as_ref().map_or_else(StoreError::label, |_| "answered"));
+    take(gateway, table, Reading::All(read?));
+    Ok(())
+}
+
 fn start_patience(gateway: &Gateway) -> Duration {
     if gateway.config.first_start { FIRST_START_PATIENCE } else { RESTART_PATIENCE }
 }
@@ -143,12 +154,16 @@
     let mut index = 0;
     while index < seeds.len() {
         let address = seeds[index];
+        let began = gateway.now();
         match upstream::follow(gateway, address, MAX_DISTANCE).await {
             Ok(()) => {}
             Err(ended) if ended.was_current => {
                 log::info!("event=source-lost source={address} error={:?}", ended.reason);
-                index = 0;
-                continue;
+                // One that is lost again and again would keep this instance from the next and from the store.
+                if gateway.now().since(began) > LASTING {
+                    index = 0;
+                    continue;
+                }
             }
             Err(ended) => log::debug!("event=source-unusable source={address} error={:?}", ended.reason),
         }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -12,7 +12,7 @@
 
 use super::{
     Gateway,
-    follow::{CURRENT_AGE, take},
+    follow::{CURRENT_AGE, read_once, take},
     mirror::{Reading, Standing},
     surroundings::{Table, TableRow, TableRows},
 };
@@ -27,6 +27,9 @@
 /// Time between two signs of life after which the other end counts as gone: two heartbeats and a bit.
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 
+/// Time over which followers spread their readings of a large table.
+const READ_SPREAD: Duration = Duration::from_millis(300);
+
 /// Why an instance is no longer followed.
 #[derive(Debug)]
 pub struct Ended {
@@ -95,6 +98,7 @@
             while let Some(frame) = decoder.next_frame()? {
                 match frame {
                     Frame::StoreState(state) => self.take_state(state)?,
+                    Frame::StoreRows(rows) if rows.must_read => self.read(rows.of_targets).await?,
                     Frame::StoreRows(rows) => self.take_rows(rows),
                     _ => return Err("a frame that does not belong here".into()),
                 }
@@ -134,6 +138,13 @@
         Ok(())
     }
 
+    /// Reads a table from the store that is too large to be passed on; a failure ends the link, and the next asks again.
+    async fn read(&self, of_targets: bool) -> Result<(), LinkError> {
+        tokio::time::sleep(READ_SPREAD.mul_f64(rand::random_range(0.0..1.0))).await;
+        let table = if of_targets { Table::Targets } else { Table::Routing };
+        Ok(read_once(self.gateway, table).await?)
+    }
+
     fn take_rows(&self, rows: StoreRows) {
         let table = if rows.of_targets { Table::Targets } else { Table::Routing };
         let row =
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -110,7 +110,9 @@
     pub is_all: bool,
     /// Version of the store that they were read at.
     pub version: u64,
-    /// Rows.
+    /// Whether the rows are too many to be passed on: the receiver reads the table from the store.
+    pub must_read: bool,
+    /// Rows; none when the table must be read.
     pub rows: Vec<StoreRow>,
 }
 
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -206,3 +206,22 @@
     assert!(asked.elapsed() < std::time::Duration::from_secs(2), "{:?}", asked.elapsed());
     drop(gateway);
 }
+
+/// Pattern: a manifest grows by thousands of routes, and a hundred instances follow one behind a thin link.
+#[tokio::test]
+async fn a_table_too_large_to_be_passed_on_is_read_by_each() {
+    let hosted = Hosted::start().await;
+    let _worker = hosted.worker("i-1").await;
+    let reader = hosted.gateway("reader", &json!({})).await;
+    let follower = hosted.gateway("follower", &json!({"peer_seeds": [reader.peers]})).await;
+    hosted.until("it follows the seed", || async { follower.logged(&["event=source", "distance=1"]) }).await;
+    let many = (0..2_000).map(|i| route(&format!("r{i}"), &format!("/r{i}/"), "idempotent", "plan", 2_000));
+    hosted.put_routes(&many.collect::<Vec<_>>());
+    hosted
+        .until("the last route is served", || async {
+            let answer = hosted.send(follower.callers, Method::GET, "/r1999/x", "a1");
+            answer.await.is_ok_and(|r| r.status == 200)
+        })
+        .await;
+    assert!(!follower.logged(&["event=source-lost"]));
+}
