Count instances by name over all seeds, so that shares of the repeat budget are never too large

The log shows 122 instances counting 3: after a restart of all, 119 followed the second seed, which had told the first of its followers only when it linked, before any had come. Each then took a third of the extra repeats. Ruled out: calls made by repeated runs, and repeats forgotten in a restart; neither is needed to explain the excess. Change: a roster of names, pure, kept for ten minutes after each was last heard of. A follower tells it upward when it links, when it grows and once a minute; the count goes downward as before, and the larger one counts. Names, because a link that lingers after a cut counted its instance twice. The peer protocol has version 3. Two groups that never hear of each other, as in a cut between zones from the start, still count only themselves; the repeats that are not spent of each share cover that in part.

--- a/src/gateway/downstream.rs
+++ b/src/gateway/downstream.rs
@@ -66,14 +66,19 @@
     };
     let (request, mut respond) = accepted?;
     let link = async {
-        let ask = timeout(OPEN_TIMEOUT, read_ask(request.into_body())).await??;
+        let mut asked = Asked { body: request.into_body(), decoder: Decoder::default() };
+        let ask = timeout(OPEN_TIMEOUT, asked.read_ask()).await??;
         if ask.protocol_version != PROTOCOL_VERSION {
             return Err(format!("protocol version {} is not {PROTOCOL_VERSION}", ask.protocol_version).into());
         }
-        log::info!("event=follower instance={} followers={}", ask.instance, ask.followers);
+        log::info!("event=follower instance={} known_instances={}", ask.instance, ask.instances.len());
+        gateway.roster().add(gateway.now(), ask.instances);
         let stream = respond.send_response(Response::new(()), false)?;
-        let _follower = gateway.add_follower(1 + ask.followers);
-        Follower { gateway, routing: ask.routing, targets: ask.targets, stream }.run().await
+        let mut follower = Follower { gateway, routing: ask.routing, targets: ask.targets, stream };
+        tokio::select! {
+            result = follower.run() => result,
+            result = asked.read_rosters(gateway) => result,
+        }
     };
     // The connection makes progress only while it is polled.
     tokio::select! {
@@ -82,17 +87,42 @@
     }
 }
 
-async fn read_ask(mut body: RecvStream) -> Result<StoreAsk, LinkError> {
-    let mut decoder = Decoder::default();
-    loop {
-        let Some(chunk) = body.data().await else { return Err("no question".into()) };
-        let chunk = chunk?;
-        body.flow_control().release_capacity(chunk.len())?;
-        decoder.push(&chunk);
-        match decoder.next_frame()? {
-            Some(Frame::StoreAsk(ask)) => return Ok(ask),
-            Some(_) => return Err("first frame is no question".into()),
-            None => {}
+/// What an instance that follows this one sends.
+struct Asked {
+    body: RecvStream,
+    decoder: Decoder,
+}
+
+impl Asked {
+    async fn read_ask(&mut self) -> Result<StoreAsk, LinkError> {
+        match self.next_frame().await? {
+            Some(Frame::StoreAsk(ask)) => Ok(ask),
+            Some(_) => Err("first frame is no question".into()),
+            None => Err("no question".into()),
+        }
+    }
+
+    /// Takes the instances that the other end has heard of, until it ends the link.
+    async fn read_rosters(&mut self, gateway: &Gateway) -> Result<(), LinkError> {
+        while let Some(frame) = self.next_frame().await? {
+            let Frame::Roster(instances) = frame else {
+                return Err("a frame that does not belong here".into());
+            };
+            gateway.roster().add(gateway.now(), instances);
+        }
+        Ok(())
+    }
+
+    /// Returns the next frame, or `None` at the end.
+    async fn next_frame(&mut self) -> Result<Option<Frame>, LinkError> {
+        loop {
+            if let Some(frame) = self.decoder.next_frame()? {
+                return Ok(Some(frame));
+            }
+            let Some(chunk) = self.body.data().await else { return Ok(None) };
+            let chunk = chunk?;
+            self.body.flow_control().release_capacity(chunk.len())?;
+            self.decoder.push(&chunk);
         }
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -63,9 +63,6 @@
 /// Time between two looks at the number of instances.
 const COUNT_PERIOD: Duration = Duration::from_secs(1);
 
-/// Time for which the largest number of instances that was heard of counts.
-const COUNT_MEMORY: Duration = Duration::from_mins(1);
-
 /// Part of the allowance that is spent, for instances that were not yet counted.
 const ALLOWANCE_PART: f64 = 0.8;
 
@@ -363,18 +360,13 @@
 async fn count_instances(gateway: &Gateway) {
     sleep(COUNT_AFTER).await;
     let mut known = 0;
-    let mut known_at = gateway.now();
     loop {
-        let now = gateway.now();
         let instances = u64::from(gateway.count_instances());
-        if instances >= known || now.since(known_at) > COUNT_MEMORY {
-            known_at = now;
-            if instances != known && instances > 0 {
-                log::info!("event=instances-counted instances={instances} was={known}");
-                known = instances;
-                gateway.set_instances(instances);
-                set_shares(gateway, instances);
-            }
+        if instances != known && instances > 0 {
+            log::info!("event=instances-counted instances={instances} was={known}");
+            known = instances;
+            gateway.set_instances(instances);
+            set_shares(gateway, instances);
         }
         sleep(COUNT_PERIOD).await;
     }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -28,8 +28,6 @@
     pub is_store_lost: bool,
     /// Instances between this one and the store.
     pub distance: u8,
-    /// Instances as the one that is followed counts them; 0 while that is not known.
-    pub instances: u32,
 }
 
 /// Copy of one table.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod mirror;
 pub mod probe;
 pub mod ready;
+pub mod roster;
 pub mod serve;
 pub mod surroundings;
 pub mod trail;
@@ -22,7 +23,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -30,7 +31,10 @@
 use arc_swap::ArcSwapOption;
 use tokio::sync::{Notify, watch};
 
-use self::{config::Config, metrics::Metrics, mirror::Mirror, surroundings::Surroundings, trail::TrailLimit};
+use self::{
+    config::Config, metrics::Metrics, mirror::Mirror, roster::Roster, surroundings::Surroundings,
+    trail::TrailLimit,
+};
 use crate::{
     decide::fleet::Fleet,
     error::{Error, ErrorKind, Result},
@@ -47,7 +51,7 @@
 
 /// Everything that the tasks of one gateway share.
 ///
-/// The locks of the fleet and the mirror are taken alone and not held across an await.
+/// The locks of the fleet, the mirror and the roster are taken alone and not held across an await.
 #[derive(Debug)]
 pub struct Gateway {
     /// Settings.
@@ -69,10 +73,9 @@
     routing: ArcSwapOption<RoutingTable>,
     fleet: Mutex<Fleet>,
     mirror: Mutex<Mirror>,
+    roster: Mutex<Roster>,
     /// Raised when followers may have to be told something.
     mirror_news: watch::Sender<u64>,
-    /// Instances that follow this one.
-    followers: AtomicU32,
     has_targets: watch::Sender<bool>,
     /// Instances that share the budgets; 0 until it is known.
     instances: AtomicU64,
@@ -105,8 +108,8 @@
             routing: ArcSwapOption::empty(),
             fleet: Mutex::new(Fleet::new(config.data_centre.clone(), seed)),
             mirror: Mutex::default(),
+            roster: Mutex::new(Roster::new(config.instance.clone())),
             mirror_news: watch::Sender::new(0),
-            followers: AtomicU32::new(0),
             has_targets: watch::Sender::new(false),
             instances: AtomicU64::new(0),
             phase: watch::Sender::new(Phase::Serving),
@@ -164,27 +167,15 @@
         self.mirror_news.subscribe()
     }
 
-    /// Counts an instance that follows this one, with those that follow it, until the guard is dropped.
-    pub fn add_follower(&self, instances: u32) -> FollowerGuard<'_> {
-        self.followers.fetch_add(instances, Ordering::AcqRel);
-        FollowerGuard { gateway: self, instances }
-    }
-
-    /// Returns how many instances follow this one.
-    pub fn followers(&self) -> u32 {
-        self.followers.load(Ordering::Acquire)
+    /// Locks what is known of the other instances.
+    pub fn roster(&self) -> MutexGuard<'_, Roster> {
+        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns how many instances there are as far as this one can tell, 0 when it can't.
-    ///
-    /// Only who reads the store and is followed can count.
     pub fn count_instances(&self) -> u32 {
-        let standing = self.mirror().standing;
-        match (standing.distance, self.followers()) {
-            (0, 0) => u32::from(self.config.peer_seeds.is_empty()),
-            (0, followers) => followers + 1,
-            _ => standing.instances,
-        }
+        let alone = u32::from(self.config.peer_seeds.is_empty());
+        self.roster().count(self.now()).max(alone)
     }
 
     /// Notes that the directory has been read.
@@ -270,16 +261,3 @@
         });
     }
 }
-
-/// Counts a follower while it lives.
-#[derive(Debug)]
-pub struct FollowerGuard<'a> {
-    gateway: &'a Gateway,
-    instances: u32,
-}
-
-impl Drop for FollowerGuard<'_> {
-    fn drop(&mut self) {
-        self.gateway.followers.fetch_sub(self.instances, Ordering::AcqRel);
-    }
-}
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -2,12 +2,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use futures::future::poll_fn;
-use h2::{RecvStream, client};
+use h2::{RecvStream, SendStream, client};
 use hyper::Request;
 use tokio::{
     net::TcpStream,
-    time::{timeout, timeout_at},
+    time::{sleep, timeout, timeout_at},
 };
 
 use super::{
@@ -16,9 +17,12 @@
     mirror::{Reading, Standing},
     surroundings::{Table, TableRow, TableRows},
 };
-use crate::peer::{
-    frame::{Decoder, Frame, PROTOCOL_VERSION, StoreAsk, StoreRows, StoreState, encode},
-    link::{AbortOnDrop, LinkError, send_all},
+use crate::{
+    peer::{
+        frame::{Decoder, Frame, PROTOCOL_VERSION, StoreAsk, StoreRows, StoreState, encode},
+        link::{AbortOnDrop, LinkError, send_all},
+    },
+    units::InstanceId,
 };
 
 /// Time to open a link: far more than a round trip within a region.
@@ -30,6 +34,12 @@
 /// Time over which followers spread their readings of a large table.
 const READ_SPREAD: Duration = Duration::from_millis(300);
 
+/// Time between two looks whether the instance that is followed must be told of others.
+const ROSTER_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time after which all are told again: a fraction of the time for which the roster remembers them.
+const RETELL_PERIOD: Duration = Duration::from_mins(1);
+
 /// Why an instance is no longer followed.
 #[derive(Debug)]
 pub struct Ended {
@@ -47,11 +57,7 @@
 pub async fn follow(gateway: &Gateway, address: SocketAddr, max_distance: u8) -> Result<(), Ended> {
     let mut link = Link { gateway, address, max_distance, was_current: false };
     let ended = link.run().await;
-    let was_current = link.was_current;
-    if was_current {
-        gateway.mirror().standing.instances = 0;
-    }
-    ended.map_err(|e| Ended { was_current, reason: e.to_string() })
+    ended.map_err(|e| Ended { was_current: link.was_current, reason: e.to_string() })
 }
 
 /// A link to the instance that is followed.
@@ -72,19 +78,24 @@
         let mut sender = timeout_at(until, sender.ready()).await??;
         let request = Request::post("http://peer/store").body(())?;
         let (response, mut body) = sender.send_request(request, false)?;
+        let gateway = self.gateway;
+        let (revision, instances) = known_instances(gateway);
         let ask = {
-            let mirror = self.gateway.mirror();
+            let mirror = gateway.mirror();
             StoreAsk {
                 protocol_version: PROTOCOL_VERSION,
-                instance: self.gateway.config.instance.clone(),
+                instance: gateway.config.instance.clone(),
                 routing: mirror.version(Table::Routing),
                 targets: mirror.version(Table::Targets),
-                followers: self.gateway.followers(),
+                instances,
             }
         };
         send_all(&mut body, encode(&Frame::StoreAsk(ask))).await?;
         let response = timeout_at(until, response).await??;
-        self.receive(response.into_body()).await
+        tokio::select! {
+            received = self.receive(response.into_body()) => received,
+            ended = tell_roster(gateway, revision, body) => ended,
+        }
     }
 
     async fn receive(&mut self, mut body: RecvStream) -> Result<(), LinkError> {
@@ -117,14 +128,10 @@
         let was = {
             let mut mirror = gateway.mirror();
             let distance = state.distance + 1;
-            let standing = Standing {
-                confirmed_at,
-                is_store_lost: state.is_store_lost,
-                distance,
-                instances: state.instances,
-            };
+            let standing = Standing { confirmed_at, is_store_lost: state.is_store_lost, distance };
             std::mem::replace(&mut mirror.standing, standing)
         };
+        gateway.roster().take_count(gateway.now(), state.instances);
         if !self.was_current {
             self.was_current = true;
             log::info!("event=source source={} distance={}", self.address, state.distance + 1);
@@ -140,7 +147,7 @@
 
     /// Reads a table from the store that is too large to be passed on; a failure ends the link, and the next asks again.
     async fn read(&self, of_targets: bool) -> Result<(), LinkError> {
-        tokio::time::sleep(READ_SPREAD.mul_f64(rand::random_range(0.0..1.0))).await;
+        sleep(READ_SPREAD.mul_f64(rand::random_range(0.0..1.0))).await;
         let table = if of_targets { Table::Targets } else { Table::Routing };
         Ok(read_once(self.gateway, table).await?)
     }
@@ -153,3 +160,25 @@
         take(self.gateway, table, if rows.is_all { Reading::All(taken) } else { Reading::Changed(taken) });
     }
 }
+
+fn known_instances(gateway: &Gateway) -> (u64, Vec<InstanceId>) {
+    let roster = gateway.roster();
+    (roster.revision(), roster.names())
+}
+
+/// Tells the instance that is followed of others: those that come to be known, and from time to time all again.
+async fn tell_roster(
+    gateway: &Gateway,
+    told_revision: u64,
+    mut body: SendStream<Bytes>,
+) -> Result<(), LinkError> {
+    let mut told = (told_revision, gateway.now());
+    loop {
+        sleep(ROSTER_PERIOD).await;
+        let (revision, instances) = known_instances(gateway);
+        if revision != told.0 || gateway.now().since(told.1) > RETELL_PERIOD {
+            timeout(OPEN_TIMEOUT, send_all(&mut body, encode(&Frame::Roster(instances)))).await??;
+            told = (revision, gateway.now());
+        }
+    }
+}
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -10,7 +10,7 @@
 use crate::units::{DataCentre, InstanceId, PlanVersion, RunId, TargetId};
 
 /// Version of the protocol that a hello states.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 
 /// First frame of a link: who sends.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -84,8 +84,8 @@
     pub routing: Option<u64>,
     /// Version of the directory of targets that the sender knows.
     pub targets: Option<u64>,
-    /// Instances that follow the sender.
-    pub followers: u32,
+    /// Instances that the sender has heard of, with itself.
+    pub instances: Vec<InstanceId>,
 }
 
 /// Sign of life with how current the sender's copy of the store is.
@@ -97,7 +97,7 @@
     pub is_store_lost: bool,
     /// Instances between the sender and the store.
     pub distance: u8,
-    /// Instances that follow the same reader, with it; 0 while that is not known.
+    /// Instances that the sender counts, with itself; 0 while that is not known.
     pub instances: u32,
 }
 
@@ -144,6 +144,8 @@
     TargetSign(TargetSign),
     /// Asks for the store's rows.
     StoreAsk(StoreAsk),
+    /// Instances that the sender has heard of, with itself, some time after its question.
+    Roster(Vec<InstanceId>),
     /// How current the sender's copy of the store is.
     StoreState(StoreState),
     /// Rows of the store.
@@ -159,6 +161,7 @@
 const TAG_STORE_ASK: u8 = 7;
 const TAG_STORE_STATE: u8 = 8;
 const TAG_STORE_ROWS: u8 = 9;
+const TAG_ROSTER: u8 = 10;
 
 /// Largest frame taken from a peer, tag and body, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
@@ -205,6 +208,7 @@
         Frame::Loads(loads) => (TAG_LOADS, to_bytes(loads)),
         Frame::TargetSign(sign) => (TAG_TARGET_SIGN, to_bytes(sign)),
         Frame::StoreAsk(ask) => (TAG_STORE_ASK, to_bytes(ask)),
+        Frame::Roster(instances) => (TAG_ROSTER, to_bytes(instances)),
         Frame::StoreState(state) => (TAG_STORE_STATE, to_bytes(state)),
         Frame::StoreRows(rows) => (TAG_STORE_ROWS, to_bytes(rows)),
     };
@@ -296,6 +300,7 @@
         TAG_LOADS => Frame::Loads(from_bytes(tag, &body)?),
         TAG_TARGET_SIGN => Frame::TargetSign(from_bytes(tag, &body)?),
         TAG_STORE_ASK => Frame::StoreAsk(from_bytes(tag, &body)?),
+        TAG_ROSTER => Frame::Roster(from_bytes(tag, &body)?),
         TAG_STORE_STATE => Frame::StoreState(from_bytes(tag, &body)?),
         TAG_STORE_ROWS => Frame::StoreRows(from_bytes_within::<_, MAX_FRAME_BYTES>(tag, &body)?),
         _ => return Ok(None),
--- a/src/peer/receive.rs
+++ b/src/peer/receive.rs
@@ -126,7 +126,11 @@
             Frame::TargetSign(sign) => self.take_sign(&sign),
             Frame::Loads(loads) => self.take_loads(&loads),
             // The store's rows go over links of their own.
-            Frame::Hello(_) | Frame::StoreAsk(_) | Frame::StoreState(_) | Frame::StoreRows(_) => {}
+            Frame::Hello(_)
+            | Frame::StoreAsk(_)
+            | Frame::Roster(_)
+            | Frame::StoreState(_)
+            | Frame::StoreRows(_) => {}
         }
         Ok(())
     }
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -7,6 +7,9 @@
 use hyper::Method;
 use serde_json::json;
 
+/// Address at which nothing listens.
+const UNUSED_ADDRESS: &str = "127.0.0.1:1";
+
 #[tokio::test]
 async fn a_new_version_comes_into_force_and_an_older_one_does_not() {
     let hosted = Hosted::start().await;
@@ -225,3 +228,23 @@
         .await;
     assert!(!follower.logged(&["event=source-lost"]));
 }
+
+/// Pattern: after a restart the first seed can't be reached by most, who follow the second.
+#[tokio::test]
+async fn instances_behind_a_second_seed_share_the_budgets_with_those_behind_the_first() {
+    let hosted = Hosted::start().await;
+    let _worker = hosted.worker("i-1").await;
+    let first = hosted.gateway("first", &json!({"peer_seeds": [UNUSED_ADDRESS]})).await;
+    let second = hosted.gateway("second", &json!({"peer_seeds": [first.peers]})).await;
+    hosted.until("it follows the first", || async { second.logged(&["event=source", "distance=1"]) }).await;
+    let mut all = vec![first, second];
+    let seeds = json!({"peer_seeds": [all[1].peers]});
+    for name in ["three", "four", "five"] {
+        all.push(hosted.gateway(name, &seeds).await);
+    }
+    for gateway in &all {
+        hosted
+            .until("it counts all", || async { gateway.logged(&["event=instances-counted", "instances=5"]) })
+            .await;
+    }
+}
--- /dev/null
+++ b/tests/gateway_roster.rs
@@ -0,0 +1,62 @@
+//! The number of instances that share the budgets never falls below those that were heard of lately.
+
+use std::collections::BTreeSet;
+
+use arbutusshelf::{
+    gateway::roster::Roster,
+    units::{InstanceId, MonoTime},
+};
+use quickcheck::quickcheck;
+
+fn at(s: u64) -> MonoTime {
+    MonoTime::from(s * 1_000_000)
+}
+
+fn name(number: u8) -> InstanceId {
+    format!("i-{number}").parse().expect("a name")
+}
+
+#[test]
+fn an_instance_that_heard_of_no_other_cannot_count() {
+    let mut roster = Roster::new(name(0));
+    roster.add(at(1), [name(0)]);
+    assert_eq!(roster.count(at(1)), 0);
+    roster.add(at(2), [name(1)]);
+    assert_eq!(roster.count(at(2)), 2);
+}
+
+/// Pattern: a cut sends followers to another seed and back; links of before the cut linger.
+#[test]
+fn an_instance_that_links_twice_counts_once() {
+    let mut roster = Roster::new(name(0));
+    for second in 0..5 {
+        roster.add(at(second), [name(1), name(2)]);
+    }
+    assert_eq!(roster.count(at(5)), 3);
+    assert_eq!(roster.revision(), 2);
+}
+
+/// Pattern: a seed restarts, and only a few link to it at first.
+#[test]
+fn a_larger_count_of_another_instance_goes_before_the_own_until_it_is_old() {
+    let mut roster = Roster::new(name(0));
+    roster.add(at(1), [name(1)]);
+    roster.take_count(at(1), 122);
+    roster.take_count(at(2), 3);
+    assert_eq!(roster.count(at(2)), 122);
+    roster.add(at(650), [name(1)]);
+    assert_eq!(roster.count(at(650)), 2);
+}
+
+quickcheck! {
+    /// However names spread over links and messages, all that were heard of count.
+    fn every_name_counts(heard: Vec<Vec<u8>>) -> bool {
+        let mut roster = Roster::new(name(0));
+        for (second, names) in heard.iter().enumerate() {
+            roster.add(at(second as u64), names.iter().map(|n| name(*n)));
+        }
+        let others = heard.iter().flatten().filter(|n| **n != 0).collect::<BTreeSet<_>>().len();
+        let expected = if others == 0 { 0 } else { others + 1 };
+        roster.count(at(heard.len() as u64)) as usize == expected && roster.names().len() == others + 1
+    }
+}
