Let later seeds take over a lost store first, and share the calls to a store that fails

Change: a seed leaves one that lost the store at once, the others stay until its copy is too old, wait up to 0.3 s more and look again. Instances other than seeds share 25 failed calls a second among all (pauses in gateway/backoff.rs, pure) and ask for one table until that is answered. They look at the seeds meanwhile without being sent rows. The first question for changes after a turn does not wait, so that a new reader is current at once. Test: an_outage_of_the_store_costs_few_calls_however_many_instances_there_are; a_later_seed_takes_over_before_the_others_read_the_store (passed by chance before the change, too).

--- /dev/null
+++ b/src/gateway/backoff.rs
@@ -0,0 +1,48 @@
+//! Pauses between calls to a store that fails them.
+//!
+//! Each call is paid for, also one that fails. Seeds ask often, so that the return is noticed soon, and tell the others of
+//! it; those ask only in case that they reach a store which the seeds don't.
+
+use std::time::Duration;
+
+/// Pause of a seed after the first call that failed; doubles up to [`LONGEST_SEED_PAUSE`].
+const FIRST_SEED_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause of a seed, within the second or two in which a return must be noticed.
+const LONGEST_SEED_PAUSE: Duration = Duration::from_millis(800);
+
+/// Calls a second that all instances but the seeds make together: a tenth or less of a deployment's requests.
+const FOLLOWER_CALLS_PER_S: f64 = 25.0;
+
+/// Pauses of one instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Backoff {
+    next: Duration,
+    longest: Duration,
+}
+
+impl Backoff {
+    /// Creates the pauses of an instance that others follow.
+    pub fn of_seed() -> Self {
+        Self { next: FIRST_SEED_PAUSE, longest: LONGEST_SEED_PAUSE }
+    }
+
+    /// Creates the pauses of one of so many other instances.
+    pub fn of_follower(instances: u32) -> Self {
+        let share = Duration::from_secs_f64(f64::from(instances) / FOLLOWER_CALLS_PER_S);
+        let longest = share.max(LONGEST_SEED_PAUSE);
+        Self { next: longest, longest }
+    }
+
+    /// Returns the longest pause.
+    pub fn longest(&self) -> Duration {
+        self.longest
+    }
+
+    /// Returns the next pause, so many times as long as usual.
+    pub fn next(&mut self, jitter: f64) -> Duration {
+        let pause = self.next.mul_f64(jitter);
+        self.next = (self.next * 2).min(self.longest);
+        pause
+    }
+}
--- a/src/gateway/downstream.rs
+++ b/src/gateway/downstream.rs
@@ -71,10 +71,13 @@
         if ask.protocol_version != PROTOCOL_VERSION {
             return Err(format!("protocol version {} is not {PROTOCOL_VERSION}", ask.protocol_version).into());
         }
-        log::info!("event=follower instance={} known_instances={}", ask.instance, ask.instances.len());
+        let level = if ask.wants_rows { log::Level::Info } else { log::Level::Debug };
+        log::log!(level, "event=follower instance={} known_instances={}", ask.instance, ask.instances.len());
         gateway.roster().add(gateway.now(), ask.instances);
         let stream = respond.send_response(Response::new(()), false)?;
-        let mut follower = Follower { gateway, routing: ask.routing, targets: ask.targets, stream };
+        let wants_rows = ask.wants_rows;
+        let mut follower =
+            Follower { gateway, routing: ask.routing, targets: ask.targets, wants_rows, stream };
         tokio::select! {
             result = follower.run() => result,
             result = asked.read_rosters(gateway) => result,
@@ -134,6 +137,7 @@
     routing: Option<u64>,
     /// Version of the directory that it knows.
     targets: Option<u64>,
+    wants_rows: bool,
     stream: SendStream<Bytes>,
 }
 
@@ -158,8 +162,10 @@
             let state = self.state();
             // A change of standing goes first: it says how missing rows are to be taken.
             let mut frames = vec![Frame::StoreState(state)];
-            self.add_rows(Table::Routing, is_heartbeat, &mut frames);
-            self.add_rows(Table::Targets, is_heartbeat, &mut frames);
+            if self.wants_rows {
+                self.add_rows(Table::Routing, is_heartbeat, &mut frames);
+                self.add_rows(Table::Targets, is_heartbeat, &mut frames);
+            }
             let is_news = frames.len() > 1 || state.is_store_lost != told_lost;
             if is_heartbeat || is_news {
                 told_lost = state.is_store_lost;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -6,10 +6,14 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use tokio::time::{sleep, timeout};
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 use super::{
     Gateway,
+    backoff::Backoff,
     mirror::Reading,
     surroundings::{DecodedRouting, FollowFrom, StoreError, Table, TableRow, TableRows},
     upstream,
@@ -32,16 +36,17 @@
 /// Time for which changes gather before they are asked for again, well within the 2 s in which they must be in force.
 const GATHER: Duration = Duration::from_millis(200);
 
-/// Pause after the first call that failed; doubles up to [`LONGEST_PAUSE`].
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-
-/// Longest pause between two calls to a store that fails them: each is paid for, and a return must be noticed soon.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Time over which instances that lost their seed spread before they read the store: a later seed that takes over is
+/// current by then.
+const TAKEOVER_SPREAD: Duration = Duration::from_millis(300);
 
 /// Age from which a copy no longer counts as current: the longest time between two confirmations of a reader whose store
 /// answers a hundred times slower than usual.
 pub const CURRENT_AGE: Duration = Duration::from_millis(1_500);
 
+/// The same for a seed that follows an earlier one: it goes first, so that the others find it current.
+pub const SEED_CURRENT_AGE: Duration = Duration::from_millis(1_200);
+
 /// Time after which an instance that reads the store looks again for one to follow.
 const LOOK_PERIOD: Duration = Duration::from_secs(2);
 
@@ -69,9 +74,6 @@
 /// Part of the probes that are spent in the long run; besides, some seconds of them are saved up.
 const PROBES_PART: f64 = 0.6;
 
-/// Instances between this one and the store that a follower accepts.
-const MAX_DISTANCE: u8 = 1;
-
 /// Runs all of it until dropped.
 pub async fn run(gateway: Arc<Gateway>) {
     tokio::join!(
@@ -88,15 +90,39 @@
     follow_at_start(gateway, &seeds).await;
     loop {
         follow_seeds(gateway, &seeds).await;
+        if !gateway.is_seed() {
+            sleep(TAKEOVER_SPREAD.mul_f64(rand::random_range(0.0..1.0))).await;
+            if is_any_current(gateway, &seeds).await {
+                continue;
+            }
+        }
         log::info!("event=source source=store");
         gateway.mirror().standing.distance = 0;
-        let _until_next_look = if seeds.is_empty() {
-            read_store(gateway).await;
-            Ok(())
-        } else {
-            timeout(LOOK_PERIOD.mul_f64(rand::random_range(0.75..1.5)), read_store(gateway)).await
-        };
+        tokio::select! {
+            () = read_store(gateway) => {}
+            () = wait_current(gateway, &seeds) => {}
+        }
+    }
+}
+
+/// Waits until one of the seeds is current; forever when there are none.
+async fn wait_current(gateway: &Gateway, seeds: &[SocketAddr]) {
+    loop {
+        sleep(LOOK_PERIOD.mul_f64(rand::random_range(0.75..1.5))).await;
+        if is_any_current(gateway, seeds).await {
+            return;
+        }
+    }
+}
+
+async fn is_any_current(gateway: &Gateway, seeds: &[SocketAddr]) -> bool {
+    for address in seeds {
+        match upstream::look(gateway, *address).await {
+            Ok(()) => return true,
+            Err(e) => log::debug!("event=source-unusable source={address} error={:?}", e.to_string()),
+        }
     }
+    false
 }
 
 /// Returns the seeds that go before this instance, in one order for all.
@@ -152,7 +178,7 @@
     while index < seeds.len() {
         let address = seeds[index];
         let began = gateway.now();
-        match upstream::follow(gateway, address, MAX_DISTANCE).await {
+        match upstream::follow(gateway, address).await {
             Ok(()) => {}
             Err(ended) if ended.was_current => {
                 log::info!("event=source-lost source={address} error={:?}", ended.reason);
@@ -169,45 +195,44 @@
 }
 
 /// Reads the store until dropped.
+///
+/// A store that fails is asked for one table only.
 async fn read_store(gateway: &Gateway) {
-    tokio::join!(read_table(gateway, Table::Routing), read_table(gateway, Table::Targets));
-}
-
-/// Pauses between calls that fail.
-struct Backoff {
-    pause: Duration,
+    let answered = Notify::new();
+    let routing = async {
+        let _answered_or_time = timeout(backoff(gateway).longest(), answered.notified()).await;
+        read_table(gateway, Table::Routing, &Notify::new()).await;
+    };
+    tokio::join!(read_table(gateway, Table::Targets, &answered), routing);
 }
 
-impl Backoff {
-    fn new() -> Self {
-        Self { pause: FIRST_PAUSE }
-    }
-
-    async fn wait(&mut self) {
-        sleep(self.pause.mul_f64(rand::random_range(0.75..1.25))).await;
-        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
-    }
+fn backoff(gateway: &Gateway) -> Backoff {
+    if gateway.is_seed() { Backoff::of_seed() } else { Backoff::of_follower(gateway.count_instances()) }
 }
 
-async fn read_table(gateway: &Gateway, table: Table) {
-    let mut backoff = Backoff::new();
+async fn read_table(gateway: &Gateway, table: Table, answered: &Notify) {
+    let mut pauses = backoff(gateway);
+    // The first answer comes at once, so that followers soon know this instance to be current.
+    let mut wait = Duration::ZERO;
     loop {
         let known = gateway.mirror().version(table);
         let asked_at = gateway.now();
         let read = match known {
             None => (gateway.place.read)(table).await.map(Reading::All),
             Some(version) => {
-                let from = FollowFrom { table, version, wait: FOLLOW_WAIT };
+                let from = FollowFrom { table, version, wait };
                 (gateway.place.follow)(from).await.map(Reading::Changed)
             }
         };
         gateway.metrics.store_call(read.as_ref().map_or_else(StoreError::label, |_| "answered"));
         match read {
             Ok(reading) => {
-                backoff = Backoff::new();
+                pauses = backoff(gateway);
+                answered.notify_one();
                 let (Reading::All(rows) | Reading::Changed(rows)) = &reading;
                 let has_rows = !rows.rows.is_empty();
-                confirm(gateway, table, confirmed_at(gateway.now(), asked_at, has_rows));
+                confirm(gateway, table, confirmed_at(gateway.now(), asked_at, has_rows, wait));
+                wait = FOLLOW_WAIT;
                 take(gateway, table, reading);
                 if has_rows {
                     sleep(GATHER).await;
@@ -219,7 +244,8 @@
             }
             Err(e) => {
                 lose(gateway, table, &e);
-                backoff.wait().await;
+                wait = Duration::ZERO;
+                sleep(pauses.next(rand::random_range(0.75..1.25))).await;
             }
         }
     }
@@ -228,9 +254,9 @@
 /// Returns when the store had nothing newer than an answer that comes now.
 ///
 /// The store holds an answer back until something changes, or for the wait: what an answer took beyond that is the way.
-fn confirmed_at(now: MonoTime, asked_at: MonoTime, has_rows: bool) -> MonoTime {
+fn confirmed_at(now: MonoTime, asked_at: MonoTime, has_rows: bool, wait: Duration) -> MonoTime {
     let took = now.since(asked_at);
-    let way = if has_rows { took.min(LONGEST_WAY) } else { took.saturating_sub(FOLLOW_WAIT) };
+    let way = if has_rows { took.min(LONGEST_WAY) } else { took.saturating_sub(wait) };
     now.checked_sub(way).unwrap_or_default()
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! Instances are equal and need not hear each other.
 
 pub mod answer;
+pub mod backoff;
 pub mod call;
 pub mod config;
 pub mod downstream;
@@ -167,6 +168,12 @@
         self.mirror_news.subscribe()
     }
 
+    /// Returns whether others may follow this instance.
+    pub fn is_seed(&self) -> bool {
+        let config = &self.config;
+        config.peer_seeds.is_empty() || config.peer_seeds.contains(&config.peers_address)
+    }
+
     /// Locks what is known of the other instances.
     pub fn roster(&self) -> MutexGuard<'_, Roster> {
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -13,7 +13,7 @@
 
 use super::{
     Gateway,
-    follow::{CURRENT_AGE, read_once, take},
+    follow::{CURRENT_AGE, SEED_CURRENT_AGE, read_once, take},
     mirror::{Reading, Standing},
     surroundings::{Table, TableRow, TableRows},
 };
@@ -25,6 +25,9 @@
     units::InstanceId,
 };
 
+/// Most instances between the one that is followed and the store.
+const MAX_DISTANCE: u8 = 1;
+
 /// Time to open a link: far more than a round trip within a region.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -49,37 +52,68 @@
     pub reason: String,
 }
 
-/// Follows an instance until it is no longer current; it must be at most so far from the store.
+/// Follows an instance until it is no longer current.
 ///
 /// # Errors
 ///
 /// [`Ended`] in any case but its clean end.
-pub async fn follow(gateway: &Gateway, address: SocketAddr, max_distance: u8) -> Result<(), Ended> {
-    let mut link = Link { gateway, address, max_distance, was_current: false };
-    let ended = link.run().await;
-    ended.map_err(|e| Ended { was_current: link.was_current, reason: e.to_string() })
+pub async fn follow(gateway: &Gateway, address: SocketAddr) -> Result<(), Ended> {
+    let mut following = Following { gateway, address, was_current: false };
+    let ended = following.run().await;
+    ended.map_err(|e| Ended { was_current: following.was_current, reason: e.to_string() })
 }
 
-/// A link to the instance that is followed.
-struct Link<'a> {
-    gateway: &'a Gateway,
-    address: SocketAddr,
-    max_distance: u8,
-    was_current: bool,
+/// Looks once whether an instance can be followed.
+///
+/// # Errors
+///
+/// Why it can't.
+pub async fn look(gateway: &Gateway, address: SocketAddr) -> Result<(), LinkError> {
+    let mut link = Link::open(gateway, address, false).await?;
+    let mut decoder = Decoder::default();
+    loop {
+        receive(&mut link.received, &mut decoder).await?;
+        match decoder.next_frame()? {
+            Some(Frame::StoreState(state)) => return check_usable(gateway, &state).map(|_age| ()),
+            Some(_) => return Err("a frame that does not belong here".into()),
+            None => {}
+        }
+    }
 }
 
-impl Link<'_> {
-    async fn run(&mut self) -> Result<(), LinkError> {
+/// Returns how long ago the sender was known to be current, if it still counts as that.
+fn check_usable(gateway: &Gateway, state: &StoreState) -> Result<Duration, LinkError> {
+    let age = state.confirmed_age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
+    let age = age.ok_or("it has read nothing yet")?;
+    let (limit, may_be_lost) =
+        if gateway.is_seed() { (SEED_CURRENT_AGE, false) } else { (CURRENT_AGE, true) };
+    if age > limit || state.distance > MAX_DISTANCE || (state.is_store_lost && !may_be_lost) {
+        let StoreState { is_store_lost, distance, .. } = state;
+        return Err(format!("age {age:?}, distance {distance}, store lost: {is_store_lost}").into());
+    }
+    Ok(age)
+}
+
+/// A link to an instance that may be followed.
+struct Link {
+    received: RecvStream,
+    sent: SendStream<Bytes>,
+    /// Revision of the roster that was told.
+    told_revision: u64,
+    _connection: AbortOnDrop,
+}
+
+impl Link {
+    async fn open(gateway: &Gateway, address: SocketAddr, wants_rows: bool) -> Result<Self, LinkError> {
         let until = tokio::time::Instant::now() + OPEN_TIMEOUT;
-        let stream = timeout_at(until, TcpStream::connect(self.address)).await??;
+        let stream = timeout_at(until, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         let (sender, connection) = timeout_at(until, client::handshake(stream)).await??;
-        let _connection = AbortOnDrop(tokio::spawn(connection));
+        let connection = AbortOnDrop(tokio::spawn(connection));
         let mut sender = timeout_at(until, sender.ready()).await??;
         let request = Request::post("http://peer/store").body(())?;
-        let (response, mut body) = sender.send_request(request, false)?;
-        let gateway = self.gateway;
-        let (revision, instances) = known_instances(gateway);
+        let (response, mut sent) = sender.send_request(request, false)?;
+        let (told_revision, instances) = known_instances(gateway);
         let ask = {
             let mirror = gateway.mirror();
             StoreAsk {
@@ -87,25 +121,46 @@
                 instance: gateway.config.instance.clone(),
                 routing: mirror.version(Table::Routing),
                 targets: mirror.version(Table::Targets),
+                wants_rows,
                 instances,
             }
         };
-        send_all(&mut body, encode(&Frame::StoreAsk(ask))).await?;
-        let response = timeout_at(until, response).await??;
+        send_all(&mut sent, encode(&Frame::StoreAsk(ask))).await?;
+        let received = timeout_at(until, response).await??.into_body();
+        Ok(Self { received, sent, told_revision, _connection: connection })
+    }
+}
+
+async fn receive(received: &mut RecvStream, decoder: &mut Decoder) -> Result<(), LinkError> {
+    let chunk = timeout(SILENCE_LIMIT, poll_fn(|cx| received.poll_data(cx))).await?;
+    let chunk = chunk.ok_or("it ended the link")??;
+    received.flow_control().release_capacity(chunk.len())?;
+    decoder.push(&chunk);
+    Ok(())
+}
+
+/// An instance that is followed.
+struct Following<'a> {
+    gateway: &'a Gateway,
+    address: SocketAddr,
+    was_current: bool,
+}
+
+impl Following<'_> {
+    async fn run(&mut self) -> Result<(), LinkError> {
+        let gateway = self.gateway;
+        let Link { mut received, sent, told_revision, _connection } =
+            Link::open(gateway, self.address, true).await?;
         tokio::select! {
-            received = self.receive(response.into_body()) => received,
-            ended = tell_roster(gateway, revision, body) => ended,
+            ended = self.take_all(&mut received) => ended,
+            ended = tell_roster(gateway, told_revision, sent) => ended,
         }
     }
 
-    async fn receive(&mut self, mut body: RecvStream) -> Result<(), LinkError> {
+    async fn take_all(&mut self, received: &mut RecvStream) -> Result<(), LinkError> {
         let mut decoder = Decoder::default();
         loop {
-            let chunk = timeout(SILENCE_LIMIT, poll_fn(|cx| body.poll_data(cx))).await?;
-            let Some(chunk) = chunk else { return Err("it ended the link".into()) };
-            let chunk = chunk?;
-            body.flow_control().release_capacity(chunk.len())?;
-            decoder.push(&chunk);
+            receive(received, &mut decoder).await?;
             while let Some(frame) = decoder.next_frame()? {
                 match frame {
                     Frame::StoreState(state) => self.take_state(state)?,
@@ -118,13 +173,9 @@
     }
 
     fn take_state(&mut self, state: StoreState) -> Result<(), LinkError> {
-        let age = state.confirmed_age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
-        let is_current = age.is_some_and(|age| age <= CURRENT_AGE);
-        if !is_current || state.distance > self.max_distance {
-            return Err(format!("not current: age {age:?}, distance {}", state.distance).into());
-        }
         let gateway = self.gateway;
-        let confirmed_at = age.map(|age| gateway.now_less(age));
+        let age = check_usable(gateway, &state)?;
+        let confirmed_at = Some(gateway.now_less(age));
         let was = {
             let mut mirror = gateway.mirror();
             let distance = state.distance + 1;
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -84,6 +84,8 @@
     pub routing: Option<u64>,
     /// Version of the directory of targets that the sender knows.
     pub targets: Option<u64>,
+    /// Whether rows are wanted, rather than only how current the receiver is.
+    pub wants_rows: bool,
     /// Instances that the sender has heard of, with itself.
     pub instances: Vec<InstanceId>,
 }
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -248,3 +248,37 @@
             .await;
     }
 }
+
+/// Pattern: the first seed loses the store, and a hundred instances follow it.
+#[tokio::test]
+async fn a_later_seed_takes_over_before_the_others_read_the_store() {
+    let hosted = Hosted::start().await;
+    let _worker = hosted.worker("i-1").await;
+    let cut = Hosted::start().await;
+    let mut free = Vec::new();
+    for _ in 0..2 {
+        free.push(tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port"));
+    }
+    let mut seeds = free.iter().map(|s| s.local_addr().expect("an address")).collect::<Vec<_>>();
+    seeds.sort_unstable();
+    drop(free);
+    let seed = |address| json!({"peer_seeds": seeds, "peers_address": address});
+    let _first = cut.gateway("first", &seed(seeds[0])).await;
+    let second = hosted.gateway("second", &seed(seeds[1])).await;
+    let mut followers = Vec::new();
+    for name in ["three", "four", "five", "six"] {
+        followers.push(hosted.gateway(name, &json!({"peer_seeds": seeds})).await);
+    }
+    for gateway in followers.iter().chain([&second]) {
+        hosted.until("it follows the first", || async { gateway.logged(&["source=", "distance=1"]) }).await;
+    }
+    cut.store.set_fault(RowsFault::Down);
+    for follower in &followers {
+        let source = format!("source={}", seeds[1]);
+        hosted
+            .until("it follows the second", || async { follower.logged(&["event=source ", &source]) })
+            .await;
+        assert!(!follower.logged(&["event=source source=store"]));
+    }
+    assert!(second.logged(&["event=source source=store"]));
+}
--- a/tests/gateway_roster.rs
+++ b/tests/gateway_roster.rs
@@ -1,9 +1,9 @@
-//! The number of instances that share the budgets never falls below those that were heard of lately.
+//! What instances know of each other without network: their number, and how often they ask a store that fails.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use arbutusshelf::{
-    gateway::roster::Roster,
+    gateway::{backoff::Backoff, roster::Roster},
     units::{InstanceId, MonoTime},
 };
 use quickcheck::quickcheck;
@@ -48,6 +48,29 @@
     assert_eq!(roster.count(at(650)), 2);
 }
 
+/// Calls to a store that is down for a time.
+fn failed_calls(mut pauses: Backoff, outage: Duration) -> usize {
+    let mut at = Duration::ZERO;
+    let mut calls = 0;
+    while at < outage {
+        calls += 1;
+        at += pauses.next(1.0);
+    }
+    calls
+}
+
+/// Pattern: the store is down for many seconds under a deployment of more than a hundred instances.
+#[test]
+fn an_outage_of_the_store_costs_few_calls_however_many_instances_there_are() {
+    let outage = Duration::from_secs(20);
+    for instances in [13, 30, 122, 300] {
+        let calls = failed_calls(Backoff::of_follower(instances), outage);
+        // Besides one call each at the start, a tenth of the 250 requests a second of the smallest deployment.
+        assert!((calls - 1) * instances as usize <= 20 * 25, "{instances}: {calls}");
+    }
+    assert!(failed_calls(Backoff::of_seed(), outage) >= 20, "a return must be noticed within a second");
+}
+
 quickcheck! {
     /// However names spread over links and messages, all that were heard of count.
     fn every_name_counts(heard: Vec<Vec<u8>>) -> bool {
