Serve waiting calls in order of priority and arrival, and tell a service without targets from a full one

Cause: calls that waited for a slot took it in whatever order they woke; the priority of routes was logged and decided nothing. A service without any target that takes requests was refused as overloaded (429), which sends its operators the wrong way. Change: decide/waiting.rs keeps the calls that still can be in time in order of priority, then arrival; a call takes a target only if there are more candidates than calls ahead of it. Calls in the later stages give up their place. no-target (503) is told where no listed target takes requests. Tests: urgent_calls_go_first_and_earlier_ones_among_equals, a_call_leaves_slots_to_those_ahead_of_it, a_service_without_targets_is_told_from_one_that_is_overloaded (failed before).

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -8,6 +8,7 @@
     directory::{Change, Directory},
     probed::{Ask, Pick, ProbedPool, Reading, SendEnd},
     repeat_budget::{RepeatAllowance, RepeatBudget},
+    waiting::{Place, WaitingLine},
 };
 use crate::{
     collections::HashMap,
@@ -19,6 +20,7 @@
 struct Service {
     pool: ProbedPool,
     budget: RepeatBudget,
+    waiting: WaitingLine,
 }
 
 /// Targets and budgets of all services.
@@ -81,6 +83,29 @@
         self.service(service).budget.spend(now)
     }
 
+    /// Lets a call wait for a target of a service.
+    pub fn enter(&mut self, service: &ServiceName, priority: u32, arrived: MonoTime) -> Place {
+        self.service(service).waiting.enter(priority, arrived)
+    }
+
+    /// Takes a call out of those that wait; returns whether others still do.
+    pub fn leave(&mut self, service: &ServiceName, place: Place) -> bool {
+        let waiting = &mut self.service(service).waiting;
+        waiting.leave(place);
+        !waiting.is_empty()
+    }
+
+    /// Returns how many waiting calls go before one, or all of them for one that has no place.
+    pub fn ahead_of(&mut self, service: &ServiceName, place: Option<Place>) -> usize {
+        let waiting = &self.service(service).waiting;
+        place.map_or(waiting.len(), |place| waiting.ahead_of(place))
+    }
+
+    /// Returns whether a service has a target that takes requests.
+    pub fn has_target(&mut self, service: &ServiceName) -> bool {
+        self.service(service).pool.has_target()
+    }
+
     /// Chooses a target of a service for a call, or what to do first.
     pub fn pick(&mut self, now: MonoTime, service: &ServiceName, ask: &Ask) -> Pick {
         self.service(service).pool.pick(now, ask)
@@ -150,7 +175,7 @@
             if let Some(rate) = probes_per_target_per_s {
                 pool.set_probes(rate);
             }
-            Service { pool, budget: RepeatBudget::new(allowance) }
+            Service { pool, budget: RepeatBudget::new(allowance), waiting: WaitingLine::default() }
         })
     }
 }
--- a/src/decide/probed.rs
+++ b/src/decide/probed.rs
@@ -243,6 +243,8 @@
     pub rounds: u32,
     /// How particular the call is.
     pub stage: Stage,
+    /// Waiting calls that go before this one.
+    pub ahead: usize,
 }
 
 /// Targets of one service.
@@ -312,9 +314,9 @@
         }
     }
 
-    /// Returns whether no target is known.
-    pub fn is_empty(&self) -> bool {
-        self.targets.is_empty()
+    /// Returns whether any target takes requests.
+    pub fn has_target(&self) -> bool {
+        self.targets.values().any(|t| !t.listing.draining)
     }
 
     /// Chooses a target for a call, or what to do first.
@@ -326,8 +328,10 @@
             Stage::Spare => t.has_spare_slot(now, may_fill),
             Stage::Over => false,
         };
-        if let Some(best) = self.best(now, ask, may) {
-            return self.send_to(now, &best);
+        match self.best(now, ask, may) {
+            Some((best, candidates)) if candidates > ask.ahead => return self.send_to(now, &best),
+            Some(_) => return Pick::Wait(FRESH / 2),
+            None => {}
         }
         if ask.stage == Stage::Over {
             return self.pick_unread(now, ask);
@@ -386,10 +390,11 @@
         self.targets.get(id)?.reading.map(|(reading, at)| (reading, now.since(at)))
     }
 
-    fn best(&self, now: MonoTime, ask: &Ask, may: impl Fn(&Target) -> bool) -> Option<TargetId> {
-        let eligible = self.targets.values().filter(|t| is_eligible(t, ask) && may(t));
-        let best = eligible.min_by(|a, b| a.expected(now).total_cmp(&b.expected(now)));
-        best.map(|t| t.listing.id.clone())
+    /// Returns the best target for a call, and how many there are.
+    fn best(&self, now: MonoTime, ask: &Ask, may: impl Fn(&Target) -> bool) -> Option<(TargetId, usize)> {
+        let eligible = self.targets.values().filter(|t| is_eligible(t, ask) && may(t)).collect::<Vec<_>>();
+        let best = eligible.iter().min_by(|a, b| a.expected(now).total_cmp(&b.expected(now)))?;
+        Some((best.listing.id.clone(), eligible.len()))
     }
 
     fn probes(&mut self, now: MonoTime, ask: &Ask) -> Pick {
@@ -422,7 +427,7 @@
             return Pick::Nothing;
         }
         let best = self.best(now, ask, |t| t.own < t.listing.slots);
-        best.map_or(Pick::Nothing, |id| self.send_to(now, &id))
+        best.map_or(Pick::Nothing, |(id, _candidates)| self.send_to(now, &id))
     }
 
     fn send_to(&mut self, now: MonoTime, id: &TargetId) -> Pick {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -34,6 +34,7 @@
         hedge::{self, Hedge, InProgress},
         probed::{Ask, Pick, SendEnd},
         stages::{CallTimes, Stage},
+        waiting::Place,
     },
     error::ErrorKind,
     logging::Quoted,
@@ -204,7 +205,30 @@
 /// How one send of a call ended, or that none could be made.
 enum LegEnd {
     Sent(SendResult),
-    NoTarget,
+    NotSent(ErrorKind),
+}
+
+/// A call's place among those that wait for a target; left when dropped.
+struct WaitingCall<'a> {
+    call: &'a CallHead,
+    place: Place,
+}
+
+impl<'a> WaitingCall<'a> {
+    fn new(call: &'a CallHead) -> Self {
+        let mut fleet = call.gateway.fleet();
+        let place = fleet.enter(&call.service, call.route.spec.priority, call.arrived);
+        Self { call, place }
+    }
+}
+
+impl Drop for WaitingCall<'_> {
+    fn drop(&mut self) {
+        let do_others_wait = self.call.gateway.fleet().leave(&self.call.service, self.place);
+        if do_others_wait {
+            self.call.gateway.news.notify_waiters();
+        }
+    }
 }
 
 /// Sends a call until it has an answer.
@@ -304,7 +328,7 @@
                     return None;
                 }
             }
-            LegEnd::NoTarget => {}
+            LegEnd::NotSent(kind) => return self.legs.is_empty().then(|| self.give_up(kind)),
         }
         self.legs.is_empty().then(|| self.give_up(ErrorKind::Overloaded))
     }
@@ -365,6 +389,7 @@
         usual: gateway.fleet().usual_time(&call.service),
     };
     let mut rounds = 0;
+    let mut waiting = (!is_hedge).then(|| WaitingCall::new(call));
     loop {
         let mut news = Box::pin(gateway.news.notified());
         // Registered before the look, so that no news is missed.
@@ -372,20 +397,33 @@
         let now = gateway.now();
         let (stage, stage_until) = times.stage(now, since);
         if is_hedge && stage != Stage::Easy {
-            return LegEnd::NoTarget;
+            return LegEnd::NotSent(ErrorKind::Overloaded);
+        }
+        if !is_hedge && matches!(stage, Stage::Spare | Stage::Over) {
+            // It no longer competes for the targets that the others wait for.
+            waiting = None;
         }
         let tried = call.tried();
-        let ask = Ask { without: &tried, rounds, stage };
-        let pick = gateway.fleet().pick(now, &call.service, &ask);
+        let pick = {
+            let mut fleet = gateway.fleet();
+            let place = waiting.as_ref().map(|w| w.place);
+            let competes = is_hedge || place.is_some();
+            let ahead = if competes { fleet.ahead_of(&call.service, place) } else { 0 };
+            fleet.pick(now, &call.service, &Ask { without: &tried, rounds, stage, ahead })
+        };
         let look_at = match pick {
             Pick::Send { listing, takes_last_slot } => {
                 if is_hedge && !spend_hedge(call) {
                     gateway.fleet().ended(now, &call.service, &listing.id, SendEnd::Dropped);
-                    return LegEnd::NoTarget;
+                    return LegEnd::NotSent(ErrorKind::Overloaded);
                 }
+                drop(waiting);
                 return LegEnd::Sent(send_noted(call, listing, takes_last_slot, rounds).await);
             }
-            Pick::Nothing => return LegEnd::NoTarget,
+            Pick::Nothing if gateway.fleet().has_target(&call.service) => {
+                return LegEnd::NotSent(ErrorKind::Overloaded);
+            }
+            Pick::Nothing => return LegEnd::NotSent(ErrorKind::NoTarget),
             Pick::Probe(listings) => {
                 rounds += 1;
                 for listing in listings {
--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -232,6 +232,22 @@
     assert!(gateway.logged(&["event=left", "in_progress=0"]));
 }
 
+#[tokio::test]
+async fn a_service_without_targets_is_told_from_one_that_is_overloaded() {
+    let hosted = Hosted::start().await;
+    let worker = hosted.worker("i-1").await;
+    let gateway = hosted.gateway("one", &json!({})).await;
+    hosted.register(&worker, "draining");
+    hosted
+        .until("the drain is known", || async { gateway.logged(&["event=target-updated", "draining=true"]) })
+        .await;
+    let answer = hosted.send(gateway.callers, Method::POST, "/charge/x", "n1").await.expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.headers["arbutusshelf-cause"], "no-target");
+    assert!(answer.headers.contains_key("retry-after"));
+    assert_eq!(worker.runs().len(), 0);
+}
+
 #[tokio::test]
 async fn a_failed_request_can_be_followed_through_the_log_by_its_id() {
     let hosted = Hosted::start().await;
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -10,6 +10,7 @@
         probed::{Ask, Pick, ProbedPool, Reading, SendEnd},
         repeat_budget::{RepeatAllowance, RepeatBudget},
         stages::{CallTimes, Stage},
+        waiting::WaitingLine,
     },
     gateway::{
         mirror::{Mirror, Reading as TableReading},
@@ -140,7 +141,31 @@
     }
 }
 
-const EASY: Ask<'static> = Ask { without: &[], rounds: 0, stage: Stage::Easy };
+const EASY: Ask<'static> = Ask { without: &[], rounds: 0, stage: Stage::Easy, ahead: 0 };
+
+/// Pattern: the crest, where several calls of one instance wait for the same few slots.
+#[test]
+fn urgent_calls_go_first_and_earlier_ones_among_equals() {
+    let mut line = WaitingLine::default();
+    let early_read = line.enter(2, at(10));
+    let late_read = line.enter(2, at(20));
+    let charge = line.enter(1, at(15));
+    assert_eq!([charge, early_read, late_read].map(|place| line.ahead_of(place)), [0, 1, 2]);
+    line.leave(charge);
+    assert_eq!(line.ahead_of(late_read), 1);
+    assert_eq!(line.len(), 2);
+}
+
+/// Pattern: the same; a slot that comes free is left to the call that goes first.
+#[test]
+fn a_call_leaves_slots_to_those_ahead_of_it() {
+    let now = at(1_000);
+    let mut one = pool(&[("calm", Some(reading(1, 1.0)))], now);
+    assert!(matches!(one.pick(now, &Ask { ahead: 1, ..EASY }), Pick::Wait(_)));
+    assert_eq!(sent_to(&one.pick(now, &EASY)), Some("calm"));
+    let mut two = pool(&[("calm", Some(reading(1, 1.0))), ("too", Some(reading(1, 1.0)))], now);
+    assert!(sent_to(&two.pick(now, &Ask { ahead: 1, ..EASY })).is_some());
+}
 
 #[test]
 fn a_call_goes_to_a_calm_target_and_asks_before_it_goes_to_an_unknown_one() {
