Tell refused callers to come back one after the other, as fast as there is room

Cause: each refused caller was told to return after 100 ms, whatever the service could take: all that are refused at a crest return together. Change: decide/turns.rs, pure: a refused caller gets the next turn at the pace at which the service serves this instance's part of the requests, behind those that wait, between 100 ms and 1 s. The assumed number of instances moved to the gateway. Test: refused_callers_come_back_one_after_the_other_as_fast_as_there_is_room.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -8,6 +8,7 @@
     directory::{Change, Directory},
     probed::{Ask, Pick, ProbedPool, Reading, SendEnd},
     repeat_budget::{RepeatAllowance, RepeatBudget},
+    turns::{Capacity, Turns},
     waiting::{Place, WaitingLine},
 };
 use crate::{
@@ -21,6 +22,7 @@
     pool: ProbedPool,
     budget: RepeatBudget,
     waiting: WaitingLine,
+    turns: Turns,
 }
 
 /// Targets and budgets of all services.
@@ -101,6 +103,13 @@
         place.map_or(waiting.len(), |place| waiting.ahead_of(place))
     }
 
+    /// Returns the time after which a caller that is refused now comes back.
+    pub fn turn(&mut self, now: MonoTime, service: &ServiceName, instances: u32) -> Duration {
+        let service = self.service(service);
+        let capacity = Capacity { slots: service.pool.slots(), usual: service.pool.usual_time(), instances };
+        service.turns.next(now, &capacity, service.waiting.len())
+    }
+
     /// Returns whether a service has a target that takes requests.
     pub fn has_target(&mut self, service: &ServiceName) -> bool {
         self.service(service).pool.has_target()
@@ -175,7 +184,12 @@
             if let Some(rate) = probes_per_target_per_s {
                 pool.set_probes(rate);
             }
-            Service { pool, budget: RepeatBudget::new(allowance), waiting: WaitingLine::default() }
+            Service {
+                pool,
+                budget: RepeatBudget::new(allowance),
+                waiting: WaitingLine::default(),
+                turns: Turns::default(),
+            }
         })
     }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -21,6 +21,7 @@
 pub mod stages;
 pub mod target;
 pub mod timer;
+pub mod turns;
 pub mod waiting;
 
 use std::time::Duration;
--- a/src/decide/probed.rs
+++ b/src/decide/probed.rs
@@ -319,6 +319,12 @@
         self.targets.values().any(|t| !t.listing.draining)
     }
 
+    /// Returns the requests that targets work on at once, leaving ones aside.
+    pub fn slots(&self) -> u32 {
+        let taking = self.targets.values().filter(|t| !t.listing.draining);
+        taking.map(|t| t.reading.map_or(t.listing.slots, |(r, _)| r.slots)).sum()
+    }
+
     /// Chooses a target for a call, or what to do first.
     pub fn pick(&mut self, now: MonoTime, ask: &Ask) -> Pick {
         let may_fill = !self.slows_when_full();
--- /dev/null
+++ b/src/decide/turns.rs
@@ -0,0 +1,43 @@
+//! When refused callers may come back: one after the other, as fast as the service can serve what this instance sends it.
+//!
+//! All that are refused at a crest would otherwise return together, and be refused together.
+
+use std::time::Duration;
+
+use crate::units::MonoTime;
+
+/// Least time until a caller comes back, about that of one short request.
+const LEAST: Duration = Duration::from_millis(100);
+
+/// Longest time until a caller comes back: what a request of a few seconds can spare.
+const LONGEST: Duration = Duration::from_secs(1);
+
+/// What a service serves, as far as this instance can tell.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Capacity {
+    /// Requests that its targets work on at once.
+    pub slots: u32,
+    /// Usual time of one request.
+    pub usual: Duration,
+    /// Instances that share the slots.
+    pub instances: u32,
+}
+
+/// Turns of the callers of one service that this instance refused.
+#[derive(Debug, Default)]
+pub struct Turns {
+    last: MonoTime,
+}
+
+impl Turns {
+    /// Returns the time after which a caller that is refused now comes back; so many calls wait already.
+    pub fn next(&mut self, now: MonoTime, capacity: &Capacity, waiting: usize) -> Duration {
+        let sharers = f64::from(capacity.instances.max(1));
+        let one = capacity.usual.mul_f64(sharers / f64::from(capacity.slots.max(1)));
+        let behind_waiting = now + one.mul_f64(waiting as f64);
+        let turn = (self.last.max(behind_waiting) + one).max(now + LEAST);
+        let after = turn.since(now).min(LONGEST);
+        self.last = now + after;
+        after
+    }
+}
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -51,7 +51,7 @@
 /// Time that the target of a request in progress may take to tell its load before the reading counts as missing.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(25);
 
-/// Time after which a caller may come back when no target took its request.
+/// Time after which a caller may come back when nothing is known of where its request goes.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Targets that are tried for one request when no connection to them can be had; each takes up to half a second.
@@ -346,8 +346,11 @@
             return self.pass_on(*failed);
         }
         let kind = self.ran.unwrap_or(unsent);
-        self.call.end(End::Refused(kind));
-        refusal(kind, Some(RETRY_AFTER))
+        let call = self.call;
+        call.end(End::Refused(kind));
+        let gateway = &call.gateway;
+        let turn = gateway.fleet().turn(gateway.now(), &call.service, gateway.sharers());
+        refusal(kind, Some(turn))
     }
 
     fn pass_on(&self, answer: TargetAnswer) -> Response<AnswerBody> {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -28,9 +28,6 @@
 /// An answer that arrives whole can be replaced by another target's when it breaks off.
 const MAX_HELD_BYTES: usize = 256 << 10;
 
-/// Instances assumed to share a target's connections while their number is not known.
-const ASSUMED_INSTANCES: u32 = 32;
-
 /// A target's answer.
 #[derive(Debug)]
 pub struct TargetAnswer {
@@ -176,8 +173,7 @@
 pub async fn connect(gateway: &Gateway, listing: &Listing, freshness: Freshness) -> Option<Connection> {
     let routing = gateway.routing()?;
     let service = routing.services.get(&listing.service)?;
-    let instances = gateway.instances().map_or(ASSUMED_INSTANCES, |n| u32::try_from(n).unwrap_or(u32::MAX));
-    let limit = allowance(service.max_connections, instances);
+    let limit = allowance(service.max_connections, gateway.sharers());
     gateway.connections.checkout(listing.address, limit, freshness).await
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -50,6 +50,9 @@
     units::{MonoTime, RunId},
 };
 
+/// Instances assumed to share the targets while their number is not known.
+const ASSUMED_INSTANCES: u32 = 32;
+
 /// Everything that the tasks of one gateway share.
 ///
 /// The locks of the fleet, the mirror and the roster are taken alone and not held across an await.
@@ -200,6 +203,11 @@
         Some(self.instances.load(Ordering::Acquire)).filter(|n| *n > 0)
     }
 
+    /// Returns how many instances share the targets, assumed while it is not known.
+    pub fn sharers(&self) -> u32 {
+        self.instances().map_or(ASSUMED_INSTANCES, |n| u32::try_from(n).unwrap_or(u32::MAX))
+    }
+
     /// Returns why callers should not be sent here, if they should not.
     ///
     /// # Errors
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -10,6 +10,7 @@
         probed::{Ask, Pick, ProbedPool, Reading, SendEnd},
         repeat_budget::{RepeatAllowance, RepeatBudget},
         stages::{CallTimes, Stage},
+        turns::{Capacity, Turns},
         waiting::WaitingLine,
     },
     gateway::{
@@ -156,6 +157,22 @@
     assert_eq!(line.len(), 2);
 }
 
+/// Pattern: a crest refuses dozens of callers within a few milliseconds.
+#[test]
+fn refused_callers_come_back_one_after_the_other_as_fast_as_there_is_room() {
+    // 36 slots of 100 ms each serve 360 requests a second; a thirteenth of them is one every 36 ms.
+    let capacity = Capacity { slots: 36, usual: Duration::from_millis(100), instances: 13 };
+    let mut turns = Turns::default();
+    let back = (0..10).map(|_| turns.next(at(1_000), &capacity, 0).as_millis()).collect::<Vec<_>>();
+    assert_eq!(back[..4], [100, 136, 172, 208]);
+    assert!(back.is_sorted() && back[9] <= 1_000);
+    assert!(Turns::default().next(at(1_000), &capacity, 5).as_millis() >= 200, "those who wait go first");
+    // Once the crest is over, nobody waits for turns of before.
+    assert_eq!(turns.next(at(5_000), &capacity, 0).as_millis(), 100);
+    let nothing = Capacity { slots: 0, ..capacity };
+    assert_eq!(Turns::default().next(at(1_000), &nothing, 0).as_millis(), 1_000);
+}
+
 /// Pattern: the same; a slot that comes free is left to the call that goes first.
 #[test]
 fn a_call_leaves_slots_to_those_ahead_of_it() {
