Take changed settings while running, with a signal and without

Cause: SIGHUP was logged and changed nothing, though the platform announces changed settings by it, and changes them without a signal too (seeds, for one). Seeds and bounds come into force; what needs a restart, and a faulty file, are told in the log. An instance whose seeds change starts to follow anew. Test: changed_seeds_and_bounds_are_taken_with_a_signal_and_without.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -34,8 +34,7 @@
     match cli.command {
         Command::Serve(args) => run_serve(&args),
         Command::Gateway(args) => {
-            let config = gateway::config::Config::load(&args.settings)?;
-            block_on(async { gateway::serve::serve(config).await.map(|()| ExitCode::SUCCESS) })
+            block_on(async { gateway::serve::serve(&args.settings).await.map(|()| ExitCode::SUCCESS) })
         }
         Command::Settings(args) => {
             let SettingsCommand::Check(args) = args.command;
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -11,7 +11,7 @@
 };
 
 /// Settings of one gateway instance, checked.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Config {
     /// Name of this instance, unique in the deployment.
@@ -116,6 +116,23 @@
         Err(Error::new(ErrorKind::Settings, faults.join("; ")))
     }
 
+    /// Returns these settings with what can't change while the process runs taken from others.
+    #[must_use]
+    pub fn with_fixed_of(&self, running: &Self) -> Self {
+        let own = self.clone();
+        Self {
+            peer_seeds: own.peer_seeds,
+            grace_s: own.grace_s,
+            repeat_ratio: own.repeat_ratio,
+            repeat_window_s: own.repeat_window_s,
+            repeat_extra: own.repeat_extra,
+            probes_per_target_per_s: own.probes_per_target_per_s,
+            // Only read at the start.
+            first_start: own.first_start,
+            ..running.clone()
+        }
+    }
+
     /// Returns the time from the signal to leave to the end of the process at the latest.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -4,7 +4,7 @@
 //! seeds that lives reads the store, and the others follow it. Nothing rests on that: an instance that hears nothing
 //! current in time follows another seed or reads for itself.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
     sync::Notify,
@@ -84,15 +84,36 @@
     );
 }
 
-/// Follows a seed while one is current, and the store otherwise.
+/// Follows a seed while one is current, and the store otherwise; starts anew with other seeds.
 async fn follow(gateway: &Gateway) {
-    let seeds = earlier_seeds(gateway);
-    follow_at_start(gateway, &seeds).await;
+    follow_at_start(gateway, &earlier_seeds(gateway)).await;
     loop {
-        follow_seeds(gateway, &seeds).await;
+        let seeds = earlier_seeds(gateway);
+        tokio::select! {
+            never = follow_these(gateway, &seeds) => match never {},
+            () = wait_other_seeds(gateway, &seeds) => {}
+        }
+    }
+}
+
+async fn wait_other_seeds(gateway: &Gateway, seeds: &[SocketAddr]) {
+    loop {
+        let mut changed = Box::pin(gateway.config_changed().notified());
+        // Registered before the look, so that no change is missed.
+        changed.as_mut().enable();
+        if earlier_seeds(gateway) != seeds {
+            return;
+        }
+        changed.await;
+    }
+}
+
+async fn follow_these(gateway: &Gateway, seeds: &[SocketAddr]) -> Infallible {
+    loop {
+        follow_seeds(gateway, seeds).await;
         if !gateway.is_seed() {
             sleep(TAKEOVER_SPREAD.mul_f64(rand::random_range(0.0..1.0))).await;
-            if is_any_current(gateway, &seeds).await {
+            if is_any_current(gateway, seeds).await {
                 continue;
             }
         }
@@ -100,7 +121,7 @@
         gateway.mirror().standing.distance = 0;
         tokio::select! {
             () = read_store(gateway) => {}
-            () = wait_current(gateway, &seeds) => {}
+            () = wait_current(gateway, seeds) => {}
         }
     }
 }
@@ -127,8 +148,8 @@
 
 /// Returns the seeds that go before this instance, in one order for all.
 fn earlier_seeds(gateway: &Gateway) -> Vec<SocketAddr> {
-    let own = gateway.config.peers_address;
-    let mut seeds = gateway.config.peer_seeds.clone();
+    let own = gateway.config().peers_address;
+    let mut seeds = gateway.config().peer_seeds.clone();
     seeds.sort_unstable();
     seeds.dedup();
     seeds.into_iter().take_while(|seed| *seed != own).collect()
@@ -160,7 +181,7 @@
 }
 
 fn start_patience(gateway: &Gateway) -> Duration {
-    if gateway.config.first_start { FIRST_START_PATIENCE } else { RESTART_PATIENCE }
+    if gateway.config().first_start { FIRST_START_PATIENCE } else { RESTART_PATIENCE }
 }
 
 /// Gives the seeds a moment to come up.
@@ -392,15 +413,18 @@
             log::info!("event=instances-counted instances={instances} was={known}");
             known = instances;
             gateway.set_instances(instances);
-            set_shares(gateway, instances);
         }
+        if known > 0 {
+            set_shares(gateway, known);
+        }
+        // Changed settings count from the next look on, too.
         sleep(COUNT_PERIOD).await;
     }
 }
 
 /// Gives this instance its share of what may be repeated and probed.
 fn set_shares(gateway: &Gateway, instances: u64) {
-    let config = &gateway.config;
+    let config = gateway.config();
     let allowance = RepeatAllowance {
         ratio: config.repeat_ratio * ALLOWANCE_PART,
         extra: config.repeat_extra * ALLOWANCE_PART / instances as f64,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod mirror;
 pub mod probe;
 pub mod ready;
+pub mod reload;
 pub mod roster;
 pub mod serve;
 pub mod surroundings;
@@ -29,7 +30,7 @@
     time::Duration,
 };
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::sync::{Notify, watch};
 
 use self::{
@@ -58,8 +59,6 @@
 /// The locks of the fleet, the mirror and the roster are taken alone and not held across an await.
 #[derive(Debug)]
 pub struct Gateway {
-    /// Settings.
-    pub config: Config,
     /// Clock of this process.
     pub clock: Clock,
     /// Identifier of this run.
@@ -74,6 +73,9 @@
     pub trail_limit: TrailLimit,
     /// Notified when something became known of a target.
     pub news: Notify,
+    config: ArcSwap<Config>,
+    /// Notified when other settings are in force.
+    config_changed: Notify,
     routing: ArcSwapOption<RoutingTable>,
     fleet: Mutex<Fleet>,
     mirror: Mutex<Mirror>,
@@ -118,10 +120,27 @@
             instances: AtomicU64::new(0),
             phase: watch::Sender::new(Phase::Serving),
             in_progress: Arc::default(),
-            config,
+            config: ArcSwap::from_pointee(config),
+            config_changed: Notify::new(),
         }))
     }
 
+    /// Returns the settings in force.
+    pub fn config(&self) -> Arc<Config> {
+        self.config.load_full()
+    }
+
+    /// Puts other settings in force.
+    pub fn set_config(&self, config: Config) {
+        self.config.store(Arc::new(config));
+        self.config_changed.notify_waiters();
+    }
+
+    /// Returns what is notified when other settings are in force.
+    pub fn config_changed(&self) -> &Notify {
+        &self.config_changed
+    }
+
     /// Returns the time since the start.
     pub fn now(&self) -> MonoTime {
         self.clock.now()
@@ -173,7 +192,7 @@
 
     /// Returns whether others may follow this instance.
     pub fn is_seed(&self) -> bool {
-        let config = &self.config;
+        let config = self.config();
         config.peer_seeds.is_empty() || config.peer_seeds.contains(&config.peers_address)
     }
 
@@ -184,7 +203,7 @@
 
     /// Returns how many instances there are as far as this one can tell, 0 when it can't.
     pub fn count_instances(&self) -> u32 {
-        let alone = u32::from(self.config.peer_seeds.is_empty());
+        let alone = u32::from(self.config().peer_seeds.is_empty());
         self.roster().count(self.now()).max(alone)
     }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,6 +1,6 @@
 //! Runs one gateway: listens, follows the store, and leaves cleanly.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use tokio::{
     net::{TcpListener, TcpSocket},
@@ -8,7 +8,7 @@
     time::{Instant, sleep, timeout_at},
 };
 
-use super::{Gateway, config::Config, downstream, follow, listen, ready};
+use super::{Gateway, config::Config, downstream, follow, listen, ready, reload};
 use crate::{
     error::{Error, ErrorKind, Result},
     logging,
@@ -31,7 +31,9 @@
 /// # Errors
 ///
 /// [`ErrorKind::AddressUnavailable`] and [`ErrorKind::Settings`].
-pub async fn serve(mut config: Config) -> Result<()> {
+pub async fn serve(path: &Path) -> Result<()> {
+    let loaded = Config::load(path)?;
+    let mut config = loaded.clone();
     logging::start(config.log_lines_per_s, config.log_level, &BTreeMap::new())?;
     let callers = bind("callers_address", &mut config.callers_address)?;
     let ready_listener = bind("ready_address", &mut config.ready_address)?;
@@ -45,7 +47,7 @@
     tokio::spawn(downstream::listen(Arc::clone(&gateway), peers));
     tokio::spawn(follow::run(Arc::clone(&gateway)));
     tokio::spawn(listen::listen(Arc::clone(&gateway), callers));
-    wait_signal().await?;
+    wait_signal(&gateway, path, loaded).await?;
     leave(&gateway).await;
     logging::flush();
     Ok(())
@@ -65,7 +67,7 @@
 }
 
 fn log_start(gateway: &Gateway) {
-    let config = &gateway.config;
+    let config = gateway.config();
     log::info!(
         "event=started instance={} run={} data_centre={} callers={} ready={} metrics={} peers={} store={} place={}",
         config.instance,
@@ -93,26 +95,25 @@
     }
 }
 
-/// Waits for the signal to leave.
-async fn wait_signal() -> Result<()> {
+/// Waits for the signal to leave; takes changed settings meanwhile.
+async fn wait_signal(gateway: &Gateway, path: &Path, loaded: Config) -> Result<()> {
     let listen = |kind| signal(kind).map_err(|e| Error::new(ErrorKind::File, format!("signals: {e}")));
     let (mut terminate, mut interrupt) = (listen(SignalKind::terminate())?, listen(SignalKind::interrupt())?);
-    let mut hangup = listen(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => log::info!("event=reload"),
-        }
+    let hangup = listen(SignalKind::hangup())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = reload::run(gateway, path, loaded, hangup) => {}
     }
+    Ok(())
 }
 
 /// Lets the entry notice, ends callers' connections, and waits for what is in progress.
 async fn leave(gateway: &Gateway) {
-    let until = Instant::now() + gateway.config.grace().mul_f64(1.0 - EXIT_PART);
+    let until = Instant::now() + gateway.config().grace().mul_f64(1.0 - EXIT_PART);
     gateway.leave();
     log::info!("event=leaving in_progress={}", gateway.in_progress().requests());
-    sleep(ENTRY_LAG.min(gateway.config.grace() / 2)).await;
+    sleep(ENTRY_LAG.min(gateway.config().grace() / 2)).await;
     gateway.refuse_new();
     let idle = timeout_at(until, gateway.in_progress().wait_idle()).await.is_ok();
     log::info!("event=left idle={idle} in_progress={}", gateway.in_progress().requests());
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -118,7 +118,7 @@
             let mirror = gateway.mirror();
             StoreAsk {
                 protocol_version: PROTOCOL_VERSION,
-                instance: gateway.config.instance.clone(),
+                instance: gateway.config().instance.clone(),
                 routing: mirror.version(Table::Routing),
                 targets: mirror.version(Table::Targets),
                 wants_rows,
--- a/tests/gateway_env/mod.rs
+++ b/tests/gateway_env/mod.rs
@@ -134,8 +134,8 @@
         gateway
     }
 
-    /// Starts a gateway.
-    pub fn start_gateway(&self, name: &str, extra: &Value) -> GatewayProcess {
+    /// Writes the settings of a gateway and returns where they are.
+    pub fn write_settings(&self, name: &str, extra: &Value) -> String {
         let mut settings = json!({
             "instance": name,
             "data_centre": "ost-a",
@@ -154,7 +154,12 @@
         });
         let extra = extra.as_object().cloned().unwrap_or_default();
         settings.as_object_mut().expect("settings are an object").extend(extra);
-        let path = self.env.write(&format!("{name}.json"), &settings.to_string());
+        self.env.write(&format!("{name}.json"), &settings.to_string())
+    }
+
+    /// Starts a gateway.
+    pub fn start_gateway(&self, name: &str, extra: &Value) -> GatewayProcess {
+        let path = self.write_settings(name, extra);
         let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_arbutusshelf"));
         command.args(["gateway", "--settings", &path]).stdout(Stdio::piped());
         let mut child = command.spawn().expect("the binary starts");
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -282,3 +282,27 @@
     }
     assert!(second.logged(&["event=source source=store"]));
 }
+
+#[tokio::test]
+async fn changed_seeds_and_bounds_are_taken_with_a_signal_and_without() {
+    let hosted = Hosted::start().await;
+    let _worker = hosted.worker("i-1").await;
+    let seed = hosted.gateway("seed", &json!({})).await;
+    let gateway = hosted.gateway("one", &json!({"peer_seeds": [UNUSED_ADDRESS]})).await;
+    assert!(!gateway.logged(&["event=reload"]));
+    hosted.write_settings("one", &json!({"peer_seeds": [seed.peers]}));
+    gateway.signal("HUP");
+    hosted.until("it follows the seed", || async { gateway.logged(&["source=", "distance=1"]) }).await;
+    hosted.write_settings("one", &json!({"peer_seeds": [seed.peers], "repeat_extra": 7.0}));
+    hosted
+        .until("the bound is taken", || async { gateway.logged(&["event=reload", "repeat_extra=7"]) })
+        .await;
+    hosted.write_settings("one", &json!({"peer_seeds": [seed.peers], "repeat_extra": -1.0}));
+    gateway.signal("HUP");
+    hosted.until("the fault is told", || async { gateway.logged(&["event=reload-failed"]) }).await;
+    hosted.write_settings("one", &json!({"peer_seeds": [seed.peers], "data_centre": "elsewhere"}));
+    gateway.signal("HUP");
+    hosted.until("the limit is told", || async { gateway.logged(&["event=reload-partial"]) }).await;
+    let answer = hosted.send(gateway.callers, Method::GET, "/read/x", "a1").await.expect("an answer");
+    assert_eq!(answer.status, 200);
+}
