Keep requests of before the window out of the repeat budget when the window has changed

Cause: found by reading. A budget is made with a window of 1 s until the number of instances is known, then set to 10 s. Parts were numbered in units of the old length, so that up to the thirtieth second all requests were counted in one part: a crest could spend in ten seconds what a calm half minute had allowed. Change: parts carry their time rather than a number. Test: requests_of_before_the_window_allow_no_repeats_when_the_window_has_changed failed before. Conclusion: the budget holds in each window from the start on.

--- a/src/decide/repeat_budget.rs
+++ b/src/decide/repeat_budget.rs
@@ -23,7 +23,8 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Part {
-    number: u64,
+    /// Start; a multiple of the length that parts had then.
+    from_us: u64,
     requests: u32,
     repeats: u32,
 }
@@ -64,25 +65,31 @@
     /// Returns the repeats that may be made now.
     pub fn left(&mut self, now: MonoTime) -> f64 {
         self.part(now);
-        // The oldest part may lie partly outside the window: its repeats count and its requests do not.
-        let oldest = self.parts.front().map_or(0, |p| p.number);
-        let newest = self.parts.back().map_or(0, |p| p.number);
-        let is_full = newest - oldest >= u64::from(PARTS);
-        let requests = self.parts.iter().skip(usize::from(is_full)).map(|p| p.requests).sum::<u32>();
+        // Parts that may lie partly outside the window: their repeats count and their requests do not.
+        let length_us = self.part_length_us();
+        let newest_us = self.parts.back().map_or(0, |p| p.from_us);
+        let from_us = (newest_us + length_us).saturating_sub(length_us * u64::from(PARTS));
+        let inside = self.parts.iter().filter(|p| p.from_us >= from_us);
+        let requests = inside.map(|p| p.requests).sum::<u32>();
         let repeats = self.parts.iter().map(|p| p.repeats).sum::<u32>();
         f64::from(requests) * self.allowance.ratio + self.allowance.extra - f64::from(repeats)
     }
 
     fn part(&mut self, now: MonoTime) -> &mut Part {
-        let length_us = (self.allowance.window / PARTS).as_micros().max(1);
-        let number = (u128::from(now.as_micros()) / length_us) as u64;
-        while self.parts.front().is_some_and(|p| p.number + u64::from(PARTS) < number) {
+        let length_us = self.part_length_us();
+        let window_us = length_us * u64::from(PARTS);
+        let from_us = now.as_micros() / length_us * length_us;
+        while self.parts.front().is_some_and(|p| p.from_us + window_us < from_us) {
             self.parts.pop_front();
         }
-        if self.parts.back().is_none_or(|p| p.number < number) {
-            self.parts.push_back(Part { number, requests: 0, repeats: 0 });
+        if self.parts.back().is_none_or(|p| p.from_us < from_us) {
+            self.parts.push_back(Part { from_us, requests: 0, repeats: 0 });
         }
         let last = self.parts.len() - 1;
         &mut self.parts[last]
     }
+
+    fn part_length_us(&self) -> u64 {
+        u64::try_from((self.allowance.window / PARTS).as_micros()).unwrap_or(u64::MAX).max(1)
+    }
 }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -120,6 +120,23 @@
     }
 }
 
+/// Pattern: after a calm start, a crest wants all repeats at once.
+#[test]
+fn requests_of_before_the_window_allow_no_repeats_when_the_window_has_changed() {
+    let second = RepeatAllowance { ratio: 0.0, extra: 0.0, window: Duration::from_secs(1) };
+    let mut budget = RepeatBudget::new(second);
+    for ms in (0..3_000).step_by(10) {
+        budget.request(at(ms));
+    }
+    budget.set_allowance(RepeatAllowance { ratio: 0.2, extra: 0.0, window: Duration::from_secs(10) });
+    for ms in (3_000..25_000).step_by(10) {
+        budget.request(at(ms));
+    }
+    let repeats = (0..10_000).take_while(|_| budget.spend(at(25_000))).count();
+    // A thousand requests in ten seconds.
+    assert!((150..=200).contains(&repeats), "{repeats}");
+}
+
 fn reading(running: u32, pace: f64) -> Reading {
     Reading { running, waiting: 0, slots: 3, pace }
 }
