Allow repeats for an instance's own requests before the number of instances is known

Cause: for 3 s after a start or restart no request could be repeated or hedged, though the part of the budget that follows from an instance's own requests depends on nobody else. Change: that part is allowed at once, the share of the rest when instances are counted.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -405,6 +405,8 @@
 
 /// Keeps this instance's share of the budgets to the number of instances.
 async fn count_instances(gateway: &Gateway) {
+    // What requests themselves allow depends on no count.
+    set_allowance(gateway, None);
     sleep(COUNT_AFTER).await;
     let mut known = 0;
     loop {
@@ -424,14 +426,17 @@
 
 /// Gives this instance its share of what may be repeated and probed.
 fn set_shares(gateway: &Gateway, instances: u64) {
+    set_allowance(gateway, Some(instances));
+    let probes = gateway.config().probes_per_target_per_s * PROBES_PART / instances as f64;
+    gateway.fleet().set_probes(probes);
+}
+
+/// Lets this instance repeat a part of its requests, and its share of what is allowed besides once that is known.
+fn set_allowance(gateway: &Gateway, instances: Option<u64>) {
     let config = gateway.config();
-    let allowance = RepeatAllowance {
+    gateway.fleet().set_allowance(RepeatAllowance {
         ratio: config.repeat_ratio * ALLOWANCE_PART,
-        extra: config.repeat_extra * ALLOWANCE_PART / instances as f64,
+        extra: instances.map_or(0.0, |n| config.repeat_extra * ALLOWANCE_PART / n as f64),
         window: Duration::from_secs_f64(config.repeat_window_s),
-    };
-    let probes = config.probes_per_target_per_s * PROBES_PART / instances as f64;
-    let mut fleet = gateway.fleet();
-    fleet.set_allowance(allowance);
-    fleet.set_probes(probes);
+    });
 }
