Add a randomized soak of gateways as processes, with a checker of its own

The relay could cut and hold only; workers did not tell when a request came or which they refused. Change: `arbutusshelf-bench soak` draws a plan from a seed (restarts, kills, pauses, reloads, links to store, callers and peers that are delayed, silenced one way or both, reset or refused, store outages, worker faults, drains with address reuse, routes that come and go; in series that overlap), plays it on processes, and checks fourteen promises. Each instance has its own loopback address: ports from the system's own range were taken by outgoing connections while an instance was down. rustix sends the signals. The worker stand-in answers 421 to what is meant for another. Tests: bench/tests/soak_checker.rs forges a history for each promise, and a near miss; tests/soak.rs plays a seed.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod replay;
 pub mod rows;
 pub mod scripted;
+pub mod soak;
 pub mod store_outage;
 pub mod target;
 pub mod tour;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,7 +5,7 @@
 use arbutusshelf::error::{Error, ErrorKind, Result};
 use arbutusshelf_bench::{
     allocations::CountingAllocator, claim_load, control, experiment, fault_run, flood, latency, observe_cost,
-    plan_size, platform::PlatformStandIn, pool_cost, store_outage, target::TargetStandIn, tour,
+    plan_size, platform::PlatformStandIn, pool_cost, soak, store_outage, target::TargetStandIn, tour,
 };
 use argh::FromArgs;
 
@@ -38,6 +38,7 @@
     Generate(experiment::GenerateCommand),
     Experiment(experiment::ExperimentCommand),
     PoolCost(pool_cost::PoolCost),
+    Soak(soak::Args),
 }
 
 /// Run the whole path on loopback and check the properties of the brief.
@@ -123,6 +124,10 @@
             claim_load::run(&args).await?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Soak(args) => {
+            let findings = soak::run(&args).await?;
+            Ok(if findings.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
         Command::Control(args) => {
             control::run(&args).await?;
             Ok(ExitCode::SUCCESS)
--- a/bench/src/relay.rs
+++ b/bench/src/relay.rs
@@ -1,4 +1,4 @@
-//! TCP relay in front of a target that cuts, holds or refuses connections.
+//! TCP relay that delays, silences, resets, cuts, holds or refuses the connections through it.
 
 use std::{
     net::SocketAddr,
@@ -36,8 +36,21 @@
     CutInAnswer,
     /// Answers are held until the fault ends; then the connection is cut.
     Hold,
+    /// All bytes come later.
+    Delayed,
+    /// Bytes that come now are lost, and the connections they were of stay silent.
+    Silent,
+    /// The same, only on the way to the target.
+    SilentToTarget,
+    /// The same, only on the way to the caller.
+    SilentToCaller,
+    /// New connections and those that carry anything are reset.
+    Reset,
 }
 
+/// Delay of one read under [`LinkFault::Delayed`].
+const DELAY: Duration = Duration::from_millis(60);
+
 type SharedFault = Arc<Mutex<LinkFault>>;
 
 /// A running relay; stops, with its connections, when dropped.
@@ -62,7 +75,16 @@
     ///
     /// The I/O error of binding.
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(ANY_PORT).await?;
+        Self::start_at(ANY_PORT, target).await
+    }
+
+    /// Starts a relay at an address before `target`.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error of binding.
+    pub async fn start_at(address: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let fault = SharedFault::default();
         let task = tokio::spawn(accept(listener, target, Arc::clone(&fault)));
@@ -82,8 +104,15 @@
 async fn accept(listener: TcpListener, target: SocketAddr, fault: SharedFault) {
     let mut connections = JoinSet::new();
     while let Ok((caller, _)) = listener.accept().await {
-        if current(&fault) != LinkFault::Killed {
-            connections.spawn(connect(caller, target, Arc::clone(&fault)));
+        match current(&fault) {
+            LinkFault::Killed => {}
+            LinkFault::Reset => {
+                // Dropped with a reset, or closed where the system refuses the option.
+                let _best_effort = caller.set_zero_linger();
+            }
+            _ => {
+                connections.spawn(connect(caller, target, Arc::clone(&fault)));
+            }
         }
         while connections.try_join_next().is_some() {}
     }
@@ -96,15 +125,22 @@
     let (from_target, to_target) = upstream.into_split();
     // Either end closing ends both directions.
     tokio::select! {
-        () = pass(from_caller, to_target) => {}
+        () = pass(from_caller, to_target, Arc::clone(&fault)) => {}
         () = pass_answers(from_target, to_caller, fault) => {}
     }
 }
 
-async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, fault: SharedFault) {
     let mut buffer = vec![0; BUFFER_BYTES];
+    let mut is_silent = false;
     while let Ok(read @ 1..) = from.read(&mut buffer).await {
-        if to.write_all(&buffer[..read]).await.is_err() {
+        match current(&fault) {
+            LinkFault::Silent | LinkFault::SilentToTarget => is_silent = true,
+            LinkFault::Delayed => tokio::time::sleep(DELAY).await,
+            LinkFault::Reset => return reset(&from, &to),
+            _ => {}
+        }
+        if !is_silent && to.write_all(&buffer[..read]).await.is_err() {
             return;
         }
     }
@@ -112,9 +148,10 @@
 
 async fn pass_answers(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, fault: SharedFault) {
     let mut buffer = vec![0; BUFFER_BYTES];
+    let mut is_silent = false;
     while let Ok(read @ 1..) = from.read(&mut buffer).await {
         let passed = match current(&fault) {
-            LinkFault::None => read,
+            LinkFault::None | LinkFault::SilentToTarget => read,
             LinkFault::Killed | LinkFault::CutBeforeAnswer => return,
             LinkFault::CutInAnswer => read / 2,
             LinkFault::Hold => {
@@ -123,9 +160,27 @@
                 }
                 return;
             }
+            LinkFault::Delayed => {
+                tokio::time::sleep(DELAY).await;
+                read
+            }
+            LinkFault::Silent | LinkFault::SilentToCaller => {
+                is_silent = true;
+                read
+            }
+            LinkFault::Reset => return reset(&from, &to),
         };
+        if is_silent {
+            continue;
+        }
         if to.write_all(&buffer[..passed]).await.is_err() || passed < read {
             return;
         }
     }
 }
+
+/// Lets the end of both connections be a reset.
+fn reset(from: &OwnedReadHalf, to: &OwnedWriteHalf) {
+    // Without the option they end with a clean close.
+    let _best_effort = (from.as_ref().set_zero_linger(), to.as_ref().set_zero_linger());
+}
--- /dev/null
+++ b/bench/src/soak/mod.rs
@@ -0,0 +1,154 @@
+//! Randomized soak: gateways as processes among stand-ins, disturbed by a plan that is drawn from a seed.
+//!
+//! What is promised is checked afterwards on what callers and workers saw, see [`checker`].
+
+pub mod callers;
+pub mod checker;
+pub mod history;
+pub mod instance;
+pub mod plan;
+pub mod world;
+
+use std::{fs, path::PathBuf, sync::Arc, time::Duration};
+
+use arbutusshelf::error::{Error, ErrorKind, Result};
+use argh::FromArgs;
+use futures::{StreamExt, stream::FuturesUnordered};
+
+use self::{
+    checker::Finding,
+    history::{End, History},
+    plan::Size,
+    world::World,
+};
+
+/// Calm at the end, in which service must be back, in milliseconds.
+const CALM_MS: u64 = 7_000;
+
+/// Time for callers' last requests to end.
+const LAST_REQUESTS: Duration = Duration::from_millis(2_500);
+
+/// Time after the plan's last step in which its end must have come: that of a drain is the longest.
+const LAST_STEP_MS: u64 = 9_000;
+
+/// Disturb a deployment by a random plan, and check what is promised.
+#[derive(Debug, Clone, FromArgs)]
+#[argh(subcommand, name = "soak")]
+pub struct Args {
+    /// seed of the plan; the first of them with --seeds
+    #[argh(option)]
+    pub seed: u64,
+    /// how many seeds to run, one after the other
+    #[argh(option, default = "1")]
+    pub seeds: u64,
+    /// minutes of disturbances for each seed
+    #[argh(option, default = "0.3")]
+    pub minutes: f64,
+    /// instances
+    #[argh(option, default = "5")]
+    pub instances: usize,
+    /// workers
+    #[argh(option, default = "8")]
+    pub workers: usize,
+    /// callers
+    #[argh(option, default = "16")]
+    pub callers: usize,
+    /// directory for logs; those of seeds without a finding are removed
+    #[argh(option, default = "std::env::temp_dir().join(\"arbutusshelf-soak\")")]
+    pub logs: PathBuf,
+    /// the daemon, by default the one built beside the bench
+    #[argh(option)]
+    pub binary: Option<PathBuf>,
+}
+
+/// Runs all seeds, prints a line for each, and returns the findings.
+///
+/// # Errors
+///
+/// Why a part of the deployment did not start.
+pub async fn run(args: &Args) -> Result<Vec<Finding>> {
+    let mut all = Vec::new();
+    for seed in args.seed..args.seed + args.seeds {
+        let (history, findings) = run_seed(args, seed).await?;
+        println!("{}", summary(seed, &history, &findings));
+        for finding in &findings {
+            println!("  {finding}");
+        }
+        all.extend(findings);
+    }
+    Ok(all)
+}
+
+fn summary(seed: u64, history: &History, findings: &[Finding]) -> String {
+    let answered = |is: fn(u16) -> bool| {
+        let ends = history.attempts.iter().map(|a| &a.end);
+        ends.filter(|e| matches!(e, End::Answered { status, .. } if is(*status))).count()
+    };
+    let lost = history.attempts.iter().filter(|a| matches!(a.end, End::Lost(_))).count();
+    let (drains, routes) = (history.drains.len(), history.routes.len());
+    let stops = history.boots.iter().filter(|b| b.gone_ms.is_some()).count();
+    format!(
+        "seed={seed} findings={} requests={} served={} refused={} unknown={} lost={lost} disturbances={} stops={stops} \
+         drains={drains} routes={routes}",
+        findings.len(),
+        history.attempts.len(),
+        answered(|s| s == 200),
+        answered(|s| s == 429 || s == 503),
+        answered(|s| s == 502 || s == 504),
+        history.disturbances.len(),
+    )
+}
+
+async fn run_seed(args: &Args, seed: u64) -> Result<(History, Vec<Finding>)> {
+    let directory = args.logs.join(format!("seed-{seed}"));
+    let file = |e: std::io::Error| Error::new(ErrorKind::File, format!("{}: {e}", directory.display()));
+    if directory.exists() {
+        fs::remove_dir_all(&directory).map_err(file)?;
+    }
+    fs::create_dir_all(&directory).map_err(file)?;
+    let binary = match &args.binary {
+        Some(binary) => binary.clone(),
+        None => std::env::current_exe().map_err(file)?.with_file_name("arbutusshelf"),
+    };
+    let world = World::start(binary, directory.clone(), args.instances, args.workers).await?;
+    let start_ms = world.callers.now_ms();
+    let trouble_ms = (args.minutes * 60_000.0) as u64;
+    let size = Size { instances: args.instances, workers: args.workers, trouble_ms };
+    let calm_ms = start_ms + trouble_ms + LAST_STEP_MS;
+    let callers = (0..args.callers).map(|number| {
+        let shared = Arc::clone(&world.callers);
+        tokio::spawn(callers::call(shared, number, seed, calm_ms + CALM_MS))
+    });
+    let callers = callers.collect::<Vec<_>>();
+    let steps = plan::draw(seed, &size).into_iter().map(|step| {
+        let world = &world;
+        async move {
+            tokio::time::sleep(Duration::from_millis(step.at_ms)).await;
+            world.carry_out(step).await
+        }
+    });
+    let disturb = async {
+        let mut steps = steps.collect::<FuturesUnordered<_>>();
+        while let Some(done) = steps.next().await {
+            done?;
+        }
+        let left_ms = (calm_ms + CALM_MS).saturating_sub(world.callers.now_ms());
+        tokio::time::sleep(Duration::from_millis(left_ms) + LAST_REQUESTS).await;
+        Ok(())
+    };
+    tokio::select! {
+        done = disturb => done?,
+        ended = world.watch() => ended?,
+    }
+    for caller in callers {
+        caller.abort();
+    }
+    let history = world.finish(calm_ms);
+    let findings = checker::check(&history, &world::bounds(args.instances));
+    if findings.is_empty() {
+        fs::remove_dir_all(&directory).map_err(file)?;
+    } else {
+        fs::write(directory.join("history.txt"), format!("{history:#?}")).map_err(file)?;
+    }
+    Ok((history, findings))
+}
--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -5,7 +5,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::{
@@ -47,6 +47,10 @@
     pub head: String,
     /// Body.
     pub body: Vec<u8>,
+    /// When it arrived.
+    pub at: Instant,
+    /// When work on it ended.
+    pub ended: Option<Instant>,
 }
 
 impl Run {
@@ -65,6 +69,7 @@
     pace_percent: u32,
     running: u32,
     runs: Vec<Run>,
+    refused: Vec<Run>,
     probes: u64,
     /// Connections that their other end closed while a request was worked on.
     abandoned: u64,
@@ -98,7 +103,16 @@
     ///
     /// The I/O error of binding.
     pub async fn start(id: &str) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at(id, ([127, 0, 0, 1], 0).into()).await
+    }
+
+    /// Starts a worker with three slots at an address.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error of binding.
+    pub async fn start_at(id: &str, address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State { pace_percent: 100, ..State::default() }));
         let (shared, own) = (Arc::clone(&state), id.to_owned());
@@ -114,6 +128,11 @@
         Ok(Self { id: id.to_owned(), address, state, task })
     }
 
+    /// Takes no more connections; those that are open go on.
+    pub fn close(&self) {
+        self.task.abort();
+    }
+
     /// Sets what it does with requests.
     pub fn set_mode(&self, mode: WorkerMode) {
         lock(&self.state).mode = mode;
@@ -134,6 +153,11 @@
         lock(&self.state).runs.clone()
     }
 
+    /// Returns the requests that it refused.
+    pub fn refused(&self) -> Vec<Run> {
+        lock(&self.state).refused.clone()
+    }
+
     /// Returns the probes that it answered.
     pub fn probes(&self) -> u64 {
         lock(&self.state).probes
@@ -158,7 +182,7 @@
             stream.write_all(answer.as_bytes()).await?;
             continue;
         }
-        if !answer(&mut stream, state, &run, &load).await? {
+        if !answer(&mut stream, state, &run, (id, &load)).await? {
             return Ok(());
         }
     }
@@ -174,7 +198,7 @@
             let lower = |l: &str| l.split_once(':').map(|(n, v)| format!("{}:{v}", n.to_ascii_lowercase()));
             let fields = fields.lines().filter_map(lower).collect::<Vec<_>>().join("\n");
             let head = format!("{line}\n{fields}");
-            let run = Run { head, body: Vec::new() };
+            let run = Run { head, body: Vec::new(), at: Instant::now(), ended: None };
             let length = run.header("content-length").and_then(|v| v.parse::<usize>().ok()).unwrap_or(0);
             if buffer.len() >= end + 4 + length {
                 let body = buffer[end + 4..end + 4 + length].to_vec();
@@ -195,27 +219,31 @@
     stream: &mut TcpStream,
     state: &Mutex<State>,
     run: &Run,
-    load: &str,
+    (id, load): (&str, &str),
 ) -> std::io::Result<bool> {
     let (mode, work) = {
         let state = lock(state);
         (state.mode, state.work)
     };
+    let is_meant = run.header("x-expect-worker").is_none_or(|expected| expected == id);
     let refusal = match mode {
+        _ if !is_meant => Some("421 Misdirected Request"),
         WorkerMode::Shed => Some("503 Service Unavailable\r\nX-Not-Executed: 1"),
         WorkerMode::Misdirected => Some("421 Misdirected Request"),
         _ => None,
     };
     if let Some(refusal) = refusal {
+        lock(state).refused.push(run.clone());
         let answer = format!("HTTP/1.1 {refusal}\r\n{load}Content-Length: 0\r\n\r\n");
         stream.write_all(answer.as_bytes()).await?;
         return Ok(true);
     }
-    {
+    let number = {
         let mut state = lock(state);
         state.runs.push(run.clone());
         state.running += 1;
-    }
+        state.runs.len() - 1
+    };
     let mut byte = [0];
     let left = tokio::select! {
         () = tokio::time::sleep(work) => false,
@@ -224,6 +252,7 @@
     {
         let mut state = lock(state);
         state.running -= 1;
+        state.runs[number].ended = Some(Instant::now());
         state.abandoned += u64::from(left);
     }
     if left {
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,30 @@
+//! A short soak: gateways as processes among stand-ins, disturbed by seeded plans.
+
+use arbutusshelf_bench::soak::{self, Args};
+
+/// Seeds that every run plays, with what they are for; a seed that ever failed stays here.
+const SEEDS: [(u64, &str); 1] = [(7, "a first one")];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_through_seeded_disturbances() {
+    for (seed, what) in SEEDS {
+        let args = Args {
+            seed,
+            seeds: 1,
+            minutes: 0.1,
+            instances: 4,
+            workers: 6,
+            callers: 8,
+            logs: std::env::temp_dir().join(format!("arbutusshelf-soak-test-{}", std::process::id())),
+            binary: Some(env!("CARGO_BIN_EXE_arbutusshelf").into()),
+        };
+        let findings = soak::run(&args).await.expect("the deployment starts");
+        let findings = findings.iter().map(ToString::to_string).collect::<Vec<_>>();
+        assert!(
+            findings.is_empty(),
+            "seed {seed}, {what}: {}; logs in {}",
+            findings.join("; "),
+            args.logs.display()
+        );
+    }
+}
