Let each instance probe targets in an order of its own, so that connections are used again

Targets without a reading ranked alike but for chance, so each probe went to one of 281 targets, which an instance met every 14 s, and idle connections end after 5 s. Change: a fixed part of the rank is drawn once for each instance and target.

--- a/src/decide/probed.rs
+++ b/src/decide/probed.rs
@@ -60,6 +60,10 @@
 /// Random part of the order in which targets are probed, so that instances do not all ask the same ones.
 const RANK_JITTER: f64 = 0.3;
 
+/// Part of the order in which targets are probed that is this instance's own and stays: it comes back to the same
+/// targets while their connections are open, and other instances to others.
+const RANK_HABIT: f64 = 0.6;
+
 /// Load that the way to another data centre stands for, in parts of one request's time.
 const FAR_COST: f64 = 0.02;
 
@@ -107,6 +111,8 @@
 struct Target {
     listing: Listing,
     is_near: bool,
+    /// Place in this instance's own order, from 0 to 1.
+    habit: f64,
     reading: Option<(Reading, MonoTime)>,
     /// Own sends in progress.
     own: u32,
@@ -121,10 +127,11 @@
 }
 
 impl Target {
-    fn new(listing: Listing, is_near: bool) -> Self {
+    fn new(listing: Listing, is_near: bool, habit: f64) -> Self {
         Self {
             listing,
             is_near,
+            habit,
             reading: None,
             own: 0,
             sent: 0,
@@ -301,7 +308,8 @@
         match change {
             Change::Added(listing) => {
                 let is_near = listing.data_centre == self.data_centre;
-                self.targets.insert(listing.id.clone(), Target::new(listing.clone(), is_near));
+                self.targets
+                    .insert(listing.id.clone(), Target::new(listing.clone(), is_near, self.rng.random()));
             }
             Change::Updated(listing) => {
                 if let Some(target) = self.targets.get_mut(&listing.id) {
@@ -414,7 +422,7 @@
         let mut open = eligible
             .into_iter()
             .filter(|t| !t.is_probed && t.age(now).is_none_or(|age| age > FRESH))
-            .map(|t| (t.expected(now) + rng.random_range(0.0..RANK_JITTER), t))
+            .map(|t| (t.expected(now) + t.habit * RANK_HABIT + rng.random_range(0.0..RANK_JITTER), t))
             .collect::<Vec<_>>();
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
         let wanted = wanted.saturating_sub(under_way).min(open.len());
