Probe near targets first, in each instance's own order

Change: targets of other data centres go back in the order by half of the range of the own part. Test: an_instance_comes_back_to_few_near_targets_and_others_to_others.

--- a/src/decide/probed.rs
+++ b/src/decide/probed.rs
@@ -64,6 +64,9 @@
 /// targets while their connections are open, and other instances to others.
 const RANK_HABIT: f64 = 0.6;
 
+/// The same for targets in other data centres: bytes on the way there are paid for.
+const RANK_FAR: f64 = 0.3;
+
 /// Load that the way to another data centre stands for, in parts of one request's time.
 const FAR_COST: f64 = 0.02;
 
@@ -143,6 +146,11 @@
         }
     }
 
+    /// Returns its place in the order in which this instance probes, all else being equal.
+    fn habit(&self) -> f64 {
+        self.habit * RANK_HABIT + if self.is_near { 0.0 } else { RANK_FAR }
+    }
+
     fn fault(&self, now: MonoTime) -> f64 {
         let halvings = now.since(self.fault_at).as_secs_f64() / FAULT_HALF_LIFE_S;
         self.fault * (-halvings).exp2()
@@ -422,7 +430,7 @@
         let mut open = eligible
             .into_iter()
             .filter(|t| !t.is_probed && t.age(now).is_none_or(|age| age > FRESH))
-            .map(|t| (t.expected(now) + t.habit * RANK_HABIT + rng.random_range(0.0..RANK_JITTER), t))
+            .map(|t| (t.expected(now) + t.habit() + rng.random_range(0.0..RANK_JITTER), t))
             .collect::<Vec<_>>();
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
         let wanted = wanted.saturating_sub(under_way).min(open.len());
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -161,6 +161,39 @@
 
 const EASY: Ask<'static> = Ask { without: &[], rounds: 0, stage: Stage::Easy, ahead: 0 };
 
+/// Targets that one instance of many probes in its choices, when none of them says anything unusual.
+fn habitual_probes(seed: u64) -> Vec<String> {
+    let mut pool = ProbedPool::new("ost-a".parse().expect("a name"), SmallRng::seed_from_u64(seed));
+    for number in 0..40 {
+        let data_centre = if number % 2 == 0 { "ost-a" } else { "ost-b" };
+        let data_centre = data_centre.parse().expect("a name");
+        pool.follow(&Change::Added(Listing { data_centre, ..listing(&format!("t{number}")) }));
+    }
+    let mut probed = Vec::new();
+    for round in 0..100 {
+        let now = at(1_000 + round * 500);
+        let Pick::Probe(listings) = pool.pick(now, &EASY) else { panic!("nothing is known of any target") };
+        for target in listings {
+            let mark = pool.probing(&target.id).expect("no probe is under way");
+            pool.probed(now, &target.id, mark, Some(reading(0, 1.0)));
+            probed.push(target.id.to_string());
+        }
+    }
+    probed
+}
+
+/// Pattern: a hundred instances and hundreds of targets, of which each instance needs a few a second.
+#[test]
+fn an_instance_comes_back_to_few_near_targets_and_others_to_others() {
+    let near = |id: &&String| id[1..].parse::<u32>().is_ok_and(|number| number % 2 == 0);
+    let (one, other) = (habitual_probes(1), habitual_probes(2));
+    assert!(one.iter().filter(near).count() * 10 >= one.len() * 8, "most probes stay near");
+    let distinct = |probed: &[String]| probed.iter().cloned().collect::<std::collections::BTreeSet<_>>();
+    let (one, other) = (distinct(&one), distinct(&other));
+    assert!((3..=25).contains(&one.len()), "{}", one.len());
+    assert!(one.symmetric_difference(&other).count() >= 5, "instances spread over the targets");
+}
+
 /// Pattern: the crest, where several calls of one instance wait for the same few slots.
 #[test]
 fn urgent_calls_go_first_and_earlier_ones_among_equals() {
