Let late calls take half of a slow target's slots at most

Its trails show two thirds of the sends going to machines with five times the usual pace, and 400 to 900 ms of service time: late calls filled the slots of slow machines, which were still taken when the machines turned calm 150 ms later. Change: a late call takes a slot of any target only up to half of its slots, or an empty one.

--- a/src/decide/probed.rs
+++ b/src/decide/probed.rs
@@ -36,7 +36,7 @@
 /// Part of the slots up to which a target does not slow down by its own load.
 const EASY_FILL: f64 = 0.8;
 
-/// Part of a calm target's slots up to which calls that are late take one.
+/// Part of a target's slots up to which calls that are late take one.
 const SPARE_FILL: f64 = 0.5;
 
 /// Times the usual time from which on targets count as slowed by their own load.
@@ -187,16 +187,13 @@
         now.since(at) <= FRESH && reading.pace <= CALM_PACE && has_room && self.fault(now) < SUSPICIOUS_FAULT
     }
 
-    /// Returns whether it has a free slot that calls in time have no use for: on a slow machine, or one of many.
-    fn has_spare_slot(&self, now: MonoTime, may_fill: bool) -> bool {
+    /// Returns whether it has a free slot that calls in time will have no use for.
+    ///
+    /// On a slow machine a late call stays for several times as long, and keeps its slot when the machine is calm again.
+    fn has_spare_slot(&self, now: MonoTime) -> bool {
         let Some((reading, at)) = self.reading else { return false };
-        if now.since(at) > TELLING {
-            return false;
-        }
         let held = f64::from(reading.running + reading.waiting + self.sent_since);
-        let slots = f64::from(reading.slots);
-        let is_wanted = reading.pace <= CALM_PACE && self.fault(now) < SUSPICIOUS_FAULT;
-        if is_wanted { held + 1.0 <= slots * SPARE_FILL } else { has_room(held, slots, may_fill) }
+        now.since(at) <= TELLING && (held == 0.0 || held + 1.0 <= f64::from(reading.slots) * SPARE_FILL)
     }
 }
 
@@ -347,7 +344,7 @@
         let may = |t: &Target| match ask.stage {
             Stage::Easy => t.is_calm(now, false),
             Stage::Calm => t.is_calm(now, may_fill),
-            Stage::Spare => t.has_spare_slot(now, may_fill),
+            Stage::Spare => t.has_spare_slot(now),
             Stage::Over => false,
         };
         match self.best(now, ask, may) {
