--- a/src/gateway/downstream.rs
+++ b/src/gateway/downstream.rs
@@ -71,6 +71,9 @@
         if ask.protocol_version != PROTOCOL_VERSION {
             return Err(format!("protocol version {} is not {PROTOCOL_VERSION}", ask.protocol_version).into());
         }
+        if ask.instance == gateway.config().instance {
+            return Err("the other end is this instance itself".into());
+        }
         let level = if ask.wants_rows { log::Level::Info } else { log::Level::Debug };
         log::log!(level, "event=follower instance={} known_instances={}", ask.instance, ask.instances.len());
         gateway.roster().add(gateway.now(), ask.instances);
