Refuse late calls after two fifths of their time

With fewer spare slots for late calls, waiting for one is seldom worth it. Change: SPARE_PART 0.6 to 0.4.

--- a/src/decide/stages.rs
+++ b/src/decide/stages.rs
@@ -20,8 +20,8 @@
 /// Times the usual time of an answer that must be left within the objective for a calm target to be waited for.
 const ANSWER_MARGIN: f64 = 1.5;
 
-/// Part of its time until which a late call waits for a spare slot: its caller may still try elsewhere after it.
-const SPARE_PART: f64 = 0.6;
+/// Part of its time until which a late call waits for a spare slot: more than half is left to its caller to try elsewhere.
+const SPARE_PART: f64 = 0.4;
 
 /// How particular a call is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
