Give targets that have just started a smaller share

Cause: the directory says for how long a target stays slow after its start; that was read and not used. Change: for that time a target ranks behind the others in two of three choices and counts as 1.3 times as slow when several are calm. In the rest it ranks as usual, since it has to get some requests to be warm. Test: a_target_that_has_just_started_gets_a_smaller_share_and_some.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -62,14 +62,14 @@
     }
 
     /// Lets the pools follow changes of the directory.
-    pub fn follow(&mut self, changes: &[Change]) {
+    pub fn follow(&mut self, now: MonoTime, changes: &[Change]) {
         for change in changes {
             match change {
                 Change::Added(listing) | Change::Updated(listing) => {
-                    self.service(&listing.service).pool.follow(change);
+                    self.service(&listing.service).pool.follow(now, change);
                 }
                 Change::Removed(_) => {
-                    self.services.values_mut().for_each(|s| s.pool.follow(change));
+                    self.services.values_mut().for_each(|s| s.pool.follow(now, change));
                 }
             }
         }
--- a/src/decide/probed.rs
+++ b/src/decide/probed.rs
@@ -33,6 +33,15 @@
 /// Slowdown assumed of a target without a telling reading: the mean over calm and slow machines.
 const UNKNOWN_PACE: f64 = 2.0;
 
+/// Times longer than usual that work takes on a target that has just started.
+const COLD_PACE: f64 = 1.3;
+
+/// Part of the choices in which a target that has just started ranks like the others: a few requests warm it up.
+const COLD_SHARE: f64 = 0.3;
+
+/// How far it goes back in the order of probes otherwise: behind those without a reading.
+const RANK_COLD: f64 = 2.0;
+
 /// Part of the slots up to which a target does not slow down by its own load.
 const EASY_FILL: f64 = 0.8;
 
@@ -116,6 +125,8 @@
     is_near: bool,
     /// Place in this instance's own order, from 0 to 1.
     habit: f64,
+    /// Until when it is slow after its start.
+    cold_until: MonoTime,
     reading: Option<(Reading, MonoTime)>,
     /// Own sends in progress.
     own: u32,
@@ -135,6 +146,7 @@
             listing,
             is_near,
             habit,
+            cold_until: MonoTime::default(),
             reading: None,
             own: 0,
             sent: 0,
@@ -176,7 +188,8 @@
         let fill = if has_easy_room(held, slots) { 1.0 } else { FULL_PACE };
         let queue = (held + 1.0 - slots).max(0.0) / slots;
         let way = if self.is_near { 0.0 } else { FAR_COST };
-        pace * (fill + queue) + way + self.fault(now) * FAULT_COST
+        let cold = if now < self.cold_until { COLD_PACE } else { 1.0 };
+        pace * cold * (fill + queue) + way + self.fault(now) * FAULT_COST
     }
 
     /// Returns whether a request would be served at once, and at the usual speed unless `may_fill` the last slots.
@@ -309,15 +322,19 @@
     }
 
     /// Follows a change of the directory.
-    pub fn follow(&mut self, change: &Change) {
+    pub fn follow(&mut self, now: MonoTime, change: &Change) {
         match change {
             Change::Added(listing) => {
                 let is_near = listing.data_centre == self.data_centre;
-                self.targets
-                    .insert(listing.id.clone(), Target::new(listing.clone(), is_near, self.rng.random()));
+                let mut target = Target::new(listing.clone(), is_near, self.rng.random());
+                target.cold_until = now + listing.warm_up;
+                self.targets.insert(listing.id.clone(), target);
             }
             Change::Updated(listing) => {
                 if let Some(target) = self.targets.get_mut(&listing.id) {
+                    if target.listing.warm_up != listing.warm_up {
+                        target.cold_until = now + listing.warm_up;
+                    }
                     target.listing = listing.clone();
                 }
             }
@@ -427,7 +444,11 @@
         let mut open = eligible
             .into_iter()
             .filter(|t| !t.is_probed && t.age(now).is_none_or(|age| age > FRESH))
-            .map(|t| (t.expected(now) + t.habit() + rng.random_range(0.0..RANK_JITTER), t))
+            .map(|t| {
+                let is_spared = now < t.cold_until && !rng.random_bool(COLD_SHARE);
+                let cold = if is_spared { RANK_COLD } else { 0.0 };
+                (t.expected(now) + t.habit() + cold + rng.random_range(0.0..RANK_JITTER), t)
+            })
             .collect::<Vec<_>>();
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
         let wanted = wanted.saturating_sub(under_way).min(open.len());
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -347,7 +347,7 @@
         Reading::All(TableRows { rows, version }) => fleet.directory.replace(now, decode(rows), version),
         Reading::Changed(TableRows { rows, .. }) => fleet.directory.apply(now, decode(rows)),
     };
-    fleet.follow(&changes);
+    fleet.follow(now, &changes);
     drop(fleet);
     log_changes(&changes);
     gateway.set_has_targets();
@@ -404,8 +404,9 @@
             None => news.await,
         }
         let mut fleet = gateway.fleet();
-        let changes = fleet.directory.expire(gateway.now());
-        fleet.follow(&changes);
+        let now = gateway.now();
+        let changes = fleet.directory.expire(now);
+        fleet.follow(now, &changes);
         drop(fleet);
         log_changes(&changes);
     }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -144,7 +144,7 @@
 fn pool(targets: &[(&str, Option<Reading>)], now: MonoTime) -> ProbedPool {
     let mut pool = ProbedPool::new("ost-a".parse().expect("a name"), SmallRng::seed_from_u64(7));
     for (id, reading) in targets {
-        pool.follow(&Change::Added(listing(id)));
+        pool.follow(now, &Change::Added(listing(id)));
         if let Some(reading) = reading {
             pool.read(now, &id.parse::<TargetId>().expect("a name"), *reading);
         }
@@ -167,7 +167,7 @@
     for number in 0..40 {
         let data_centre = if number % 2 == 0 { "ost-a" } else { "ost-b" };
         let data_centre = data_centre.parse().expect("a name");
-        pool.follow(&Change::Added(Listing { data_centre, ..listing(&format!("t{number}")) }));
+        pool.follow(at(0), &Change::Added(Listing { data_centre, ..listing(&format!("t{number}")) }));
     }
     let mut probed = Vec::new();
     for round in 0..100 {
@@ -194,6 +194,32 @@
     assert!(one.symmetric_difference(&other).count() >= 5, "instances spread over the targets");
 }
 
+/// Pattern: a scale-out or a release, whose new targets are slow for some seconds.
+#[test]
+fn a_target_that_has_just_started_gets_a_smaller_share_and_some() {
+    let mut pool = ProbedPool::new("ost-a".parse().expect("a name"), SmallRng::seed_from_u64(3));
+    for number in 0..8 {
+        let warm_up = if number < 4 { Duration::from_secs(60) } else { Duration::ZERO };
+        pool.follow(at(0), &Change::Added(Listing { warm_up, ..listing(&format!("t{number}")) }));
+    }
+    let mut cold = 0;
+    let mut all = 0;
+    for round in 0..200 {
+        let now = at(1_000 + round * 250);
+        let Pick::Probe(listings) = pool.pick(now, &EASY) else { panic!("no reading is fresh") };
+        for target in listings {
+            let mark = pool.probing(&target.id).expect("no probe is under way");
+            pool.probed(now, &target.id, mark, Some(reading(0, 1.0)));
+        }
+        let Pick::Send { listing, .. } = pool.pick(now, &EASY) else { panic!("a calm target is known") };
+        cold += u32::from(listing.warm_up > Duration::ZERO);
+        all += 1;
+        pool.ended(now, &listing.id, SendEnd::Answered);
+    }
+    // An even share would be half.
+    assert!(cold * 100 >= all * 2 && cold * 100 <= all * 35, "{cold} of {all}");
+}
+
 /// Pattern: the crest, where several calls of one instance wait for the same few slots.
 #[test]
 fn urgent_calls_go_first_and_earlier_ones_among_equals() {
@@ -253,7 +279,7 @@
 #[test]
 fn a_draining_target_is_never_chosen() {
     let mut pool = pool(&[("a", Some(reading(0, 1.0)))], at(0));
-    pool.follow(&Change::Updated(Listing { draining: true, ..listing("a") }));
+    pool.follow(at(0), &Change::Updated(Listing { draining: true, ..listing("a") }));
     for stage in [Stage::Easy, Stage::Calm, Stage::Spare, Stage::Over] {
         assert_eq!(pool.pick(at(1), &Ask { stage, ..EASY }), Pick::Nothing);
     }
