Let targets that have just started take part in the choice once probed

Change: only the order of probes spares it. Test: a_target_that_has_just_started_gets_a_smaller_share_and_some passes.

--- a/src/decide/probed.rs
+++ b/src/decide/probed.rs
@@ -33,9 +33,6 @@
 /// Slowdown assumed of a target without a telling reading: the mean over calm and slow machines.
 const UNKNOWN_PACE: f64 = 2.0;
 
-/// Times longer than usual that work takes on a target that has just started.
-const COLD_PACE: f64 = 1.3;
-
 /// Part of the choices in which a target that has just started ranks like the others: a few requests warm it up.
 const COLD_SHARE: f64 = 0.3;
 
@@ -188,8 +185,7 @@
         let fill = if has_easy_room(held, slots) { 1.0 } else { FULL_PACE };
         let queue = (held + 1.0 - slots).max(0.0) / slots;
         let way = if self.is_near { 0.0 } else { FAR_COST };
-        let cold = if now < self.cold_until { COLD_PACE } else { 1.0 };
-        pace * cold * (fill + queue) + way + self.fault(now) * FAULT_COST
+        pace * (fill + queue) + way + self.fault(now) * FAULT_COST
     }
 
     /// Returns whether a request would be served at once, and at the usual speed unless `may_fill` the last slots.
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -199,7 +199,7 @@
 fn a_target_that_has_just_started_gets_a_smaller_share_and_some() {
     let mut pool = ProbedPool::new("ost-a".parse().expect("a name"), SmallRng::seed_from_u64(3));
     for number in 0..8 {
-        let warm_up = if number < 4 { Duration::from_secs(60) } else { Duration::ZERO };
+        let warm_up = if number < 4 { Duration::from_mins(1) } else { Duration::ZERO };
         pool.follow(at(0), &Change::Added(Listing { warm_up, ..listing(&format!("t{number}")) }));
     }
     let mut cold = 0;
