Take changed seeds also while the seed of the start is followed

Cause: found on reading the change as a newcomer: the seed that is found at the start is followed inside the patience of the start, where nobody watched for other seeds; changed ones came into force only when that link ended. Change: the patience is part of what is given up when the seeds change. Test: changed_seeds_and_bounds_are_taken_with_a_signal_and_without moves an instance from one seed to another; failed before.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -87,12 +87,12 @@
 
 /// Follows a seed while one is current, and the store otherwise; starts anew with other seeds.
 async fn follow(gateway: &Gateway) {
-    follow_at_start(gateway, &earlier_seeds(gateway)).await;
+    let mut patience = start_patience(gateway);
     loop {
         let seeds = earlier_seeds(gateway);
         tokio::select! {
-            never = follow_these(gateway, &seeds) => match never {},
-            () = wait_other_seeds(gateway, &seeds) => {}
+            never = follow_these(gateway, &seeds, patience) => match never {},
+            () = wait_other_seeds(gateway, &seeds) => patience = Duration::ZERO,
         }
     }
 }
@@ -109,7 +109,8 @@
     }
 }
 
-async fn follow_these(gateway: &Gateway, seeds: &[SocketAddr]) -> Infallible {
+async fn follow_these(gateway: &Gateway, seeds: &[SocketAddr], patience: Duration) -> Infallible {
+    wait_for_seeds(gateway, seeds, patience).await;
     loop {
         follow_seeds(gateway, seeds).await;
         if !gateway.is_seed() {
@@ -192,9 +193,9 @@
     if gateway.config().first_start { FIRST_START_PATIENCE } else { RESTART_PATIENCE }
 }
 
-/// Gives the seeds a moment to come up.
-async fn follow_at_start(gateway: &Gateway, seeds: &[SocketAddr]) {
-    let until = gateway.now() + start_patience(gateway);
+/// Gives the seeds a moment to come up, and follows them meanwhile.
+async fn wait_for_seeds(gateway: &Gateway, seeds: &[SocketAddr], patience: Duration) {
+    let until = gateway.now() + patience;
     while !seeds.is_empty() && gateway.now() < until {
         follow_seeds(gateway, seeds).await;
         sleep(START_PAUSE).await;
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -330,6 +330,12 @@
     hosted.write_settings("one", &json!({"peer_seeds": [seed.peers]}));
     gateway.signal("HUP");
     hosted.until("it follows the seed", || async { gateway.logged(&["source=", "distance=1"]) }).await;
+    let other = hosted.gateway("other", &json!({})).await;
+    let moved = hosted.gateway("moved", &json!({"peer_seeds": [seed.peers]})).await;
+    hosted.until("it follows the seed", || async { moved.logged(&["source=", "distance=1"]) }).await;
+    hosted.write_settings("moved", &json!({"peer_seeds": [other.peers]}));
+    let source = format!("source={}", other.peers);
+    hosted.until("it follows the other", || async { moved.logged(&["event=source ", &source]) }).await;
     hosted.write_settings("one", &json!({"peer_seeds": [seed.peers], "repeat_extra": 7.0}));
     hosted
         .until("the bound is taken", || async { gateway.logged(&["event=reload", "repeat_extra=7"]) })
