--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -6,7 +6,6 @@
 
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
-use sha2::{Digest, Sha256};
 use tokio::{
     sync::Notify,
     time::{sleep, timeout},
@@ -16,6 +15,7 @@
     Gateway,
     backoff::Backoff,
     mirror::Reading,
+    seeds,
     surroundings::{DecodedRouting, FollowFrom, StoreError, Table, TableRow, TableRows},
     upstream,
 };
@@ -148,20 +148,9 @@
     false
 }
 
-/// Returns the seeds that this instance may follow, the preferred one first: those before it, or all if it is none.
 fn earlier_seeds(gateway: &Gateway) -> Vec<SocketAddr> {
-    let own = gateway.config().peers_address;
-    let mut seeds = gateway.config().peer_seeds.clone();
-    seeds.sort_unstable();
-    seeds.dedup();
-    if gateway.is_seed() {
-        return seeds.into_iter().take_while(|seed| *seed != own).collect();
-    }
-    // The others spread over all seeds, so that no seed's link carries what is passed on to all of them.
-    let by_name = Sha256::digest(gateway.config().instance.as_str());
-    let first = usize::from(by_name[0]) % seeds.len().max(1);
-    seeds.rotate_left(first);
-    seeds
+    let config = gateway.config();
+    seeds::in_order(&config.peer_seeds, config.peers_address, &config.instance)
 }
 
 /// Reads the store once if the seeds have not told what is in it by then: at a restart they may be gone, too.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod ready;
 pub mod reload;
 pub mod roster;
+pub mod seeds;
 pub mod serve;
 pub mod surroundings;
 pub mod trail;
