Bound answers without end, and tell the truth of unsent calls at the deadline

Cause: bodies of refusals and of probes were read to their end, whatever their size; a body of unknown length was passed on for as long as the caller read; interim responses without end kept the processor busy until the deadline, so that other calls were late. At its deadline, a call that waited for a target or a connection was told unknown. Change: bodies that only free a connection are read up to 16 KB and 50 ms; bodies of unknown length end at the deadline, as truncated; at most 256 KB are read until a head is complete. A call counts as possibly run once a connection has taken it; nothing is sent after the deadline.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod control;
 pub mod deployment;
+pub mod endless;
 pub mod experiment;
 pub mod fault_run;
 pub mod flood;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -7,7 +7,7 @@
     pin::Pin,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -85,6 +85,8 @@
     tried: Mutex<Vec<TargetId>>,
     /// Target and time of the first send; `None` until then.
     first_send: Mutex<Option<(Listing, MonoTime)>>,
+    /// Sends that have reached a connection and may have been executed, as far as is known.
+    open_sends: AtomicU32,
     /// Decisions on the call, for the log.
     log: RequestLog,
     /// Whether the end of the call has been logged and counted.
@@ -101,6 +103,16 @@
         self.tried.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Records that a target may execute the request from now on.
+    pub fn record_send_start(&self) {
+        self.open_sends.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// Records that a send was not executed and will not be.
+    pub fn record_not_executed(&self) {
+        self.open_sends.fetch_sub(1, Ordering::AcqRel);
+    }
+
     /// Returns the target and time of the first send.
     fn first_send(&self) -> Option<(Listing, MonoTime)> {
         self.first_send.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -199,6 +211,7 @@
         parts: RequestParts { head, body, upload },
         tried: Mutex::default(),
         first_send: Mutex::default(),
+        open_sends: AtomicU32::new(0),
     })
 }
 
@@ -348,11 +361,12 @@
         self.in_flight.is_empty().then(|| self.give_up(ErrorKind::Overloaded))
     }
 
-    /// Ends the call at its deadline; an attempt that is still in flight may have been executed.
+    /// Ends the call at its deadline. Attempts that still wait for a target or a connection end with it.
     fn on_deadline(&mut self) -> Response<ResponseBody> {
-        if !self.in_flight.is_empty() {
+        if self.call.open_sends.load(Ordering::Acquire) > 0 {
             self.executed_error = Some(ErrorKind::AnswerTimeout);
         }
+        self.in_flight.clear();
         self.give_up(ErrorKind::DeadlineUnreachable)
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,15 +1,16 @@
 //! One send of a call to a target, and the checks that the response was made by that target for this request.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::{
     Response, StatusCode,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{self, HeaderValue},
     http::response,
 };
+use tokio::time::timeout;
 
 use super::{Gateway, call::CallContext, request_log::SendOutcome, response::ResponseBody};
 use crate::{
@@ -29,6 +30,13 @@
 /// While a response is buffered, a truncated body can still be replaced by another target's response.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
+/// Largest body that is read only so that its connection can be reused. A target in trouble may send a body
+/// without end.
+const MAX_DISCARDED_BYTES: usize = 16 << 10;
+
+/// Longest time for which such a body is awaited; it usually arrives with its head.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// A response of a target.
 #[derive(Debug)]
 pub struct TargetResponse {
@@ -142,6 +150,9 @@
         guard.report(HealthSignal::Failed);
         return SendResult::Unsent;
     };
+    if call.remaining().is_zero() {
+        return SendResult::Unsent;
+    }
     let Some(body) = call.parts.take_body() else { return SendResult::Unsent };
     let Some(mut request) = call.parts.build_request(body, guard.listing.address) else {
         return SendResult::Unsent;
@@ -152,12 +163,14 @@
     let headers = request.headers_mut();
     headers.insert(&names.deadline_ms, HeaderValue::from(remaining_ms));
     headers.insert(&names.expected_target, expected);
+    call.record_send_start();
     match connection.send(request).await {
         ExchangeResult::Answered(response) => {
             guard.connection = Some(connection);
             read_response(call, guard, response).await
         }
         ExchangeResult::Unsent(request) => {
+            call.record_not_executed();
             call.parts.restore_body(request.into_body());
             SendResult::Unsent
         }
@@ -201,9 +214,10 @@
     // header.
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
     if is_misdirected || headers.contains_key(&names.not_run) {
-        if let Ok(_body) = response.into_body().collect().await {
+        if discard(response.into_body()).await {
             guard.return_connection();
         }
+        call.record_not_executed();
         guard.report(HealthSignal::Refused);
         return SendResult::NotRun;
     }
@@ -231,7 +245,11 @@
             SendResult::Failed(response)
         }
         BufferedBody::Partial(chunks, remainder) => {
-            let body = ResponseBody::streaming(chunks, remainder, guard);
+            // A body of known length ends by itself. Any other one may go on without end, and after the
+            // deadline nobody waits for it.
+            let has_length = remainder.size_hint().exact().is_some();
+            let deadline = (!has_length).then(|| call.gateway.clock.instant(call.deadline));
+            let body = ResponseBody::streaming(chunks, remainder, guard, deadline);
             SendResult::Answered(Box::new(TargetResponse { head, body }))
         }
         BufferedBody::Truncated => {
@@ -241,6 +259,12 @@
     }
 }
 
+/// Reads a body that nobody needs. Returns whether it was complete, so that its connection can be reused.
+pub async fn discard(body: Incoming) -> bool {
+    let read = Limited::new(body, MAX_DISCARDED_BYTES).collect();
+    timeout(DISCARD_TIMEOUT, read).await.is_ok_and(|read| read.is_ok())
+}
+
 /// A response body after buffering.
 enum BufferedBody {
     Complete(VecDeque<Bytes>),
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -3,11 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{Request, header};
 use tokio::time::timeout;
 
-use super::{Gateway, exchange::connect};
+use super::{
+    Gateway,
+    exchange::{connect, discard},
+};
 use crate::{
     decide::{directory::Listing, probed_pool::LoadReading},
     proxy::{
@@ -58,7 +61,8 @@
     let unreported = LoadReading { running: 0, waiting: 0, slots: listing.slots, slowdown: 1.0 };
     let load_header = headers.get(&names.load);
     let reading = load_header.map_or(Some(unreported), gateway.platform.decode_load);
-    response.into_body().collect().await.ok()?;
-    connection.release();
+    if discard(response.into_body()).await {
+        connection.release();
+    }
     reading
 }
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -14,6 +14,8 @@
     header::{self, HeaderValue},
 };
 
+use tokio::time::{Instant, Sleep, sleep_until};
+
 use super::exchange::SendGuard;
 use crate::{
     error::ErrorKind,
@@ -34,6 +36,15 @@
 struct Remainder {
     body: Incoming,
     guard: SendGuard,
+    /// Ends at the time until which the body may go on; `None` if it ends by itself.
+    deadline: Option<Pin<Box<Sleep>>>,
+}
+
+impl Remainder {
+    /// Returns whether the body should have ended by now, and registers for the time at which it should.
+    fn is_overdue(&mut self, cx: &mut Context<'_>) -> bool {
+        self.deadline.as_mut().is_some_and(|deadline| deadline.as_mut().poll(cx).is_ready())
+    }
 }
 
 impl ResponseBody {
@@ -42,9 +53,16 @@
         Self { chunks, remainder: None }
     }
 
-    /// Creates a body that starts with `chunks` and forwards the frames of `body` as they arrive.
-    pub fn streaming(chunks: VecDeque<Bytes>, body: Incoming, guard: SendGuard) -> Self {
-        Self { chunks, remainder: Some(Box::new(Remainder { body, guard })) }
+    /// Creates a body that starts with `chunks` and forwards the frames of `body` as they arrive. It breaks off
+    /// if `body` has not ended by `deadline`.
+    pub fn streaming(
+        chunks: VecDeque<Bytes>,
+        body: Incoming,
+        guard: SendGuard,
+        deadline: Option<Instant>,
+    ) -> Self {
+        let deadline = deadline.map(|at| Box::pin(sleep_until(at)));
+        Self { chunks, remainder: Some(Box::new(Remainder { body, guard, deadline })) }
     }
 }
 
@@ -60,6 +78,10 @@
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
         let Some(mut remainder) = self.remainder.take() else { return Poll::Ready(None) };
+        if remainder.is_overdue(cx) {
+            remainder.guard.truncated();
+            return Poll::Ready(Some(Err(BodyError::Truncated)));
+        }
         match Pin::new(&mut remainder.body).poll_frame(cx) {
             Poll::Pending => {
                 self.remainder = Some(remainder);
--- a/src/proxy/connection.rs
+++ b/src/proxy/connection.rs
@@ -26,7 +26,10 @@
     time::{Instant, timeout, timeout_at},
 };
 
-use super::upload::RequestBody;
+use super::{
+    head_limit::{LimitedStream, ReadAllowance},
+    upload::RequestBody,
+};
 use crate::collections::HashMap;
 
 /// Time since the last response after which an idle connection is no longer reused.
@@ -53,6 +56,9 @@
 /// Size of the read buffer of one connection in bytes; also the largest chunk of a response body.
 pub const READ_BUFFER_BYTES: usize = 64 << 10;
 
+/// Most bytes that a target may send until the head of its response is complete, interim responses included.
+const MAX_HEAD_PHASE_BYTES: usize = 4 * READ_BUFFER_BYTES;
+
 /// Returns one instance's share of the connections that a target accepts, at least 1.
 pub fn connection_limit(max_connections: u32, max_instances: u32) -> usize {
     (max_connections / max_instances.max(1)).max(1) as usize
@@ -124,6 +130,7 @@
 pub struct Connection {
     sender: SendRequest<RequestBody>,
     target: Arc<TargetConnections>,
+    allowance: ReadAllowance,
     /// When its last response was complete; `None` for a new connection.
     last_used: Option<Instant>,
     _driver: DriverTask,
@@ -149,8 +156,12 @@
 
     /// Sends one request and waits for the response head.
     pub async fn send(&mut self, request: Request<RequestBody>) -> ExchangeResult {
+        self.allowance.set(MAX_HEAD_PHASE_BYTES);
         match self.sender.try_send_request(request).await {
-            Ok(response) => ExchangeResult::Answered(response),
+            Ok(response) => {
+                self.allowance.lift();
+                ExchangeResult::Answered(response)
+            }
             Err(mut e) => e.take_message().map_or(ExchangeResult::Lost, ExchangeResult::Unsent),
         }
     }
@@ -281,6 +292,8 @@
     socket.set_tcp_keepalive(&keepalive).ok()?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(READ_BUFFER_BYTES);
+    let allowance = ReadAllowance::default();
+    let stream = LimitedStream::new(stream, allowance.clone());
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
     let task = tokio::spawn(async move {
         if let Err(e) = connection.await {
@@ -288,5 +301,5 @@
         }
     });
     let driver = DriverTask(task.abort_handle());
-    Some(Connection { sender, target, last_used: None, _driver: driver, _permit: permit })
+    Some(Connection { sender, target, allowance, last_used: None, _driver: driver, _permit: permit })
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -8,6 +8,7 @@
 mod caller_stream;
 pub mod connection;
 pub mod context;
+pub mod head_limit;
 pub mod headers;
 pub mod inbound;
 pub mod probe;
--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use arbutusshelf_bench::{client::exchange_raw, worker::WorkerMode};
-use gateway_env::{HOST, TestDeployment, route};
+use gateway_env::{HOST, TestDeployment, entry, route};
 use hyper::Method;
 use serde_json::json;
 
@@ -283,3 +283,22 @@
     let text = String::from_utf8_lossy(&metrics.body).into_owned();
     assert!(text.contains("arbutusshelf_gateway_sends_total{outcome=\"lost\"} 1"), "{text}");
 }
+
+#[tokio::test]
+async fn a_charge_that_got_no_connection_is_told_not_run_at_its_deadline() {
+    let deployment = TestDeployment::start().await;
+    // A target whose queue of new connections is full: further ones get no answer.
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+    let target = socket.listen(1).expect("the socket listens");
+    let address = target.local_addr().expect("an address");
+    let _queued = [
+        std::net::TcpStream::connect(address).expect("room in the queue"),
+        std::net::TcpStream::connect(address).expect("room in the queue"),
+    ];
+    deployment.store.put_json("servers", "i-1", &entry(address, "plan", "ready"));
+    let gateway = deployment.gateway("one", &json!({})).await;
+    let answer = deployment.send_within(gateway.callers, Method::POST, "/charge/x", "a1", 400).await;
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.status, answer.outcome()), (503, "not-run"), "{answer:?}");
+}
