--- a/bench/src/rows.rs
+++ b/bench/src/rows.rs
@@ -30,6 +30,9 @@
     InvalidJson,
 }
 
+/// Header of all responses: rises by one with each restore from a copy.
+const ERA_HEADER: &str = "store-era";
+
 #[derive(Debug, Clone)]
 struct StoredRow {
     /// Value, or `None` if the row was removed.
@@ -46,6 +49,15 @@
     compacted_version: u64,
     fault: RowStoreFault,
     request_count: u64,
+    /// Number of restores from a copy.
+    era: u64,
+}
+
+/// Copy of a store's content, which [`RowStoreStandIn::restore`] puts back.
+#[derive(Debug, Clone)]
+pub struct RowStoreCopy {
+    rows: BTreeMap<(String, String), StoredRow>,
+    version: u64,
 }
 
 /// A running stand-in of the store; stops when dropped.
@@ -99,6 +111,22 @@
         state.compacted_version = state.version;
     }
 
+    /// Copies the present content.
+    pub fn copy(&self) -> RowStoreCopy {
+        let state = lock(&self.state);
+        RowStoreCopy { rows: state.rows.clone(), version: state.version }
+    }
+
+    /// Puts an earlier content back: all later changes are lost, and their versions are given out again.
+    pub fn restore(&self, copy: RowStoreCopy) {
+        let mut state = lock(&self.state);
+        (state.rows, state.version) = (copy.rows, copy.version);
+        state.era += 1;
+        drop(state);
+        // Wakes the long polls, so that they notice the new era.
+        self.changed.send_replace(0);
+    }
+
     /// Sets how every request is handled from now on.
     pub fn set_fault(&self, fault: RowStoreFault) {
         lock(&self.state).fault = fault;
@@ -119,13 +147,25 @@
     }
 }
 
+/// Handles a request, and states the era in the response.
 async fn handle(
     state: Arc<Mutex<State>>,
+    changes: watch::Receiver<u64>,
+    request: Request<Incoming>,
+) -> Result<StandInResponse, ConnectionAborted> {
+    let mut response = respond(&state, changes, request).await?;
+    let era = lock(&state).era;
+    response.headers_mut().insert(ERA_HEADER, era.into());
+    Ok(response)
+}
+
+async fn respond(
+    state: &Mutex<State>,
     mut changes: watch::Receiver<u64>,
     request: Request<Incoming>,
 ) -> Result<StandInResponse, ConnectionAborted> {
     let fault = {
-        let mut state = lock(&state);
+        let mut state = lock(state);
         state.request_count += 1;
         state.fault
     };
@@ -140,7 +180,7 @@
         let from = query_parameter(&request, "from").unwrap_or_default();
         return Ok(json_response(
             StatusCode::OK,
-            &rows_json(&lock(&state), &table, |key, row| key >= from.as_str() && row.value.is_some()),
+            &rows_json(&lock(state), &table, |key, row| key >= from.as_str() && row.value.is_some()),
         ));
     }
     let number =
@@ -148,14 +188,16 @@
     let (after, wait) = (number("after"), Duration::from_millis(number("waitMs")));
     let has_change =
         |state: &State| state.rows.iter().any(|((t, _), row)| *t == table && row.version > after);
-    let wait_for_change = async { while !has_change(&lock(&state)) && changes.changed().await.is_ok() {} };
+    let wait_for_change = async {
+        while !has_change(&lock(state)) && lock(state).version >= after && changes.changed().await.is_ok() {}
+    };
     // If nothing changes in time, the response has no rows.
     let _changed_or_timeout = tokio::time::timeout(wait, wait_for_change).await;
-    let state = lock(&state);
+    let state = lock(state);
     if state.fault == RowStoreFault::Down {
         return Err(ConnectionAborted);
     }
-    if after < state.compacted_version {
+    if after < state.compacted_version || after > state.version {
         return Ok(full_response(StatusCode::GONE, ""));
     }
     Ok(json_response(StatusCode::OK, &rows_json(&state, &table, |_, row| row.version > after)))
--- a/src/decide/directory.rs
+++ b/src/decide/directory.rs
@@ -3,18 +3,27 @@
 //! A target's entry may expire during an outage of the store although the target is alive; the target
 //! registers again shortly after the store is back. Such a target is kept for a grace period. A target that
 //! had announced its shutdown is not.
+//!
+//! The store may also come back from an older copy. What a target last said of itself then counts more than
+//! what the copy says of it: its start time and its sequence number tell which one is later. So a target that
+//! was draining or had left is not used again because the copy still lists it.
 
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
     collections::{HashMap, HashSet},
+    store_position::StorePosition,
     units::{DataCentre, MonoTime, ServiceName, TargetId},
 };
 
 /// Time after the end of a store outage within which expired entries may be registered again.
 ///
 /// The platform states about two seconds.
-const STORE_RETURN_GRACE: Duration = Duration::from_secs(2);
+pub const STORE_RETURN_GRACE: Duration = Duration::from_secs(2);
+
+/// Time for which a removed target is remembered. A copy of the store that still lists it is only some seconds
+/// old.
+const REMOVED_RETENTION: Duration = Duration::from_mins(2);
 
 /// Directory entry of one target.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,15 +45,28 @@
     /// Start time of its process in milliseconds since the Unix epoch, if it states one; distinguishes two
     /// processes under the same name.
     pub started_unix_ms: Option<u64>,
+    /// Number that the target raises with each entry that it writes, from its start on.
+    pub sequence: u64,
 }
 
+impl Listing {
+    /// Returns the order of the entries that targets of this name have written.
+    fn written_order(&self) -> WrittenOrder {
+        (self.started_unix_ms, self.sequence)
+    }
+}
+
+/// Start time and sequence number of an entry. The entries of one name are ordered by the process that wrote
+/// them first: a restarted target counts anew.
+type WrittenOrder = (Option<u64>, u64);
+
 /// One row of the directory's table.
 #[derive(Debug, Clone)]
 pub struct DirectoryRow {
     /// Key of the row in the store's table.
     pub key: String,
-    /// Version of the row; rises with each change.
-    pub version: u64,
+    /// Position of the row's last change in the store's history.
+    pub position: StorePosition,
     /// Target that the row describes; `None` if the row was removed or is not usable.
     pub listing: Option<Listing>,
 }
@@ -60,20 +82,31 @@
     Removed(TargetId),
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Entry {
-    version: u64,
+    position: StorePosition,
     listing: Listing,
     /// Set while the row is missing and may still be registered again.
     expires_at: Option<MonoTime>,
 }
 
+/// A target whose row was removed.
+#[derive(Debug, Clone)]
+struct RemovedTarget {
+    /// Position of the removal.
+    position: StorePosition,
+    written: WrittenOrder,
+    removed_at: MonoTime,
+}
+
 /// The directory as last read from the store.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Directory {
     entries: HashMap<String, Entry>,
-    /// Highest version at which all rows were read.
-    version: u64,
+    /// Targets that were removed within [`REMOVED_RETENTION`], by the key of their row.
+    removed: HashMap<String, RemovedTarget>,
+    /// Latest position at which all rows were read; `None` before the first reading.
+    position: Option<StorePosition>,
     /// Whether the last access to the store failed.
     is_store_unreachable: bool,
     /// Time by which entries that expired during the outage must be registered again.
@@ -86,10 +119,17 @@
         self.is_store_unreachable = true;
     }
 
-    /// Records that the store answers; starts the grace period if it did not before.
-    pub fn store_answered(&mut self, now: MonoTime) {
+    /// Records that the store answers again, and that it has answered some instance since `since`. Starts the
+    /// grace period if it did not answer before, and ends an earlier one sooner if the store was back sooner than
+    /// was known.
+    pub fn store_answered(&mut self, since: MonoTime) {
+        let until = since + STORE_RETURN_GRACE;
         if std::mem::take(&mut self.is_store_unreachable) {
-            self.grace_until = now + STORE_RETURN_GRACE;
+            self.grace_until = until;
+        }
+        self.grace_until = self.grace_until.min(until);
+        for entry in self.entries.values_mut() {
+            entry.expires_at = entry.expires_at.map(|at| at.min(until));
         }
     }
 
@@ -102,16 +142,25 @@
         changes
     }
 
-    /// Applies a reading of all rows at one version. Rows missing from it were removed, unless they are
-    /// newer than the reading.
-    pub fn replace(&mut self, now: MonoTime, rows: Vec<DirectoryRow>, version: u64) -> Vec<DirectoryChange> {
-        if version < self.version {
+    /// Applies a reading of all rows at one position. Rows missing from it were removed, unless they are
+    /// newer than the reading. If the store has come back from an older copy, they may be registered again.
+    pub fn replace(
+        &mut self,
+        now: MonoTime,
+        rows: Vec<DirectoryRow>,
+        position: StorePosition,
+    ) -> Vec<DirectoryChange> {
+        if self.position.is_some_and(|known| position < known) {
             return Vec::new();
         }
-        self.version = version;
+        if self.position.is_some_and(|known| position.era > known.era) {
+            self.grace_until = now + STORE_RETURN_GRACE;
+        }
+        self.position = Some(position);
         let present = rows.iter().map(|r| r.key.clone()).collect::<HashSet<_>>();
-        let missing = self.entries.iter().filter(|(key, e)| !present.contains(*key) && e.version <= version);
-        let missing = missing.map(|(key, _)| DirectoryRow { key: key.clone(), version, listing: None });
+        let missing =
+            self.entries.iter().filter(|(key, e)| !present.contains(*key) && e.position <= position);
+        let missing = missing.map(|(key, _)| DirectoryRow { key: key.clone(), position, listing: None });
         let missing = missing.collect::<Vec<_>>();
         let mut changes = self.apply(now, rows);
         changes.extend(self.apply(now, missing));
@@ -120,8 +169,10 @@
 
     /// Removes the targets whose grace period is over.
     pub fn expire(&mut self, now: MonoTime) -> Vec<DirectoryChange> {
-        let expired = |_: &String, e: &mut Entry| e.expires_at.is_some_and(|at| at <= now);
-        self.entries.extract_if(expired).map(|(_, e)| DirectoryChange::Removed(e.listing.id)).collect()
+        let is_expired = |e: &Entry| e.expires_at.is_some_and(|at| at <= now);
+        let expired = self.entries.iter().filter(|(_, e)| is_expired(e)).map(|(key, _)| key.clone());
+        let expired = expired.collect::<Vec<_>>();
+        expired.into_iter().filter_map(|key| self.forget(now, &key)).collect()
     }
 
     /// Returns when [`Directory::expire`] is due next.
@@ -136,13 +187,26 @@
 
     fn apply_row(&mut self, now: MonoTime, row: DirectoryRow, changes: &mut Vec<DirectoryChange>) {
         let Some(listing) = row.listing else {
-            self.remove(now, &row.key, row.version, changes);
+            self.remove(now, &row.key, row.position, changes);
             return;
         };
-        let known = self.entries.get(&row.key);
-        if known.is_some_and(|e| e.version > row.version) {
+        if self.was_removed_after(&row.key, row.position, &listing) {
+            return;
+        }
+        let known = self.entries.get_mut(&row.key);
+        if known.as_ref().is_some_and(|e| e.position > row.position) {
+            return;
+        }
+        if let Some(e) = known
+            && e.position.era < row.position.era
+            && e.listing.written_order() >= listing.written_order()
+        {
+            // The row is from an older copy of the store; what the target said later still holds.
+            e.position = row.position;
+            e.expires_at = None;
             return;
         }
+        let known = self.entries.get(&row.key);
         let change = match known {
             Some(e) if is_same_run(&e.listing, &listing) => {
                 (e.listing != listing).then(|| DirectoryChange::Updated(listing.clone()))
@@ -154,19 +218,41 @@
             None => Some(DirectoryChange::Added(listing.clone())),
         };
         changes.extend(change);
-        self.entries.insert(row.key, Entry { version: row.version, listing, expires_at: None });
+        self.removed.remove(&row.key);
+        self.entries.insert(row.key, Entry { position: row.position, listing, expires_at: None });
+    }
+
+    /// Returns whether the target of a row was removed in an earlier era of the store and has not written the
+    /// row since.
+    fn was_removed_after(&self, key: &str, position: StorePosition, listing: &Listing) -> bool {
+        self.removed.get(key).is_some_and(|removed| {
+            removed.position.era < position.era && removed.written >= listing.written_order()
+        })
     }
 
-    fn remove(&mut self, now: MonoTime, key: &str, version: u64, changes: &mut Vec<DirectoryChange>) {
-        let Some(entry) = self.entries.get_mut(key).filter(|e| e.version <= version) else { return };
-        entry.version = version;
+    fn remove(
+        &mut self,
+        now: MonoTime,
+        key: &str,
+        position: StorePosition,
+        changes: &mut Vec<DirectoryChange>,
+    ) {
+        let Some(entry) = self.entries.get_mut(key).filter(|e| e.position <= position) else { return };
+        entry.position = position;
         if now < self.grace_until && !entry.listing.draining {
             entry.expires_at.get_or_insert(self.grace_until);
             return;
         }
-        if let Some(entry) = self.entries.remove(key) {
-            changes.push(DirectoryChange::Removed(entry.listing.id));
-        }
+        changes.extend(self.forget(now, key));
+    }
+
+    /// Removes a target and remembers until when its entries were known.
+    fn forget(&mut self, now: MonoTime, key: &str) -> Option<DirectoryChange> {
+        let Entry { position, listing, .. } = self.entries.remove(key)?;
+        self.removed.retain(|_, removed| now.since(removed.removed_at) < REMOVED_RETENTION);
+        let removed = RemovedTarget { position, written: listing.written_order(), removed_at: now };
+        self.removed.insert(key.to_owned(), removed);
+        Some(DirectoryChange::Removed(listing.id))
     }
 }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,9 +5,12 @@
 //! This is an optimization only: an instance whose seed is not current in time follows another seed or reads
 //! the store itself.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, future::pending, net::SocketAddr, sync::Arc, time::Duration};
 
-use futures::stream::{FuturesOrdered, StreamExt};
+use futures::{
+    future::join_all,
+    stream::{FuturesOrdered, FuturesUnordered, StreamExt},
+};
 use tokio::{
     sync::Notify,
     time::{sleep, timeout},
@@ -15,9 +18,9 @@
 
 use super::{
     Gateway,
-    backoff::Backoff,
+    backoff::{Backoff, JITTER},
     platform_adapter::{ChangesRequest, DecodedRouting, StoreError, Table, TableRow, TableRows},
-    replica::TableUpdate,
+    replica::{TableUpdate, UpdateResult},
     replication_client, seeds,
 };
 use crate::{
@@ -25,6 +28,7 @@
         directory::{DirectoryChange, DirectoryRow},
         repeat_budget::RepeatAllowance,
     },
+    routing::RoutingSpec,
     units::MonoTime,
 };
 
@@ -52,8 +56,9 @@
 /// so that the seed has taken over by the time the other instances look for a current one.
 pub const SEED_MAX_CURRENT_AGE: Duration = Duration::from_millis(1_200);
 
-/// Mean time between two checks of an instance that reads the store whether it can follow a seed instead.
-const SEED_CHECK_PERIOD: Duration = Duration::from_secs(2);
+/// Mean pause after an attempt to follow a seed has failed although the seed was current, or could not be
+/// reached.
+const SEED_RETRY_PERIOD: Duration = Duration::from_secs(1);
 
 /// Time to wait for the seeds to come up when the whole deployment starts for the first time, before callers
 /// arrive.
@@ -63,6 +68,9 @@
 /// than failing their requests.
 const RESTART_SEED_WAIT: Duration = Duration::from_millis(60);
 
+/// Time within which a seed must have sent its routing table to an instance that starts.
+const SEED_ROUTING_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Pause between two attempts to reach a seed at the start.
 const SEED_RETRY_PAUSE: Duration = Duration::from_millis(30);
 
@@ -144,13 +152,22 @@
     timeout(wait / 2, first_current_seed(gateway, seeds)).await.is_ok_and(|seed| seed.is_some())
 }
 
-/// Waits until one of the seeds is current; forever if `seeds` is empty.
+/// Waits until one of the seeds becomes current; forever if `seeds` is empty.
+///
+/// A link to each seed stays open, so that the end of a store outage is known here as soon as it is there.
 async fn wait_for_current_seed(gateway: &Gateway, seeds: &[SocketAddr]) {
-    loop {
-        sleep(SEED_CHECK_PERIOD.mul_f64(rand::random_range(0.75..1.5))).await;
-        if first_current_seed(gateway, seeds).await.is_some() {
-            return;
+    let wait = |address: SocketAddr| async move {
+        while let Err(e) = replication_client::wait_until_current(gateway, address).await {
+            log::debug!("event=source-unusable source={address} error={:?}", e.to_string());
+            sleep(SEED_RETRY_PERIOD.mul_f64(rand::random_range(0.75..1.5))).await;
+            if replication_client::check(gateway, address).await.is_ok() {
+                return;
+            }
         }
+    };
+    let mut waits = seeds.iter().copied().map(wait).collect::<FuturesUnordered<_>>();
+    if waits.next().await.is_none() {
+        pending::<()>().await;
     }
 }
 
@@ -173,6 +190,12 @@
     None
 }
 
+/// Returns the addresses of all seeds but this instance itself.
+fn other_seeds(gateway: &Gateway) -> Vec<SocketAddr> {
+    let config = gateway.config();
+    config.peer_seeds.iter().copied().filter(|seed| *seed != config.peers_address).collect()
+}
+
 fn seeds_to_follow(gateway: &Gateway) -> Vec<SocketAddr> {
     let config = gateway.config();
     seeds::follow_order(&config.peer_seeds, config.peers_address, &config.instance)
@@ -183,7 +206,7 @@
 async fn read_at_start(gateway: &Gateway) {
     sleep(start_seed_wait(gateway)).await;
     let read = |table: Table| async move {
-        if gateway.replica().version(table).is_none()
+        if gateway.replica().position(table).is_none()
             && let Err(e) = read_from_store(gateway, table).await
         {
             log::info!("event=read-at-start table={table} error={:?}", e.to_string());
@@ -198,12 +221,44 @@
 ///
 /// A [`StoreError`] if the call fails; the replica stays as it is.
 pub async fn read_from_store(gateway: &Gateway, table: Table) -> Result<(), StoreError> {
-    let read = (gateway.platform.read_table)(table).await;
-    gateway.metrics.record_store_call(read.as_ref().map_or_else(StoreError::label, |_| "answered"));
-    apply_update(gateway, table, TableUpdate::Snapshot(read?));
+    let snapshot = read_snapshot(gateway, table).await;
+    gateway.metrics.record_store_call(snapshot.as_ref().map_or_else(StoreError::label, |_| "answered"));
+    apply_update(gateway, table, snapshot?);
     Ok(())
 }
 
+/// Reads all rows of a table from the store.
+///
+/// The store may have come back from a copy that contains an older routing table than the one in force. Before
+/// the first routing table from the store is used, the seeds are therefore asked for theirs.
+async fn read_snapshot(gateway: &Gateway, table: Table) -> Result<TableUpdate, StoreError> {
+    let read = (gateway.platform.read_table)(table);
+    let may_be_outdated =
+        table == Table::Routing && gateway.routing().is_none() && !gateway.config().first_start;
+    let (read, ()) = tokio::join!(read, async {
+        if may_be_outdated {
+            ask_seeds_for_routing(gateway).await;
+        }
+    });
+    read.map(TableUpdate::Snapshot)
+}
+
+/// Applies the routing tables of all seeds that answer in time, whether they are current or not.
+async fn ask_seeds_for_routing(gateway: &Gateway) {
+    let seeds = other_seeds(gateway);
+    let asked = seeds.into_iter().map(|address| async move {
+        match timeout(SEED_ROUTING_TIMEOUT, replication_client::fetch_routing(gateway, address)).await {
+            Ok(Ok(Some(update))) => {
+                apply_update(gateway, Table::Routing, update);
+            }
+            Ok(Ok(None)) => {}
+            Ok(Err(e)) => log::debug!("event=seed-routing-failed source={address} error={:?}", e.to_string()),
+            Err(e) => log::info!("event=seed-routing-failed source={address} error={:?}", e.to_string()),
+        }
+    });
+    join_all(asked).await;
+}
+
 fn start_seed_wait(gateway: &Gateway) -> Duration {
     if gateway.config().first_start { FIRST_START_SEED_WAIT } else { RESTART_SEED_WAIT }
 }
@@ -243,7 +298,7 @@
 async fn read_store(gateway: &Gateway) {
     let answered = Notify::new();
     let routing = async {
-        let _answered_or_timeout = timeout(backoff(gateway).max_pause(), answered.notified()).await;
+        let _answered_or_timeout = timeout(backoff(gateway).max_interval(), answered.notified()).await;
         read_table(gateway, Table::Routing, &Notify::new()).await;
     };
     tokio::join!(read_table(gateway, Table::Targets, &answered), routing);
@@ -262,12 +317,12 @@
     // The first response comes without delay, so that followers soon see that this instance is current.
     let mut wait = Duration::ZERO;
     loop {
-        let known = gateway.replica().version(table);
+        let known = gateway.replica().position(table);
         let asked_at = gateway.now();
         let read = match known {
-            None => (gateway.platform.read_table)(table).await.map(TableUpdate::Snapshot),
-            Some(version) => {
-                let from = ChangesRequest { table, version, wait };
+            None => read_snapshot(gateway, table).await,
+            Some(after) => {
+                let from = ChangesRequest { table, after, wait };
                 (gateway.platform.wait_for_changes)(from).await.map(TableUpdate::Delta)
             }
         };
@@ -276,23 +331,29 @@
             Ok(update) => {
                 pauses = backoff(gateway);
                 answered.notify_one();
-                let (TableUpdate::Snapshot(rows) | TableUpdate::Delta(rows)) = &update;
-                let has_rows = !rows.rows.is_empty();
-                record_confirmation(gateway, table, confirmed_at(gateway.now(), asked_at, has_rows, wait));
+                let has_rows = !update.rows().rows.is_empty();
+                let confirmed_at = confirmed_at(gateway.now(), asked_at, has_rows, wait);
+                // The grace period for missing rows starts before the rows are applied.
+                record_store_answered(gateway, table);
+                match apply_update(gateway, table, update) {
+                    UpdateResult::Applied => record_confirmation(gateway, table, confirmed_at),
+                    // The next request reads the whole table, or asks for changes in the later era.
+                    UpdateResult::SnapshotNeeded | UpdateResult::Outdated => continue,
+                }
                 wait = FOLLOW_WAIT;
-                apply_update(gateway, table, update);
                 if has_rows {
                     sleep(CHANGE_BATCH_DELAY).await;
                 }
             }
             Err(StoreError::HistoryGone) => {
                 log::info!("event=history-gone table={table}");
-                gateway.replica().forget_version(table);
+                gateway.replica().require_snapshot(table);
             }
             Err(e) => {
                 record_store_lost(gateway, table, &e);
                 wait = Duration::ZERO;
-                sleep(pauses.next_pause(rand::random_range(0.75..1.25))).await;
+                let took = gateway.now().since(asked_at);
+                sleep(pauses.next_pause(took, rand::random_range(JITTER))).await;
             }
         }
     }
@@ -310,21 +371,37 @@
     now.checked_sub(delay).unwrap_or_default()
 }
 
-fn record_confirmation(gateway: &Gateway, table: Table, at: MonoTime) {
+/// Records that a table could be read. The target table alone says whether the store is lost: the grace period
+/// after its return is for rows of that table, and both tables are read at the same rate.
+fn record_store_answered(gateway: &Gateway, table: Table) {
+    if table != Table::Targets {
+        return;
+    }
+    let now = gateway.now();
     let mut replica = gateway.replica();
     let status = &mut replica.status;
+    if std::mem::take(&mut status.is_store_lost) {
+        log::info!("event=store-regained table={table}");
+        status.answered_since = Some(now);
+    }
+    let answered_since = *status.answered_since.get_or_insert(now);
+    drop(replica);
+    gateway.service_pools().directory.store_answered(answered_since);
+}
+
+fn record_confirmation(gateway: &Gateway, table: Table, at: MonoTime) {
     if table == Table::Targets {
+        let status = &mut gateway.replica().status;
         status.confirmed_at = status.confirmed_at.max(Some(at));
-        if std::mem::take(&mut status.is_store_lost) {
-            log::info!("event=store-regained table={table}");
-        }
     }
-    drop(replica);
-    gateway.service_pools().directory.store_answered(gateway.now());
     gateway.notify_followers();
 }
 
 fn record_store_lost(gateway: &Gateway, table: Table, error: &StoreError) {
+    if table != Table::Targets {
+        log::debug!("event=store-call-failed table={table} error={:?}", error.to_string());
+        return;
+    }
     let mut replica = gateway.replica();
     if !std::mem::replace(&mut replica.status.is_store_lost, true) {
         log::warn!("event=store-lost table={table} error={:?}", error.to_string());
@@ -335,38 +412,86 @@
 }
 
 /// Applies an update of a table, from the store or from another instance.
-pub fn apply_update(gateway: &Gateway, table: Table, update: TableUpdate) {
-    gateway.replica().apply(table, &update);
-    match table {
-        Table::Routing => apply_routing(gateway, &update),
+pub fn apply_update(gateway: &Gateway, table: Table, update: TableUpdate) -> UpdateResult {
+    let result = match table {
+        Table::Routing => apply_routing(gateway, update),
         Table::Targets => apply_targets(gateway, update),
-    }
+    };
     gateway.notify_followers();
+    result
 }
 
-fn apply_routing(gateway: &Gateway, update: &TableUpdate) {
-    let (TableUpdate::Snapshot(rows) | TableUpdate::Delta(rows)) = update;
-    for row in rows.rows.iter().filter(|r| r.key == gateway.platform.routing_key) {
-        let Some(value) = &row.value else { continue };
-        match (gateway.platform.decode_routing)(value) {
-            Ok(DecodedRouting { spec, faults }) => {
-                for fault in faults {
-                    log::warn!("event=routing-fault version={} error={fault:?}", spec.version);
-                }
-                gateway.apply_routing_if_newer(spec);
+/// Applies an update to the replica of a table.
+fn apply_to_replica(gateway: &Gateway, table: Table, update: &TableUpdate) -> UpdateResult {
+    let mut replica = gateway.replica();
+    let (known_era, era) = (replica.era(), update.rows().position.era);
+    let result = replica.apply(table, update);
+    let is_restored = era > known_era && gateway.check_ready().is_ok();
+    if is_restored {
+        replica.status.answered_since = Some(gateway.now());
+    }
+    drop(replica);
+    if is_restored {
+        log::warn!("event=store-restored table={table} era={era} was={known_era}");
+        gateway.metrics.record_store_restored();
+    }
+    if result != UpdateResult::Applied {
+        log::info!("event=update-not-applied table={table} result={result} era={era} known_era={known_era}");
+    }
+    result
+}
+
+/// Applies an update of the routing table. Routing tables are ordered by their own version, whatever the
+/// position of the store from which they were read.
+fn apply_routing(gateway: &Gateway, mut update: TableUpdate) -> UpdateResult {
+    let key = gateway.platform.routing_key;
+    let row = update.rows().rows.iter().find(|r| r.key == key).cloned();
+    let received = row.and_then(|row| Some((decode_routing(gateway, &row)?, row)));
+    let (received, spec) = match received {
+        Some((spec, row)) => (Some((spec.version, row)), Some(spec)),
+        None => (None, None),
+    };
+    let kept = gateway.replica().keep_newest_routing(key, received, &mut update);
+    if let Some(kept) = kept {
+        let received = spec.as_ref().map_or_else(|| "none".to_owned(), |spec| spec.version.to_string());
+        log::warn!(
+            "event=routing-kept version={kept} received={received} position={}",
+            update.rows().position
+        );
+    }
+    let result = apply_to_replica(gateway, Table::Routing, &update);
+    if let Some(spec) = spec {
+        gateway.apply_routing_if_newer(spec);
+    }
+    result
+}
+
+fn decode_routing(gateway: &Gateway, row: &TableRow) -> Option<RoutingSpec> {
+    match (gateway.platform.decode_routing)(row.value.as_ref()?) {
+        Ok(DecodedRouting { spec, faults }) => {
+            for fault in faults {
+                log::warn!("event=routing-fault version={} error={fault:?}", spec.version);
             }
-            Err(e) => log::error!("event=routing-unreadable row_version={} error={e:?}", row.version),
+            Some(spec)
+        }
+        Err(e) => {
+            log::error!("event=routing-unreadable row_position={} error={e:?}", row.position);
+            None
         }
     }
 }
 
-fn apply_targets(gateway: &Gateway, update: TableUpdate) {
+fn apply_targets(gateway: &Gateway, update: TableUpdate) -> UpdateResult {
+    let result = apply_to_replica(gateway, Table::Targets, &update);
+    if result != UpdateResult::Applied {
+        return result;
+    }
     let now = gateway.now();
     let decode = |rows: Vec<TableRow>| rows.into_iter().map(|row| decode_row(gateway, row)).collect();
     let mut service_pools = gateway.service_pools();
     let changes = match update {
-        TableUpdate::Snapshot(TableRows { rows, version }) => {
-            service_pools.directory.replace(now, decode(rows), version)
+        TableUpdate::Snapshot(TableRows { rows, position }) => {
+            service_pools.directory.replace(now, decode(rows), position)
         }
         TableUpdate::Delta(TableRows { rows, .. }) => service_pools.directory.apply(now, decode(rows)),
     };
@@ -375,6 +500,7 @@
     log_changes(&changes);
     gateway.mark_targets_known();
     gateway.state_changed.notify_waiters();
+    UpdateResult::Applied
 }
 
 fn decode_row(gateway: &Gateway, row: TableRow) -> DirectoryRow {
@@ -382,12 +508,12 @@
     let listing = match decoded {
         Some(Ok(listing)) => Some(listing),
         Some(Err(e)) => {
-            log::warn!("event=listing-unreadable key={:?} version={} error={e:?}", row.key, row.version);
+            log::warn!("event=listing-unreadable key={:?} position={} error={e:?}", row.key, row.position);
             None
         }
         None => None,
     };
-    DirectoryRow { key: row.key, version: row.version, listing }
+    DirectoryRow { key: row.key, position: row.position, listing }
 }
 
 fn log_changes(changes: &[DirectoryChange]) {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -73,6 +73,7 @@
     repeats: Family<RepeatLabels, Counter>,
     probes: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
+    store_restored: Counter,
     dropped_log_lines: Counter,
     routing_version: Gauge,
     targets: Gauge,
@@ -94,6 +95,7 @@
             repeats: Family::default(),
             probes: Family::default(),
             store_calls: Family::default(),
+            store_restored: Counter::default(),
             dropped_log_lines: Counter::default(),
             routing_version: Gauge::default(),
             targets: Gauge::default(),
@@ -117,6 +119,7 @@
         r.register("repeats", "Sends after the first, wanted or made", self.repeats.clone());
         r.register("probes", "Ended probes", self.probes.clone());
         r.register("store_calls", "Calls of the store", self.store_calls.clone());
+        r.register("store_restored", "Returns of the store from an older copy", self.store_restored.clone());
         r.register("log_lines_left_out", "Log lines left out", self.dropped_log_lines.clone());
         r.register("routing_version", "Version of the routing table", self.routing_version.clone());
         r.register("targets", "Targets listed", self.targets.clone());
@@ -158,6 +161,11 @@
         self.store_calls.get_or_create(&ResultLabels { result: result.to_owned() }).inc();
     }
 
+    /// Counts a return of the store from an older copy.
+    pub fn record_store_restored(&self) {
+        self.store_restored.inc();
+    }
+
     /// Adds the log lines that were dropped since the last invocation.
     pub fn record_dropped_log_lines(&self) {
         self.dropped_log_lines.inc_by(logging::take_dropped());
--- a/src/gateway/platform_adapter.rs
+++ b/src/gateway/platform_adapter.rs
@@ -14,6 +14,7 @@
     decide::{directory::Listing, probed_pool::LoadReading},
     routing::RoutingSpec,
     store::DriverFn,
+    store_position::StorePosition,
 };
 
 /// The tables of the store that a gateway follows.
@@ -31,20 +32,19 @@
 pub struct TableRow {
     /// Key of the row, unique within the table.
     pub key: String,
-    /// Store version of the row's last change. The store has one version counter, which rises with each
-    /// change of any row.
-    pub version: u64,
+    /// Position of the row's last change. Its era is that of the response which contained the row.
+    pub position: StorePosition,
     /// Content; `None` if the row was removed or its transfer encoding is invalid.
     pub value: Option<Bytes>,
 }
 
-/// Rows of a table and the store version at which they were read.
+/// Rows of a table and the position of the store at which they were read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TableRows {
     /// All rows of the table, or those that changed.
     pub rows: Vec<TableRow>,
-    /// Store version from which to ask for further changes.
-    pub version: u64,
+    /// Position from which to ask for further changes; of the same era as all rows.
+    pub position: StorePosition,
 }
 
 /// Why a call to the store failed.
@@ -81,8 +81,8 @@
 pub struct ChangesRequest {
     /// Table whose changes are requested.
     pub table: Table,
-    /// Store version up to which the changes are already known.
-    pub version: u64,
+    /// Position up to which the changes are already known.
+    pub after: StorePosition,
     /// Time for which the store may delay its response while nothing changes.
     pub wait: Duration,
 }
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -4,11 +4,18 @@
 
 use std::collections::VecDeque;
 
+use derive_more::Display;
+
 use super::platform_adapter::{Table, TableRow, TableRows};
-use crate::{collections::HashMap, units::MonoTime};
+use crate::{
+    collections::HashMap,
+    routing::RoutingVersion,
+    store_position::{StoreEra, StorePosition},
+    units::MonoTime,
+};
 
-/// Changed rows that are kept per table to bring followers with an older version up to date. Followers whose
-/// version is older than the kept changes get a snapshot.
+/// Changed rows that are kept per table to bring followers with an older position up to date. Followers whose
+/// position is older than the kept changes get a snapshot.
 const MAX_RECENT_ROWS: usize = 512;
 
 /// New content of a table, from the store or from another instance.
@@ -16,10 +23,36 @@
 pub enum TableUpdate {
     /// All rows of the table.
     Snapshot(TableRows),
-    /// The rows that changed after the version that the receiver has.
+    /// The rows that changed after the position that the receiver has.
     Delta(TableRows),
 }
 
+impl TableUpdate {
+    /// Returns the rows and their position.
+    pub fn rows(&self) -> &TableRows {
+        let (Self::Snapshot(rows) | Self::Delta(rows)) = self;
+        rows
+    }
+
+    fn rows_mut(&mut self) -> &mut TableRows {
+        let (Self::Snapshot(rows) | Self::Delta(rows)) = self;
+        rows
+    }
+}
+
+/// What a replica did with an update.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "kebab-case")]
+pub enum UpdateResult {
+    /// It contains the update now.
+    Applied,
+    /// The update was read from the store before what the replica contains, and was dropped.
+    Outdated,
+    /// The update only has the latest changes of an era of which the replica has no snapshot, and was
+    /// dropped. The table must be read as a whole.
+    SnapshotNeeded,
+}
+
 /// How current the replica is, and over how many instances it came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ReplicaStatus {
@@ -27,45 +60,56 @@
     pub confirmed_at: Option<MonoTime>,
     /// Whether the store does not answer the instance that reads it.
     pub is_store_lost: bool,
+    /// Time since which the store has answered that instance, as far as it knows; `None` while unknown.
+    pub answered_since: Option<MonoTime>,
     /// Number of instances between this one and the store; 0 if this instance reads the store itself.
     pub distance: u8,
 }
 
 /// Replica of one table.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct TableReplica {
-    /// Store version that the rows correspond to; `None` before the first update.
-    version: Option<u64>,
+    /// Position that the rows correspond to; `None` before the first update.
+    position: Option<StorePosition>,
+    /// Whether the changes since `position` can't be had, so that the next update must be a snapshot.
+    needs_snapshot: bool,
     rows: HashMap<String, TableRow>,
     /// The latest changes, oldest first.
     recent: VecDeque<TableRow>,
-    /// `recent` holds every change after this version.
-    recent_from: u64,
+    /// `recent` holds every change after this position.
+    recent_from: StorePosition,
 }
 
 impl TableReplica {
-    fn apply(&mut self, update: &TableUpdate) {
+    fn apply(&mut self, update: &TableUpdate) -> UpdateResult {
         match update {
             TableUpdate::Snapshot(all) => {
-                if self.version.is_some_and(|known| known > all.version) {
-                    return;
+                if self.position.is_some_and(|known| known > all.position) {
+                    return UpdateResult::Outdated;
                 }
                 self.rows = all.rows.iter().map(|r| (r.key.clone(), r.clone())).collect();
                 self.recent.clear();
-                self.recent_from = all.version;
-                self.version = Some(all.version);
+                self.recent_from = all.position;
+                self.position = Some(all.position);
+                self.needs_snapshot = false;
             }
             TableUpdate::Delta(changed) => {
+                let has_era = self.position.is_some_and(|known| known.era == changed.position.era);
+                if !has_era || self.needs_snapshot {
+                    self.needs_snapshot = true;
+                    return UpdateResult::SnapshotNeeded;
+                }
                 for row in &changed.rows {
                     self.apply_row(row);
                 }
-                self.version = self.version.max(Some(changed.version));
+                self.position = self.position.max(Some(changed.position));
             }
         }
+        UpdateResult::Applied
     }
 
     fn apply_row(&mut self, row: &TableRow) {
-        if self.rows.get(&row.key).is_some_and(|known| known.version >= row.version) {
+        if self.rows.get(&row.key).is_some_and(|known| known.position >= row.position) {
             return;
         }
         if row.value.is_some() {
@@ -76,60 +120,98 @@
         self.recent.push_back(row.clone());
         while self.recent.len() > MAX_RECENT_ROWS {
             let dropped = self.recent.pop_front();
-            self.recent_from = dropped.map_or(self.recent_from, |r| self.recent_from.max(r.version));
+            self.recent_from = dropped.map_or(self.recent_from, |r| self.recent_from.max(r.position));
         }
     }
 
-    fn update_since(&self, known: Option<u64>) -> Option<TableUpdate> {
-        let version = self.version?;
+    /// Returns the position if the replica can be continued from it in `era`.
+    fn position_in(&self, era: StoreEra) -> Option<StorePosition> {
+        self.position.filter(|known| known.era == era && !self.needs_snapshot)
+    }
+
+    fn update_since(&self, known: Option<StorePosition>, era: StoreEra) -> Option<TableUpdate> {
+        let position = self.position_in(era)?;
         match known {
-            Some(known) if known >= version => None,
+            Some(known) if known >= position => None,
             Some(known) if known >= self.recent_from => {
-                let rows = self.recent.iter().filter(|r| r.version > known).cloned().collect();
-                Some(TableUpdate::Delta(TableRows { rows, version }))
+                let rows = self.recent.iter().filter(|r| r.position > known).cloned().collect();
+                Some(TableUpdate::Delta(TableRows { rows, position }))
             }
             _ => {
                 let rows = self.rows.values().cloned().collect();
-                Some(TableUpdate::Snapshot(TableRows { rows, version }))
+                Some(TableUpdate::Snapshot(TableRows { rows, position }))
             }
         }
     }
 }
 
 /// Replicas of all tables that this instance follows.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct StoreReplica {
     /// How current the replicas are.
     pub status: ReplicaStatus,
+    /// Latest era of the store that any update came from; nothing of an earlier era is applied any more.
+    era: StoreEra,
+    /// The newest routing table that was received, and its content in the store.
+    newest_routing: Option<(RoutingVersion, TableRow)>,
     routing: TableReplica,
     targets: TableReplica,
 }
 
 impl StoreReplica {
     /// Applies an update to the replica of a table.
-    pub fn apply(&mut self, table: Table, update: &TableUpdate) {
-        match table {
-            Table::Routing => self.routing.apply(update),
-            Table::Targets => self.targets.apply(update),
+    pub fn apply(&mut self, table: Table, update: &TableUpdate) -> UpdateResult {
+        let era = update.rows().position.era;
+        if era < self.era {
+            return UpdateResult::Outdated;
         }
+        self.era = era;
+        self.table_mut(table).apply(update)
     }
 
-    /// Returns the store version of a table's replica; `None` before the first update.
-    pub fn version(&self, table: Table) -> Option<u64> {
-        self.table(table).version
+    /// Puts the newest known routing table into an update that contains an older one, none, or one that can't
+    /// be read, so that neither this instance nor its followers go back to an older one when the store does.
+    /// `received` is the routing table in the update with its version. Returns the version that was put in.
+    pub fn keep_newest_routing(
+        &mut self,
+        key: &str,
+        received: Option<(RoutingVersion, TableRow)>,
+        update: &mut TableUpdate,
+    ) -> Option<RoutingVersion> {
+        let version =
+            |known: &Option<(RoutingVersion, TableRow)>| known.as_ref().map(|(version, _)| *version);
+        if version(&received) >= version(&self.newest_routing) {
+            self.newest_routing = received.or(self.newest_routing.take());
+            return None;
+        }
+        let is_snapshot = matches!(update, TableUpdate::Snapshot(_));
+        let TableRows { rows, position } = update.rows_mut();
+        let is_replaced = rows.iter().any(|r| r.key == key);
+        let (version, newest) = self.newest_routing.as_ref().filter(|_| is_replaced || is_snapshot)?;
+        rows.retain(|r| r.key != key);
+        rows.push(TableRow { position: *position, ..newest.clone() });
+        Some(*version)
     }
 
-    /// Forgets the version of a table, so that the whole table is read again.
-    pub fn forget_version(&mut self, table: Table) {
-        match table {
-            Table::Routing => self.routing.version = None,
-            Table::Targets => self.targets.version = None,
-        }
+    /// Returns the latest era of the store that is known.
+    pub fn era(&self) -> StoreEra {
+        self.era
     }
 
-    /// Returns the update for a follower that has version `known` of a table, or `None` if it is up to date.
-    pub fn update_since(&self, table: Table, known: Option<u64>) -> Option<TableUpdate> {
-        self.table(table).update_since(known)
+    /// Returns the position of a table's replica; `None` if the table must be read as a whole.
+    pub fn position(&self, table: Table) -> Option<StorePosition> {
+        self.table(table).position_in(self.era)
+    }
+
+    /// Records that the changes of a table since its position can't be had any more.
+    pub fn require_snapshot(&mut self, table: Table) {
+        self.table_mut(table).needs_snapshot = true;
+    }
+
+    /// Returns the update for a follower that has position `known` of a table, or `None` if it is up to date
+    /// or this replica is not.
+    pub fn update_since(&self, table: Table, known: Option<StorePosition>) -> Option<TableUpdate> {
+        self.table(table).update_since(known, self.era)
     }
 
     fn table(&self, table: Table) -> &TableReplica {
@@ -138,4 +220,11 @@
             Table::Targets => &self.targets,
         }
     }
+
+    fn table_mut(&mut self, table: Table) -> &mut TableReplica {
+        match table {
+            Table::Routing => &mut self.routing,
+            Table::Targets => &mut self.targets,
+        }
+    }
 }
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -15,14 +15,17 @@
     Gateway,
     follow::{MAX_CURRENT_AGE, SEED_MAX_CURRENT_AGE, apply_update, read_from_store},
     platform_adapter::{Table, TableRow, TableRows},
-    replica::{ReplicaStatus, TableUpdate},
+    replica::{ReplicaStatus, TableUpdate, UpdateResult},
 };
 use crate::{
     peer::{
-        frame::{Decoder, Frame, PROTOCOL_VERSION, StoreRows, StoreState, StoreSubscription, encode},
+        frame::{
+            Decoder, Frame, PROTOCOL_VERSION, StoreRow, StoreRows, StoreState, StoreSubscription, encode,
+        },
         link::{AbortOnDrop, LinkError, send_all},
     },
-    units::InstanceId,
+    store_position::{StoreEra, StorePosition},
+    units::{InstanceId, MonoTime},
 };
 
 /// Log target of this module: log lines show it as `module=`, so it stays when the module is renamed.
@@ -33,7 +36,7 @@
 
 /// Timeout for opening a link: far more than a round trip within a region, and short enough to skip two
 /// unresponsive seeds in 0.4 s.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(200);
+pub const OPEN_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Time without data after which the followed instance counts as lost: a little more than two heartbeats.
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
@@ -65,7 +68,13 @@
 ///
 /// [`FollowError`] unless the link ended cleanly.
 pub async fn follow(gateway: &Gateway, address: SocketAddr) -> Result<(), FollowError> {
-    let mut session = FollowSession { gateway, address, was_current: false };
+    let mut session = FollowSession {
+        gateway,
+        address,
+        was_current: false,
+        era: StoreEra::default(),
+        answered_since: None,
+    };
     let ended = session.run().await;
     ended.map_err(|e| FollowError { was_current: session.was_current, reason: e.to_string() })
 }
@@ -76,20 +85,97 @@
 ///
 /// The link's error, or the reason why the instance can't be followed.
 pub async fn check(gateway: &Gateway, address: SocketAddr) -> Result<(), LinkError> {
-    let mut link = Link::open(gateway, address, false).await?;
+    let mut states = StateReceiver::open(gateway, address).await?;
+    let state = states.next().await?;
+    check_usable(gateway, states.era, &state).map(|_age| ())
+}
+
+/// Waits until the instance at `address`, which was not current, is current enough to be followed. The link
+/// stays open meanwhile, so that this takes no longer than a message from the other instance.
+///
+/// # Errors
+///
+/// The link's error, or that the instance is current already.
+pub async fn wait_until_current(gateway: &Gateway, address: SocketAddr) -> Result<(), LinkError> {
+    let mut states = StateReceiver::open(gateway, address).await?;
+    let mut was_current = true;
+    loop {
+        let state = states.next().await?;
+        let is_current = check_usable(gateway, states.era, &state).is_ok();
+        match (was_current, is_current) {
+            (true, true) => return Err("the instance is current already".into()),
+            (false, true) => return Ok(()),
+            (_, false) => was_current = false,
+        }
+    }
+}
+
+/// Returns the routing table of the instance at `address`, current or not, or `None` if it has none.
+///
+/// # Errors
+///
+/// The link's error.
+pub async fn fetch_routing(gateway: &Gateway, address: SocketAddr) -> Result<Option<TableUpdate>, LinkError> {
+    let mut link = Link::open(gateway, address, true).await?;
     let mut decoder = Decoder::default();
+    let mut era = StoreEra::default();
+    loop {
+        match next_frame(&mut link.recv_stream, &mut decoder).await? {
+            Frame::StoreEra(stated) => era = stated,
+            Frame::StoreAnsweredFor(_) => {}
+            Frame::StoreState(state) if state.confirmed_age_ms.is_none() => return Ok(None),
+            Frame::StoreRows(rows) if !rows.of_targets && !rows.must_read => {
+                return Ok(Some(to_table_update(era, rows)));
+            }
+            Frame::StoreRows(rows) if rows.must_read => return Ok(None),
+            Frame::StoreState(_) | Frame::StoreRows(_) => {}
+            _ => return Err("unexpected frame type".into()),
+        }
+    }
+}
+
+/// Receives the states of another instance without its rows.
+struct StateReceiver {
+    link: Link,
+    decoder: Decoder,
+    /// Era of the store that the other instance has read last.
+    era: StoreEra,
+}
+
+impl StateReceiver {
+    async fn open(gateway: &Gateway, address: SocketAddr) -> Result<Self, LinkError> {
+        let link = Link::open(gateway, address, false).await?;
+        Ok(Self { link, decoder: Decoder::default(), era: StoreEra::default() })
+    }
+
+    async fn next(&mut self) -> Result<StoreState, LinkError> {
+        loop {
+            match next_frame(&mut self.link.recv_stream, &mut self.decoder).await? {
+                Frame::StoreEra(era) => self.era = era,
+                Frame::StoreAnsweredFor(_) => {}
+                Frame::StoreState(state) => return Ok(state),
+                _ => return Err("unexpected frame type".into()),
+            }
+        }
+    }
+}
+
+async fn next_frame(recv_stream: &mut RecvStream, decoder: &mut Decoder) -> Result<Frame, LinkError> {
     loop {
-        receive(&mut link.recv_stream, &mut decoder).await?;
-        match decoder.next_frame()? {
-            Some(Frame::StoreState(state)) => return check_usable(gateway, &state).map(|_age| ()),
-            Some(_) => return Err("unexpected frame type".into()),
-            None => {}
+        if let Some(frame) = decoder.next_frame()? {
+            return Ok(frame);
         }
+        receive(recv_stream, decoder).await?;
     }
 }
 
-/// Returns the age of the sender's replica if it still counts as current, and an error otherwise.
-fn check_usable(gateway: &Gateway, state: &StoreState) -> Result<Duration, LinkError> {
+/// Returns the age of the sender's replica if it still counts as current, and an error otherwise. `era` is the
+/// era of the store that the sender has read last.
+fn check_usable(gateway: &Gateway, era: StoreEra, state: &StoreState) -> Result<Duration, LinkError> {
+    let known_era = gateway.replica().era();
+    if era < known_era {
+        return Err(format!("replica not current: store era {era}, later one known: {known_era}").into());
+    }
     let age = state.confirmed_age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
     let age = age.ok_or("the instance has not read the store yet")?;
     let (limit, accepts_store_lost) =
@@ -124,17 +210,20 @@
         let request = Request::post("http://peer/store").body(())?;
         let (response, mut send_stream) = sender.send_request(request, false)?;
         let (sent_revision, instances) = revision_and_names(gateway);
-        let subscription = {
+        let (era, subscription) = {
             let replica = gateway.replica();
-            StoreSubscription {
+            let version = |table| replica.position(table).map(|position| position.version);
+            let subscription = StoreSubscription {
                 protocol_version: PROTOCOL_VERSION,
                 instance: gateway.config().instance.clone(),
-                routing: replica.version(Table::Routing),
-                targets: replica.version(Table::Targets),
+                routing: version(Table::Routing),
+                targets: version(Table::Targets),
                 wants_rows,
                 instances,
-            }
+            };
+            (replica.era(), subscription)
         };
+        send_all(&mut send_stream, encode(&Frame::StoreEra(era))).await?;
         send_all(&mut send_stream, encode(&Frame::StoreSubscription(subscription))).await?;
         let recv_stream = timeout_at(until, response).await??.into_body();
         Ok(Self { recv_stream, send_stream, sent_revision, _connection: connection })
@@ -154,6 +243,10 @@
     gateway: &'a Gateway,
     address: SocketAddr,
     was_current: bool,
+    /// Era of the store to which the versions on the link belong.
+    era: StoreEra,
+    /// Time since which the store has answered, as the followed instance states; `None` if it doesn't.
+    answered_since: Option<MonoTime>,
 }
 
 impl FollowSession<'_> {
@@ -170,26 +263,30 @@
     async fn receive_frames(&mut self, recv_stream: &mut RecvStream) -> Result<(), LinkError> {
         let mut decoder = Decoder::default();
         loop {
-            receive(recv_stream, &mut decoder).await?;
-            while let Some(frame) = decoder.next_frame()? {
-                match frame {
-                    Frame::StoreState(state) => self.apply_state(state)?,
-                    Frame::StoreRows(rows) if rows.must_read => self.read_table(rows.of_targets).await?,
-                    Frame::StoreRows(rows) => self.apply_rows(rows),
-                    _ => return Err("unexpected frame type".into()),
+            match next_frame(recv_stream, &mut decoder).await? {
+                Frame::StoreEra(era) => self.era = era,
+                Frame::StoreAnsweredFor(ms) => {
+                    let answered_for = Duration::from_millis(u64::from(ms));
+                    self.answered_since = Some(self.gateway.now_minus(answered_for));
                 }
+                Frame::StoreState(state) => self.apply_state(state)?,
+                Frame::StoreRows(rows) if rows.must_read => self.read_table(rows.of_targets).await?,
+                Frame::StoreRows(rows) => self.apply_rows(rows)?,
+                _ => return Err("unexpected frame type".into()),
             }
         }
     }
 
     fn apply_state(&mut self, state: StoreState) -> Result<(), LinkError> {
         let gateway = self.gateway;
-        let age = check_usable(gateway, &state)?;
+        let age = check_usable(gateway, self.era, &state)?;
         let confirmed_at = Some(gateway.now_minus(age));
         let previous = {
             let mut replica = gateway.replica();
             let distance = state.distance + 1;
-            let status = ReplicaStatus { confirmed_at, is_store_lost: state.is_store_lost, distance };
+            let answered_since = self.answered_since.or(replica.status.answered_since);
+            let is_store_lost = state.is_store_lost;
+            let status = ReplicaStatus { confirmed_at, is_store_lost, answered_since, distance };
             std::mem::replace(&mut replica.status, status)
         };
         gateway.known_instances().record_reported_count(gateway.now(), state.instances);
@@ -203,10 +300,10 @@
             );
         }
         let directory = &mut gateway.service_pools().directory;
-        match (previous.is_store_lost, state.is_store_lost) {
-            (_, true) => directory.store_lost(),
-            (true, false) => directory.store_answered(gateway.now()),
-            (false, false) => {}
+        if state.is_store_lost {
+            directory.store_lost();
+        } else if let Some(since) = self.answered_since.or(previous.is_store_lost.then_some(gateway.now())) {
+            directory.store_answered(since);
         }
         Ok(())
     }
@@ -219,20 +316,27 @@
         Ok(read_from_store(self.gateway, table).await?)
     }
 
-    fn apply_rows(&self, rows: StoreRows) {
+    fn apply_rows(&self, rows: StoreRows) -> Result<(), LinkError> {
         let table = if rows.of_targets { Table::Targets } else { Table::Routing };
-        let to_table_row =
-            |r: crate::peer::frame::StoreRow| TableRow { key: r.key, version: r.version, value: r.value };
-        let received =
-            TableRows { rows: rows.rows.into_iter().map(to_table_row).collect(), version: rows.version };
-        apply_update(
-            self.gateway,
-            table,
-            if rows.is_all { TableUpdate::Snapshot(received) } else { TableUpdate::Delta(received) },
-        );
+        match apply_update(self.gateway, table, to_table_update(self.era, rows)) {
+            // The next link requests the whole table.
+            UpdateResult::SnapshotNeeded => Err("changes of a table that has not been received".into()),
+            UpdateResult::Applied | UpdateResult::Outdated => Ok(()),
+        }
     }
 }
 
+/// Converts received rows; their versions belong to `era`.
+fn to_table_update(era: StoreEra, rows: StoreRows) -> TableUpdate {
+    let position = |version: u64| StorePosition { era, version };
+    let to_table_row = |r: StoreRow| TableRow { key: r.key, position: position(r.version), value: r.value };
+    let received = TableRows {
+        rows: rows.rows.into_iter().map(to_table_row).collect(),
+        position: position(rows.version),
+    };
+    if rows.is_all { TableUpdate::Snapshot(received) } else { TableUpdate::Delta(received) }
+}
+
 fn revision_and_names(gateway: &Gateway) -> (u64, Vec<InstanceId>) {
     let known = gateway.known_instances();
     (known.revision(), known.names())
--- a/src/gateway/replication_server.rs
+++ b/src/gateway/replication_server.rs
@@ -14,12 +14,17 @@
 
 use super::{
     Gateway,
-    platform_adapter::{Table, TableRows},
+    platform_adapter::{Table, TableRow, TableRows},
     replica::TableUpdate,
 };
-use crate::peer::{
-    frame::{Decoder, Frame, PROTOCOL_VERSION, StoreRow, StoreRows, StoreState, StoreSubscription, encode},
-    link::{LinkError, send_all},
+use crate::{
+    peer::{
+        frame::{
+            Decoder, Frame, PROTOCOL_VERSION, StoreRow, StoreRows, StoreState, StoreSubscription, encode,
+        },
+        link::{LinkError, send_all},
+    },
+    store_position::{StoreEra, StorePosition},
 };
 
 /// Log target of this module: log lines show it as `module=`, so it stays when the module is renamed.
@@ -75,7 +80,7 @@
     let (request, mut respond) = accepted?;
     let link = async {
         let mut receiver = FollowerReceiver { body: request.into_body(), decoder: Decoder::default() };
-        let subscription = timeout(OPEN_TIMEOUT, receiver.read_subscription()).await??;
+        let (era, subscription) = timeout(OPEN_TIMEOUT, receiver.read_subscription()).await??;
         if subscription.protocol_version != PROTOCOL_VERSION {
             return Err(format!(
                 "unsupported protocol version {}, expected {PROTOCOL_VERSION}",
@@ -96,12 +101,13 @@
         );
         gateway.known_instances().add(gateway.now(), subscription.instances);
         let stream = respond.send_response(Response::new(()), false)?;
-        let wants_rows = subscription.wants_rows;
+        let position = |version: Option<u64>| version.map(|version| StorePosition { era, version });
         let mut sender = FollowerSender {
             gateway,
-            routing: subscription.routing,
-            targets: subscription.targets,
-            wants_rows,
+            routing: position(subscription.routing),
+            targets: position(subscription.targets),
+            wants_rows: subscription.wants_rows,
+            sent_era: StoreEra::default(),
             stream,
         };
         tokio::select! {
@@ -123,11 +129,16 @@
 }
 
 impl FollowerReceiver {
-    async fn read_subscription(&mut self) -> Result<StoreSubscription, LinkError> {
-        match self.next_frame().await? {
-            Some(Frame::StoreSubscription(subscription)) => Ok(subscription),
-            Some(_) => Err("first frame is not a store subscription".into()),
-            None => Err("stream ended before the store subscription".into()),
+    /// Receives the subscription, and the era of its versions if the follower states one.
+    async fn read_subscription(&mut self) -> Result<(StoreEra, StoreSubscription), LinkError> {
+        let mut era = StoreEra::default();
+        loop {
+            match self.next_frame().await? {
+                Some(Frame::StoreEra(stated)) => era = stated,
+                Some(Frame::StoreSubscription(subscription)) => return Ok((era, subscription)),
+                Some(_) => return Err("frame before the store subscription".into()),
+                None => return Err("stream ended before the store subscription".into()),
+            }
         }
     }
 
@@ -156,14 +167,21 @@
     }
 }
 
+/// Returns a duration in milliseconds, at most what a frame can hold.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// The sending side of a link to a follower.
 struct FollowerSender<'a> {
     gateway: &'a Gateway,
-    /// Store version of the follower's routing table; `None` if it has none.
-    routing: Option<u64>,
-    /// Store version of the follower's target directory; `None` if it has none.
-    targets: Option<u64>,
+    /// Position of the follower's routing table; `None` if it has none.
+    routing: Option<StorePosition>,
+    /// Position of the follower's target directory; `None` if it has none.
+    targets: Option<StorePosition>,
     wants_rows: bool,
+    /// Era to which the follower takes all versions on the link to belong.
+    sent_era: StoreEra,
     stream: SendStream<Bytes>,
 }
 
@@ -173,6 +191,7 @@
         let mut period = interval(HEARTBEAT_PERIOD);
         period.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut sent_store_lost = false;
+        let mut sent_answered_since = None;
         loop {
             let is_heartbeat = tokio::select! {
                 biased;
@@ -188,12 +207,25 @@
             let state = self.state();
             // The state goes before the rows: for a grace period after an outage of the store, the follower
             // keeps targets whose rows are missing, so it must learn of the outage and its end first.
-            let mut frames = vec![Frame::StoreState(state)];
+            let mut frames = Vec::new();
+            let era = self.gateway.replica().era();
+            let has_new_era = std::mem::replace(&mut self.sent_era, era) != era;
+            if has_new_era {
+                frames.push(Frame::StoreEra(era));
+            }
+            let answered_since = self.gateway.replica().status.answered_since;
+            if let Some(since) = answered_since.filter(|_| answered_since != sent_answered_since) {
+                frames.push(Frame::StoreAnsweredFor(millis(self.gateway.now().since(since))));
+                sent_answered_since = answered_since;
+            }
+            frames.push(Frame::StoreState(state));
+            let frames_without_rows = frames.len();
             if self.wants_rows {
                 self.add_update(Table::Routing, is_heartbeat, &mut frames);
                 self.add_update(Table::Targets, is_heartbeat, &mut frames);
             }
-            let has_changes = frames.len() > 1 || state.is_store_lost != sent_store_lost;
+            let has_changes =
+                has_new_era || frames.len() > frames_without_rows || state.is_store_lost != sent_store_lost;
             if is_heartbeat || has_changes {
                 sent_store_lost = state.is_store_lost;
                 self.send(&frames).await?;
@@ -205,7 +237,7 @@
         let status = self.gateway.replica().status;
         let age = status.confirmed_at.map(|at| self.gateway.now().since(at));
         StoreState {
-            confirmed_age_ms: age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
+            confirmed_age_ms: age.map(millis),
             is_store_lost: status.is_store_lost,
             distance: status.distance,
             instances: self.gateway.estimate_instance_count(),
@@ -219,26 +251,24 @@
             Table::Routing => &mut self.routing,
             Table::Targets => &mut self.targets,
         };
-        let Some(update) = self.gateway.replica().update_since(table, *known) else { return };
+        let update = self.gateway.replica().update_since(table, *known);
+        // Rows of a later era than the one that was sent go out with the next change.
+        let Some(update) = update.filter(|u| u.rows().position.era == self.sent_era) else { return };
         let is_all = matches!(update, TableUpdate::Snapshot(_));
         let (TableUpdate::Snapshot(rows) | TableUpdate::Delta(rows)) = update;
         if rows.rows.is_empty() && !is_all && !is_heartbeat {
             return;
         }
-        *known = Some(rows.version);
+        *known = Some(rows.position);
         let bytes = rows.rows.iter().filter_map(|r| r.value.as_ref()).map(Bytes::len).sum::<usize>();
         let must_read = bytes > MAX_UPDATE_BYTES;
-        let rows = if must_read { TableRows { rows: Vec::new(), version: rows.version } } else { rows };
-        let to_store_row = |r: super::platform_adapter::TableRow| StoreRow {
-            key: r.key,
-            version: r.version,
-            value: r.value,
-        };
+        let rows = if must_read { TableRows { rows: Vec::new(), position: rows.position } } else { rows };
+        let to_store_row = |r: TableRow| StoreRow { key: r.key, version: r.position.version, value: r.value };
         frames.push(Frame::StoreRows(StoreRows {
             of_targets: table == Table::Targets,
             is_all,
             must_read,
-            version: rows.version,
+            version: rows.position.version,
             rows: rows.rows.into_iter().map(to_store_row).collect(),
         }));
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod serve;
 pub mod settings;
 pub mod store;
+pub mod store_position;
 pub mod units;
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -7,7 +7,10 @@
 use bytes::{Buf, Bytes, BytesMut};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::units::{DataCentre, InstanceId, PlanVersion, RunId, TargetId};
+use crate::{
+    store_position::StoreEra,
+    units::{DataCentre, InstanceId, PlanVersion, RunId, TargetId},
+};
 
 /// Version of the peer protocol; an instance closes links whose hello states another one.
 pub const PROTOCOL_VERSION: u32 = 3;
@@ -155,6 +158,12 @@
     StoreState(StoreState),
     /// Rows of one table of the store.
     StoreRows(StoreRows),
+    /// Era of the store to which all later versions on this link belong; 0 until the first such frame. A frame
+    /// of its own, so that instances which don't know it skip it.
+    StoreEra(StoreEra),
+    /// Time in milliseconds for which the store has answered the instance that reads it. Precedes the state that
+    /// it belongs to; instances that don't know it skip it.
+    StoreAnsweredFor(u32),
 }
 
 const TAG_HELLO: u8 = 1;
@@ -167,6 +176,8 @@
 const TAG_STORE_STATE: u8 = 8;
 const TAG_STORE_ROWS: u8 = 9;
 const TAG_KNOWN_INSTANCES: u8 = 10;
+const TAG_STORE_ERA: u8 = 11;
+const TAG_STORE_ANSWERED_FOR: u8 = 12;
 
 /// Largest frame accepted from a peer, tag and body, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
@@ -216,6 +227,8 @@
         Frame::KnownInstances(instances) => (TAG_KNOWN_INSTANCES, to_bytes(instances)),
         Frame::StoreState(state) => (TAG_STORE_STATE, to_bytes(state)),
         Frame::StoreRows(rows) => (TAG_STORE_ROWS, to_bytes(rows)),
+        Frame::StoreEra(era) => (TAG_STORE_ERA, to_bytes(era)),
+        Frame::StoreAnsweredFor(ms) => (TAG_STORE_ANSWERED_FOR, to_bytes(ms)),
     };
     encode_raw(tag, &body)
 }
@@ -308,6 +321,8 @@
         TAG_KNOWN_INSTANCES => Frame::KnownInstances(from_bytes(tag, &body)?),
         TAG_STORE_STATE => Frame::StoreState(from_bytes(tag, &body)?),
         TAG_STORE_ROWS => Frame::StoreRows(from_bytes_limited::<_, MAX_FRAME_BYTES>(tag, &body)?),
+        TAG_STORE_ERA => Frame::StoreEra(from_bytes(tag, &body)?),
+        TAG_STORE_ANSWERED_FOR => Frame::StoreAnsweredFor(from_bytes(tag, &body)?),
         _ => return Ok(None),
     }))
 }
--- a/src/peer/receive.rs
+++ b/src/peer/receive.rs
@@ -133,7 +133,9 @@
             | Frame::StoreSubscription(_)
             | Frame::KnownInstances(_)
             | Frame::StoreState(_)
-            | Frame::StoreRows(_) => {}
+            | Frame::StoreRows(_)
+            | Frame::StoreEra(_)
+            | Frame::StoreAnsweredFor(_) => {}
         }
         Ok(())
     }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -22,6 +22,7 @@
     plan::RequestKind,
     platform,
     routing::{Backend, CallerLimits, RouteSpec, RoutingSpec, RoutingTable, RoutingVersion},
+    store_position::StorePosition,
     units::{MonoTime, TargetId},
 };
 use hyper::header::HeaderValue;
@@ -42,11 +43,16 @@
         draining: false,
         warm_up: Duration::ZERO,
         started_unix_ms: Some(1),
+        sequence: 1,
     }
 }
 
+fn position(version: u64) -> StorePosition {
+    StorePosition { version, ..StorePosition::default() }
+}
+
 fn row(key: &str, version: u64, listing: Option<Listing>) -> DirectoryRow {
-    DirectoryRow { key: key.to_owned(), version, listing }
+    DirectoryRow { key: key.to_owned(), position: position(version), listing }
 }
 
 fn ids(directory: &Directory) -> Vec<String> {
@@ -69,6 +75,20 @@
     assert_eq!(ids(&directory), ["b"]);
 }
 
+#[test]
+fn an_instance_that_was_cut_off_takes_the_grace_period_of_one_that_was_not() {
+    let mut directory = Directory::default();
+    directory.apply(at(0), vec![row("a", 1, Some(listing("a")))]);
+    directory.store_lost();
+    // It finds the store back, as far as it knows, and reads that the entry is gone.
+    directory.store_answered(at(14_100));
+    directory.apply(at(14_100), vec![row("a", 5, None)]);
+    assert_eq!(ids(&directory), ["a"]);
+    // Then it hears that the store has answered all the while.
+    directory.store_answered(at(1_000));
+    assert_eq!(directory.expire(at(14_200)), [DirectoryChange::Removed("a".parse().expect("a name"))]);
+}
+
 #[test]
 fn an_entry_that_said_it_was_leaving_does_not_outlive_its_removal() {
     let mut directory = Directory::default();
@@ -85,10 +105,14 @@
     let mut directory = Directory::default();
     directory.apply(at(0), vec![row("a", 9, Some(Listing { draining: true, ..listing("a") }))]);
     assert!(directory.apply(at(1), vec![row("a", 8, Some(listing("a")))]).is_empty());
-    directory.replace(at(2), vec![row("a", 9, Some(Listing { draining: true, ..listing("a") }))], 20);
-    assert!(directory.replace(at(3), Vec::new(), 12).is_empty());
+    directory.replace(
+        at(2),
+        vec![row("a", 9, Some(Listing { draining: true, ..listing("a") }))],
+        position(20),
+    );
+    assert!(directory.replace(at(3), Vec::new(), position(12)).is_empty());
     assert_eq!(
-        directory.replace(at(4), Vec::new(), 21),
+        directory.replace(at(4), Vec::new(), position(21)),
         [DirectoryChange::Removed("a".parse().expect("a name"))]
     );
 }
@@ -481,10 +505,10 @@
 fn rows(version: u64, keys: &[(&str, u64, bool)]) -> TableRows {
     let row = |(key, version, exists): &(&str, u64, bool)| TableRow {
         key: (*key).to_owned(),
-        version: *version,
+        position: position(*version),
         value: exists.then(|| "v".into()),
     };
-    TableRows { rows: keys.iter().map(row).collect(), version }
+    TableRows { rows: keys.iter().map(row).collect(), position: position(version) }
 }
 
 #[test]
@@ -498,10 +522,13 @@
     };
     assert_eq!(all.rows.len(), 1);
     let changed = TableUpdate::Delta(rows(8, &[("a", 8, false)]));
-    assert_eq!(replica.update_since(Table::Targets, Some(5)), Some(changed));
-    assert_eq!(replica.update_since(Table::Targets, Some(8)), None);
+    assert_eq!(replica.update_since(Table::Targets, Some(position(5))), Some(changed));
+    assert_eq!(replica.update_since(Table::Targets, Some(position(8))), None);
     // Changes before the first reading are not known, so the whole table is returned.
-    assert!(matches!(replica.update_since(Table::Targets, Some(4)), Some(TableUpdate::Snapshot(_))));
+    assert!(matches!(
+        replica.update_since(Table::Targets, Some(position(4))),
+        Some(TableUpdate::Snapshot(_))
+    ));
 }
 
 #[test]
--- a/tests/gateway_roster.rs
+++ b/tests/gateway_roster.rs
@@ -76,7 +76,7 @@
     let mut calls = 0;
     while at < outage {
         calls += 1;
-        at += pauses.next_pause(1.0);
+        at += pauses.next_pause(Duration::ZERO, 1.0);
     }
     calls
 }
