Ask the seeds for their routes from the start on, and wait 80 ms at most

Change: the seeds are asked at the start, beside the wait to follow them; the store's first routing table is held back for 80 ms from the start at most. An answer that comes later still counts.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -68,8 +68,9 @@
 /// than failing their requests.
 const RESTART_SEED_WAIT: Duration = Duration::from_millis(60);
 
-/// Time within which a seed must have sent its routing table to an instance that starts.
-const SEED_ROUTING_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for which the first routing table from the store is held back until all seeds have answered. Callers are
+/// waiting then, and a seed without power never answers.
+const SEED_ROUTING_WAIT: Duration = Duration::from_millis(80);
 
 /// Pause between two attempts to reach a seed at the start.
 const SEED_RETRY_PAUSE: Duration = Duration::from_millis(30);
@@ -96,6 +97,7 @@
     tokio::join!(
         follow(&gateway),
         read_at_start(&gateway),
+        ask_seeds_for_routing(&gateway),
         expire_targets(&gateway),
         count_instances(&gateway)
     );
@@ -233,30 +235,38 @@
 /// the first routing table from the store is used, the seeds are therefore asked for theirs.
 async fn read_snapshot(gateway: &Gateway, table: Table) -> Result<TableUpdate, StoreError> {
     let read = (gateway.platform.read_table)(table);
-    let may_be_outdated =
-        table == Table::Routing && gateway.routing().is_none() && !gateway.config().first_start;
-    let (read, ()) = tokio::join!(read, async {
-        if may_be_outdated {
-            ask_seeds_for_routing(gateway).await;
+    let wait = async {
+        if table == Table::Routing {
+            gateway.wait_for_seed_routing().await;
         }
-    });
+    };
+    let (read, ()) = tokio::join!(read, wait);
     read.map(TableUpdate::Snapshot)
 }
 
-/// Applies the routing tables of all seeds that answer in time, whether they are current or not.
+/// Asks all seeds for their routing tables when this instance starts, unless the whole deployment does so for
+/// the first time. Applies each that comes, whether its seed is current or not.
 async fn ask_seeds_for_routing(gateway: &Gateway) {
-    let seeds = other_seeds(gateway);
-    let asked = seeds.into_iter().map(|address| async move {
-        match timeout(SEED_ROUTING_TIMEOUT, replication_client::fetch_routing(gateway, address)).await {
-            Ok(Ok(Some(update))) => {
-                apply_update(gateway, Table::Routing, update);
+    if !gateway.config().first_start {
+        let asked = other_seeds(gateway).into_iter().map(|address| async move {
+            match replication_client::fetch_routing(gateway, address).await {
+                Ok(Some(update)) => {
+                    apply_update(gateway, Table::Routing, update);
+                }
+                Ok(None) => {}
+                Err(e) => {
+                    log::debug!("event=seed-routing-failed source={address} error={:?}", e.to_string());
+                }
             }
-            Ok(Ok(None)) => {}
-            Ok(Err(e)) => log::debug!("event=seed-routing-failed source={address} error={:?}", e.to_string()),
-            Err(e) => log::info!("event=seed-routing-failed source={address} error={:?}", e.to_string()),
+        });
+        let mut asked = join_all(asked);
+        if timeout(SEED_ROUTING_WAIT, &mut asked).await.is_err() {
+            // A later answer is still applied, but callers don't wait for it.
+            gateway.end_wait_for_seed_routing();
+            asked.await;
         }
-    });
-    join_all(asked).await;
+    }
+    gateway.end_wait_for_seed_routing();
 }
 
 fn start_seed_wait(gateway: &Gateway) -> Duration {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -88,6 +88,8 @@
     /// Incremented when the replica or its status changes, so that followers may need an update.
     replica_changed: watch::Sender<u64>,
     targets_known: watch::Sender<bool>,
+    /// Whether the routing tables of the seeds have been received or are no longer waited for.
+    seed_routing_known: watch::Sender<bool>,
     /// Number of instances that share the budgets; 0 until it is known.
     instance_count: AtomicU64,
     /// Shutdown phase; it only advances.
@@ -122,6 +124,7 @@
             known_instances: Mutex::new(KnownInstances::new(config.instance.clone())),
             replica_changed: watch::Sender::new(0),
             targets_known: watch::Sender::new(false),
+            seed_routing_known: watch::Sender::new(false),
             instance_count: AtomicU64::new(0),
             phase: watch::Sender::new(Phase::Serving),
             in_progress: Arc::default(),
@@ -222,6 +225,18 @@
         self.targets_known.send_replace(true);
     }
 
+    /// Waits until the seeds have been asked for their routing tables.
+    pub async fn wait_for_seed_routing(&self) {
+        let mut known = self.seed_routing_known.subscribe();
+        // The sender lives as long as the gateway, so waiting can't fail.
+        let _closed = known.wait_for(|known| *known).await;
+    }
+
+    /// Ends the wait for the routing tables of the seeds.
+    pub fn end_wait_for_seed_routing(&self) {
+        self.seed_routing_known.send_replace(true);
+    }
+
     /// Sets the number of instances that share the budgets.
     pub fn set_instance_count(&self, instances: u64) {
         self.instance_count.store(instances, Ordering::Release);
