--- a/src/decide/probed_pool.rs
+++ b/src/decide/probed_pool.rs
@@ -41,25 +41,15 @@
 /// behind targets without a reading.
 const ORDER_COLD_OFFSET: f64 = 2.0;
 
-/// Share of its slots up to which a target is not slowed down by its own load.
-const HEADROOM_FILL: f64 = 0.8;
-
 /// Share of a target's slots up to which late calls may use it.
 const SPARE_SLOT_FILL: f64 = 0.5;
 
-/// Targets count as slowed by their own load when requests in a last slot take at least this many times as
-/// long as others.
-const FULL_SLOWDOWN_RATIO: f64 = 1.25;
-
 /// Capacity of the probe budget in seconds of its rate; allows a burst of probes at peak load.
 const PROBE_BURST_S: f64 = 20.0;
 
 /// Probes per second and target that are assumed to be allowed while the number of instances is unknown.
 const ASSUMED_PROBES_PER_S: f64 = 4.0;
 
-/// Slowdown assumed for a target whose slots are nearly all taken.
-const ASSUMED_FULL_SLOWDOWN: f64 = 1.7;
-
 /// Number of targets probed at once in the first round of a choice.
 const FIRST_ROUND_PROBES: usize = 2;
 
@@ -188,21 +178,18 @@
             Some(r) => (r.slowdown, f64::from(r.running + r.waiting + self.sent_since)),
             None => (ASSUMED_SLOWDOWN, f64::from(self.own_in_flight)),
         };
-        let load_factor = if has_headroom(held, slots) { 1.0 } else { ASSUMED_FULL_SLOWDOWN };
         let queue = (held + 1.0 - slots).max(0.0) / slots;
         let remote_cost = if self.is_near { 0.0 } else { REMOTE_COST };
-        slowdown * (load_factor + queue) + remote_cost + self.penalty(now) * PENALTY_COST
+        slowdown * (1.0 + queue) + remote_cost + self.penalty(now) * PENALTY_COST
     }
 
-    /// Returns whether a request would be processed at once and at normal speed; the last slots only count
-    /// if `may_fill` is set.
-    fn has_fast_slot(&self, now: MonoTime, may_fill: bool) -> bool {
+    /// Returns whether a request would be processed at once and at normal speed.
+    fn has_fast_slot(&self, now: MonoTime) -> bool {
         let Some((reading, at)) = self.reading else { return false };
         let held = f64::from(reading.running + reading.waiting + self.sent_since);
-        let has_room = has_room(held, f64::from(reading.slots), may_fill);
         now.since(at) <= FRESH_AGE
             && reading.slowdown <= MAX_NORMAL_SLOWDOWN
-            && has_room
+            && held + 1.0 <= f64::from(reading.slots)
             && self.penalty(now) < SUSPECT_PENALTY
     }
 
@@ -218,15 +205,6 @@
     }
 }
 
-/// Returns whether a target that holds `held` requests can take one more without slowing down.
-fn has_headroom(held: f64, slots: f64) -> bool {
-    held == 0.0 || held + 1.0 <= slots * HEADROOM_FILL
-}
-
-fn has_room(held: f64, slots: f64, may_fill: bool) -> bool {
-    has_headroom(held, slots) || (may_fill && held + 1.0 <= slots)
-}
-
 /// Token bucket of probes.
 #[derive(Debug)]
 struct ProbeBudget {
@@ -253,12 +231,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Choice {
     /// Send the call to this target.
-    Send {
-        /// Target to send to.
-        listing: Listing,
-        /// Whether the call takes one of the target's last slots, in which requests may be slower.
-        takes_last_slot: bool,
-    },
+    Send(Listing),
     /// Probe these targets, and choose again once one of them has answered.
     Probe(Vec<Listing>),
     /// Choose again when more is known, and no later than after this time.
@@ -285,10 +258,8 @@
 pub struct ProbedPool {
     data_centre: DataCentre,
     targets: HashMap<TargetId, Target>,
-    /// Durations of answered attempts at targets with headroom.
-    headroom_times: DurationHistogram,
-    /// Durations of answered attempts that took one of a target's last slots.
-    last_slot_times: DurationHistogram,
+    /// Durations of answered attempts.
+    answer_times: DurationHistogram,
     probe_budget: ProbeBudget,
     rng: SmallRng,
 }
@@ -304,8 +275,7 @@
         Self {
             data_centre,
             targets: HashMap::default(),
-            headroom_times: DurationHistogram::default(),
-            last_slot_times: DurationHistogram::default(),
+            answer_times: DurationHistogram::default(),
             probe_budget,
             rng,
         }
@@ -316,19 +286,9 @@
         self.probe_budget.per_target_per_s = per_target_per_s;
     }
 
-    /// Returns the median time from sending a request to the end of its response, at targets with headroom.
+    /// Returns the median time from sending a request to the end of its response.
     pub fn usual_time(&self) -> Duration {
-        self.headroom_times.median()
-    }
-
-    /// Returns whether targets have been seen to work much slower when nearly all of their slots are taken.
-    ///
-    /// A request in the last slot then delays those in the other slots, too.
-    fn slows_when_full(&self) -> bool {
-        let have_samples =
-            self.headroom_times.has_enough_samples() && self.last_slot_times.has_enough_samples();
-        have_samples
-            && self.last_slot_times.median() > self.headroom_times.median().mul_f64(FULL_SLOWDOWN_RATIO)
+        self.answer_times.median()
     }
 
     /// Applies a change of the directory.
@@ -367,10 +327,8 @@
 
     /// Chooses a target for a call, or the step that must come first.
     pub fn choose_target(&mut self, now: MonoTime, request: &ChoiceRequest) -> Choice {
-        let may_fill = !self.slows_when_full();
         let is_acceptable = |t: &Target| match request.stage {
-            WaitStage::Headroom => t.has_fast_slot(now, false),
-            WaitStage::FreeSlot => t.has_fast_slot(now, may_fill),
+            WaitStage::FastSlot => t.has_fast_slot(now),
             WaitStage::SpareSlot => t.has_spare_slot(now),
             WaitStage::Expired => false,
         };
@@ -417,9 +375,8 @@
     }
 
     /// Records the duration of an attempt that was answered.
-    pub fn record_duration(&mut self, time: Duration, took_last_slot: bool) {
-        let times = if took_last_slot { &mut self.last_slot_times } else { &mut self.headroom_times };
-        times.record(time);
+    pub fn record_duration(&mut self, time: Duration) {
+        self.answer_times.record(time);
     }
 
     /// Records the end of an attempt.
@@ -494,14 +451,11 @@
     /// Records a send to a target and returns it as the choice.
     fn start_send(&mut self, now: MonoTime, id: &TargetId) -> Choice {
         let Some(target) = self.targets.get_mut(id) else { return Choice::NoTarget };
-        let known = target.reading.map(|(r, _)| (f64::from(r.running + r.waiting), f64::from(r.slots)));
-        let takes_last_slot =
-            known.is_some_and(|(held, slots)| !has_headroom(held + f64::from(target.sent_since), slots));
         target.own_in_flight += 1;
         target.sent += 1;
         target.sent_since += 1;
         target.last_sent_at = now;
-        Choice::Send { listing: target.listing.clone(), takes_last_slot }
+        Choice::Send(target.listing.clone())
     }
 }
 
--- a/src/decide/service_pools.rs
+++ b/src/decide/service_pools.rs
@@ -167,8 +167,8 @@
     }
 
     /// Records the duration of an attempt that was answered.
-    pub fn record_duration(&mut self, service: &ServiceName, time: Duration, took_last_slot: bool) {
-        self.service(service).pool.record_duration(time, took_last_slot);
+    pub fn record_duration(&mut self, service: &ServiceName, time: Duration) {
+        self.service(service).pool.record_duration(time);
     }
 
     /// Records the end of an attempt.
--- a/src/decide/wait_stage.rs
+++ b/src/decide/wait_stage.rs
@@ -10,13 +10,13 @@
 
 /// Share of the latency objective for which a call waits for a free slot at a target of normal speed. Under
 /// overload all calls wait that long, so the rest of the objective must suffice for the response.
-const FREE_SLOT_WAIT_SHARE: f64 = 0.45;
+const FAST_SLOT_WAIT_SHARE: f64 = 0.45;
 
 /// Minimum share of the latency objective for which a call waits for such a slot.
-const MIN_FREE_SLOT_WAIT_SHARE: f64 = 0.125;
+const MIN_FAST_SLOT_WAIT_SHARE: f64 = 0.125;
 
-/// Share of the latency objective after which a call also takes one of a target's last slots.
-const HEADROOM_WAIT_SHARE: f64 = 0.0625;
+/// Share of the latency objective for which a hedge waits for such a slot: its first send may still be answered.
+const HEDGE_WAIT_SHARE: f64 = 0.0625;
 
 /// A call waits for a free slot only as long as this many times the usual duration of a request remain of
 /// the objective.
@@ -29,10 +29,8 @@
 /// Which slots a call may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WaitStage {
-    /// A slot at a target of normal speed that is not slowed down by its own load.
-    Headroom,
-    /// Any free slot at a target of normal speed.
-    FreeSlot,
+    /// A free slot at a target of normal speed.
+    FastSlot,
     /// Only a slot that calls still in time don't need, since this call can hardly be in time.
     SpareSlot,
     /// None, since longer waiting would only take slots from others. The call is refused, unless no target
@@ -54,20 +52,22 @@
 }
 
 impl CallTimes {
+    /// Returns until when a hedge whose choice of a target began at `since` waits for a fast slot.
+    pub fn hedge_until(&self, since: MonoTime) -> MonoTime {
+        since + self.objective.mul_f64(HEDGE_WAIT_SHARE)
+    }
+
     /// Returns the stage of a call whose choice of a target began at `since`, and when that stage ends.
     pub fn stage(&self, now: MonoTime, since: MonoTime) -> (WaitStage, MonoTime) {
         let share = |share: f64| self.objective.mul_f64(share);
-        let headroom_until = since + share(HEADROOM_WAIT_SHARE);
         let answer = self.usual_time.mul_f64(ANSWER_MARGIN);
-        let free_slot_wait = share(FREE_SLOT_WAIT_SHARE).min(self.objective.saturating_sub(answer));
-        let free_slot_until = (self.arrived + free_slot_wait).max(since + share(MIN_FREE_SLOT_WAIT_SHARE));
+        let fast_slot_wait = share(FAST_SLOT_WAIT_SHARE).min(self.objective.saturating_sub(answer));
+        let fast_slot_until = (self.arrived + fast_slot_wait).max(since + share(MIN_FAST_SLOT_WAIT_SHARE));
         let spare_slot_until =
             self.arrived + self.deadline.since(self.arrived).mul_f64(SPARE_SLOT_DEADLINE_SHARE);
-        let spare_slot_until = spare_slot_until.max(free_slot_until);
-        if now < headroom_until.min(free_slot_until) {
-            (WaitStage::Headroom, headroom_until.min(free_slot_until))
-        } else if now < free_slot_until {
-            (WaitStage::FreeSlot, free_slot_until)
+        let spare_slot_until = spare_slot_until.max(fast_slot_until);
+        if now < fast_slot_until {
+            (WaitStage::FastSlot, fast_slot_until)
         } else if now < spare_slot_until {
             (WaitStage::SpareSlot, spare_slot_until)
         } else {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -433,9 +433,12 @@
         // Registered before the state is read, so that no change is missed.
         Pin::as_mut(&mut changed).enable();
         let now = gateway.now();
-        let (stage, stage_until) = times.stage(now, started);
-        if is_hedge && stage != WaitStage::Headroom {
-            return AttemptResult::NotSent(ErrorKind::Overloaded);
+        let (stage, mut stage_until) = times.stage(now, started);
+        if is_hedge {
+            stage_until = stage_until.min(times.hedge_until(started));
+            if stage != WaitStage::FastSlot || now >= stage_until {
+                return AttemptResult::NotSent(ErrorKind::Overloaded);
+            }
         }
         if !is_hedge && matches!(stage, WaitStage::SpareSlot | WaitStage::Expired) {
             // From here on, the call takes only slots that no queued call can use.
@@ -454,7 +457,7 @@
             )
         };
         let recheck_at = match choice {
-            Choice::Send { listing, takes_last_slot } => {
+            Choice::Send(listing) => {
                 if is_hedge && !spend_hedge(call) {
                     gateway.service_pools().record_end(
                         now,
@@ -465,9 +468,7 @@
                     return AttemptResult::NotSent(ErrorKind::Overloaded);
                 }
                 drop(queued);
-                return AttemptResult::Sent(
-                    send_and_record(call, listing, takes_last_slot, probe_rounds).await,
-                );
+                return AttemptResult::Sent(send_and_record(call, listing, probe_rounds).await);
             }
             Choice::NoTarget if gateway.service_pools().has_target(&call.service) => {
                 return AttemptResult::NotSent(ErrorKind::Overloaded);
@@ -494,19 +495,14 @@
     within_budget
 }
 
-async fn send_and_record(
-    call: &CallContext,
-    listing: Listing,
-    takes_last_slot: bool,
-    rounds: u32,
-) -> SendResult {
+async fn send_and_record(call: &CallContext, listing: Listing, rounds: u32) -> SendResult {
     let target = listing.id.clone();
     call.tried.lock().unwrap_or_else(PoisonError::into_inner).push(target.clone());
     let now = call.gateway.now();
     call.first_send.lock().unwrap_or_else(PoisonError::into_inner).get_or_insert((listing.clone(), now));
     let reading = call.gateway.service_pools().latest_reading(now, &listing.service, &target);
     call.record(RequestEvent::Sent { target: target.clone(), reading, rounds });
-    let result = send(call, listing, takes_last_slot).await;
+    let result = send(call, listing).await;
     let outcome = result.outcome();
     call.gateway.metrics.record_send(outcome);
     call.record(RequestEvent::SendEnded { target, outcome });
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -83,21 +83,19 @@
     /// Returned to the pool once the response is complete, closed otherwise.
     connection: Option<Connection>,
     started: MonoTime,
-    takes_last_slot: bool,
     is_reported: bool,
     _in_progress: RequestGuard,
 }
 
 impl SendGuard {
     /// Starts a send to the target that was chosen.
-    pub fn new(gateway: &Arc<Gateway>, listing: Listing, takes_last_slot: bool) -> Self {
+    pub fn new(gateway: &Arc<Gateway>, listing: Listing) -> Self {
         let in_progress = gateway.track_request();
         Self {
             gateway: Arc::clone(gateway),
             listing,
             connection: None,
             started: gateway.now(),
-            takes_last_slot,
             is_reported: false,
             _in_progress: in_progress,
         }
@@ -126,11 +124,7 @@
             let now = self.gateway.now();
             let mut service_pools = self.gateway.service_pools();
             if end == HealthSignal::Answered {
-                service_pools.record_duration(
-                    &self.listing.service,
-                    now.since(self.started),
-                    self.takes_last_slot,
-                );
+                service_pools.record_duration(&self.listing.service, now.since(self.started));
             }
             service_pools.record_end(now, &self.listing.service, &self.listing.id, end);
         }
@@ -144,8 +138,8 @@
 }
 
 /// Sends a call to a target and waits for the response and for up to `MAX_BUFFERED_BYTES` of its body.
-pub async fn send(call: &CallContext, listing: Listing, takes_last_slot: bool) -> SendResult {
-    let mut guard = SendGuard::new(&call.gateway, listing, takes_last_slot);
+pub async fn send(call: &CallContext, listing: Listing) -> SendResult {
+    let mut guard = SendGuard::new(&call.gateway, listing);
     let Some(mut connection) = checkout(call, &guard.listing).await else {
         guard.report(HealthSignal::Failed);
         return SendResult::Unsent;
