Mend four faults found while reading the gateway

Causes and changes: an application's 3xx or 4xx counted as a failure of its target and was repeated elsewhere; only 5xx and unsealed answers do now. The hedge went on to watch the first target after its send had failed; it watches the latest send. A failed accept on the readiness address was retried without a pause. An error response to a caller whose socket takes no more bytes was written for ever; it ends with an error. Result: gateway_calls has a test of the 404, which was sent twice before; the others are by reading.

--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -26,6 +26,8 @@
     Shed,
     /// Executes them and responds with 500.
     Fail,
+    /// Executes them and responds with 404, as an application that doesn't know the path does.
+    NotFound,
     /// Executes them and resets the connection instead of responding.
     ResetConnection,
     /// Executes them and never responds; the connection stays open.
@@ -282,7 +284,11 @@
     let id = request.header("x-attempt-id").unwrap_or_default();
     let body = format!("body of {id}");
     let seal = if mode == WorkerMode::MissingSeal { "" } else { "X-Response-Seal: 3e1b.07\r\n" };
-    let status = if mode == WorkerMode::Fail { "500 Internal Server Error" } else { "200 OK" };
+    let status = match mode {
+        WorkerMode::Fail => "500 Internal Server Error",
+        WorkerMode::NotFound => "404 Not Found",
+        _ => "200 OK",
+    };
     let head = format!("HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\n{seal}{load_headers}");
     let length = body.len();
     match mode {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -83,8 +83,8 @@
     pub parts: RequestParts,
     /// Targets to which the request was sent, or for which a connection was tried.
     tried: Mutex<Vec<TargetId>>,
-    /// Target and time of the first send; `None` until then.
-    first_send: Mutex<Option<(Listing, MonoTime)>>,
+    /// Target and time of the latest send; `None` until the first one.
+    latest_send: Mutex<Option<(Listing, MonoTime)>>,
     /// Sends that have reached a connection and may have been executed, as far as is known.
     open_sends: AtomicU32,
     /// Decisions on the call, for the log.
@@ -113,9 +113,9 @@
         self.open_sends.fetch_sub(1, Ordering::AcqRel);
     }
 
-    /// Returns the target and time of the first send.
-    fn first_send(&self) -> Option<(Listing, MonoTime)> {
-        self.first_send.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    /// Returns the target and time of the latest send.
+    fn latest_send(&self) -> Option<(Listing, MonoTime)> {
+        self.latest_send.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     fn record(&self, event: RequestEvent) {
@@ -210,7 +210,7 @@
         deadline,
         parts: RequestParts { head, body, upload },
         tried: Mutex::default(),
-        first_send: Mutex::default(),
+        latest_send: Mutex::default(),
         open_sends: AtomicU32::new(0),
     })
 }
@@ -399,7 +399,7 @@
     let gateway = &call.gateway;
     let objective = call.route.spec.objective;
     loop {
-        let Some((listing, sent)) = call.first_send() else {
+        let Some((listing, sent)) = call.latest_send() else {
             gateway.state_changed.notified().await;
             continue;
         };
@@ -499,7 +499,7 @@
     let target = listing.id.clone();
     call.tried.lock().unwrap_or_else(PoisonError::into_inner).push(target.clone());
     let now = call.gateway.now();
-    call.first_send.lock().unwrap_or_else(PoisonError::into_inner).get_or_insert((listing.clone(), now));
+    *call.latest_send.lock().unwrap_or_else(PoisonError::into_inner) = Some((listing.clone(), now));
     let reading = call.gateway.service_pools().latest_reading(now, &listing.service, &target);
     call.record(RequestEvent::Sent { target: target.clone(), reading, rounds });
     let result = send(call, listing).await;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -49,10 +49,10 @@
 /// Result of one send.
 #[derive(Debug)]
 pub enum SendResult {
-    /// The target responded with a 2xx status, or with a body too large to be buffered, which may still be
-    /// arriving.
+    /// The target processed the request and responded, or its response has a body too large to be buffered,
+    /// which may still be arriving.
     Answered(Box<TargetResponse>),
-    /// The target executed the request and responded with a status other than 2xx.
+    /// The target executed the request and responded with an error of its own (5xx).
     Failed(Box<TargetResponse>),
     /// The target states that it did not execute the request.
     NotRun,
@@ -217,8 +217,8 @@
     }
     let is_authentic =
         headers.contains_key(&names.authenticity_proof) && !headers.contains_key(header::CONTENT_ENCODING);
-    let is_success = response.status().is_success();
-    if is_success && !is_authentic {
+    let is_error = !is_authentic || response.status().is_server_error();
+    if response.status().is_success() && !is_authentic {
         guard.report(HealthSignal::Failed);
         return SendResult::Lost;
     }
@@ -230,7 +230,7 @@
     match buffer(body).await {
         BufferedBody::Complete(chunks) => {
             let response = Box::new(TargetResponse { head, body: ResponseBody::complete(chunks) });
-            if is_success {
+            if !is_error {
                 guard.completed();
                 return SendResult::Answered(response);
             }
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -19,7 +19,7 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Pause after accepting a connection failed, for example for lack of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Longest time after the start for which connections wait for routes and targets instead of getting error
 /// responses. Callers allow one second for a connection, so this must be shorter.
--- a/src/gateway/ready.rs
+++ b/src/gateway/ready.rs
@@ -6,9 +6,12 @@
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
 
-use super::Gateway;
+use super::{Gateway, listen::ACCEPT_PAUSE};
 
 /// Path of the readiness check. The ingress, which spreads callers over the instances, sends callers only to
 /// ready instances.
@@ -24,7 +27,10 @@
             Ok((stream, _address)) => {
                 tokio::spawn(serve(Arc::clone(&gateway), stream));
             }
-            Err(e) => log::warn!("event=ready-accept-failed error={:?}", e.to_string()),
+            Err(e) => {
+                log::warn!("event=ready-accept-failed error={:?}", e.to_string());
+                sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
--- a/src/proxy/caller_stream.rs
+++ b/src/proxy/caller_stream.rs
@@ -4,7 +4,7 @@
 //! Such a response has a 4xx status and no body, and it is the last one on its connection.
 
 use std::{
-    io::{IoSlice, Result},
+    io::{ErrorKind, IoSlice, Result},
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
@@ -63,7 +63,11 @@
         let Some(error_response) = &mut self.error_response else { return Poll::Ready(Ok(0)) };
         while error_response.written < error_response.bytes.len() {
             let rest = &error_response.bytes[error_response.written..];
-            error_response.written += ready!(Pin::new(&mut self.inner).poll_write(cx, rest))?;
+            let written = ready!(Pin::new(&mut self.inner).poll_write(cx, rest))?;
+            if written == 0 {
+                return Poll::Ready(Err(ErrorKind::WriteZero.into()));
+            }
+            error_response.written += written;
         }
         let input_len = error_response.input_len;
         self.error_response = None;
--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -302,3 +302,22 @@
     let answer = answer.expect("an answer");
     assert_eq!((answer.status, answer.outcome()), (503, "not-run"), "{answer:?}");
 }
+
+#[tokio::test]
+async fn an_applications_own_404_is_its_answer_and_no_fault_of_the_target() {
+    let deployment = TestDeployment::start().await;
+    let workers = [deployment.worker("i-1").await, deployment.worker("i-2").await];
+    for worker in &workers {
+        worker.set_mode(WorkerMode::NotFound);
+    }
+    let gateway = deployment.gateway("one", &json!({})).await;
+    deployment
+        .wait_until("repeats are allowed", || async { gateway.logged(&["event=instances-counted"]) })
+        .await;
+    for number in 0..8 {
+        let answer = deployment.send(gateway.callers, Method::GET, "/read/x", &format!("a{number}")).await;
+        assert_eq!(answer.expect("an answer").status, 404);
+    }
+    let executed = workers.iter().map(|w| w.executed_requests().len()).sum::<usize>();
+    assert_eq!(executed, 8, "each request runs once");
+}
