Take the latest routing table of the changes that were missed

Change: the row with the latest position counts. The model of restores writes a third routing table, with which it finds the fault.

--- a/src/decide/hedge.rs
+++ b/src/decide/hedge.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::probed_pool::LoadReading;
+use super::probed_target::LoadReading;
 use crate::units::MonoTime;
 
 /// Number of checks within the latency objective.
--- a/src/decide/service_pools.rs
+++ b/src/decide/service_pools.rs
@@ -7,7 +7,8 @@
 
 use super::{
     directory::{Directory, DirectoryChange},
-    probed_pool::{Choice, ChoiceRequest, HealthSignal, LoadReading, ProbedPool},
+    probed_pool::{Choice, ChoiceRequest, ProbedPool},
+    probed_target::{HealthSignal, LoadReading},
     repeat_budget::{RepeatAllowance, RepeatBudget},
     retry_pacing::{RetryAfterPacer, ServiceCapacity},
     wait_queue::{QueuePosition, WaitQueue},
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -35,7 +35,8 @@
     decide::{
         directory::Listing,
         hedge::{self, HedgeDecision, InFlightRequest},
-        probed_pool::{Choice, ChoiceRequest, HealthSignal},
+        probed_pool::{Choice, ChoiceRequest},
+        probed_target::HealthSignal,
         wait_queue::QueuePosition,
         wait_stage::{CallTimes, WaitStage},
     },
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -14,7 +14,7 @@
 
 use super::{Gateway, call::CallContext, request_log::SendOutcome, response::ResponseBody};
 use crate::{
-    decide::{directory::Listing, probed_pool::HealthSignal},
+    decide::{directory::Listing, probed_target::HealthSignal},
     kernel::in_progress::RequestGuard,
     plan::RequestKind,
     proxy::{
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -455,7 +455,7 @@
 /// position of the store from which they were read.
 fn apply_routing(gateway: &Gateway, mut update: TableUpdate) -> UpdateResult {
     let key = gateway.platform.routing_key;
-    let row = update.rows().rows.iter().find(|r| r.key == key).cloned();
+    let row = update.rows().latest(key).cloned();
     let received = row.and_then(|row| Some((decode_routing(gateway, &row)?, row)));
     let (received, spec) = match received {
         Some((spec, row)) => (Some((spec.version, row)), Some(spec)),
--- a/src/gateway/platform_adapter.rs
+++ b/src/gateway/platform_adapter.rs
@@ -11,7 +11,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 
 use crate::{
-    decide::{directory::Listing, probed_pool::LoadReading},
+    decide::{directory::Listing, probed_target::LoadReading},
     routing::RoutingSpec,
     store::DriverFn,
     store_position::StorePosition,
@@ -47,6 +47,13 @@
     pub position: StorePosition,
 }
 
+impl TableRows {
+    /// Returns the latest of the rows with this key. Changes that were missed come with each of their versions.
+    pub fn latest(&self, key: &str) -> Option<&TableRow> {
+        self.rows.iter().filter(|row| row.key == key).max_by_key(|row| row.position)
+    }
+}
+
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -12,7 +12,7 @@
     exchange::{connect, discard},
 };
 use crate::{
-    decide::{directory::Listing, probed_pool::LoadReading},
+    decide::{directory::Listing, probed_target::LoadReading},
     proxy::{
         connection::{ExchangeResult, ReusePolicy},
         upload::RequestBody,
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -122,13 +122,12 @@
     loop {
         match next_frame(&mut link.recv_stream, &mut decoder).await? {
             Frame::StoreEra(stated) => era = stated,
-            Frame::StoreAnsweredFor(_) => {}
             Frame::StoreState(state) if state.confirmed_age_ms.is_none() => return Ok(None),
             Frame::StoreRows(rows) if !rows.of_targets && !rows.must_read => {
                 return Ok(Some(to_table_update(era, rows)));
             }
             Frame::StoreRows(rows) if rows.must_read => return Ok(None),
-            Frame::StoreState(_) | Frame::StoreRows(_) => {}
+            Frame::StoreState(_) | Frame::StoreRows(_) | Frame::StoreAnsweredFor(_) => {}
             _ => return Err("unexpected frame type".into()),
         }
     }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -9,7 +9,7 @@
 use derive_more::Display;
 
 use crate::{
-    decide::probed_pool::LoadReading,
+    decide::probed_target::LoadReading,
     error::ErrorKind,
     logging::{Quoted, SELF_LIMITED_MODULE},
     routing::{Route, RoutingVersion},
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -10,7 +10,8 @@
     decide::{
         directory::{Directory, DirectoryChange, DirectoryRow, Listing},
         hedge::{self, HedgeDecision, InFlightRequest},
-        probed_pool::{Choice, ChoiceRequest, HealthSignal, LoadReading, ProbedPool},
+        probed_pool::{Choice, ChoiceRequest, ProbedPool},
+        probed_target::{HealthSignal, LoadReading},
         repeat_budget::{RepeatAllowance, RepeatBudget},
         retry_pacing::{RetryAfterPacer, ServiceCapacity},
         wait_queue::WaitQueue,
--- a/tests/load_targets_of_few_slots.rs
+++ b/tests/load_targets_of_few_slots.rs
@@ -2,7 +2,7 @@
 
 mod pool_env;
 
-use arbutusshelf::decide::{directory::Listing, probed_pool::LoadReading};
+use arbutusshelf::decide::{directory::Listing, probed_target::LoadReading};
 use pool_env::{FIRST_CHOICE, at, listing, pool_of, sent_to};
 
 fn reading_of(running: u32, slots: u32) -> LoadReading {
--- a/tests/pool_env/mod.rs
+++ b/tests/pool_env/mod.rs
@@ -7,7 +7,8 @@
 use arbutusshelf::{
     decide::{
         directory::{DirectoryChange, Listing},
-        probed_pool::{Choice, ChoiceRequest, LoadReading, ProbedPool},
+        probed_pool::{Choice, ChoiceRequest, ProbedPool},
+        probed_target::LoadReading,
         wait_stage::WaitStage,
     },
     units::{MonoTime, TargetId},
--- a/tests/store_restore.rs
+++ b/tests/store_restore.rs
@@ -131,7 +131,7 @@
 
 /// Applies a routing table as the instance does; `version` is that of the table in the update.
 fn apply_routing(replica: &mut StoreReplica, version: Option<u64>, mut update: TableUpdate) -> Option<u64> {
-    let row = update.rows().rows.first().cloned();
+    let row = update.rows().latest("a").cloned();
     let received = version.map(routing_version).zip(row);
     let kept = replica.keep_newest_routing("a", received, &mut update);
     replica.apply(Table::Routing, &update);
--- a/tests/store_restore_model.rs
+++ b/tests/store_restore_model.rs
@@ -99,7 +99,7 @@
 impl Instance {
     fn apply(&mut self, table: Table, mut update: TableUpdate) -> Result<(), String> {
         if table == Table::Routing {
-            let row = update.rows().rows.first().filter(|r| r.value.is_some()).cloned();
+            let row = update.rows().latest(KEY).filter(|r| r.value.is_some()).cloned();
             let received = row.map(|row| (RoutingVersion::from(u64::from(content(&row))), row));
             let version = received.as_ref().map_or(0, |(_, row)| content(row));
             self.replica.keep_newest_routing(KEY, received, &mut update);
@@ -198,7 +198,7 @@
             Event::WriteEntry if self.store.last_entry < LAST_ENTRY => {
                 self.store.write_entry(self.store.last_entry + 1);
             }
-            Event::WriteRouting if self.store.last_routing < 2 => {
+            Event::WriteRouting if self.store.last_routing < 3 => {
                 self.store.write_routing(self.store.last_routing + 1);
             }
             Event::Copy if self.store.copy.version < self.store.content.version => {
