--- a/src/decide/probed_target.rs
+++ b/src/decide/probed_target.rs
@@ -27,10 +27,10 @@
 
 /// Addition to the rank in the probe order of targets in other data centres, since traffic between data
 /// centres is paid for.
-const ORDER_REMOTE_OFFSET: f64 = 0.3;
+const ORDER_REMOTE_OFFSET: f64 = 1.2;
 
 /// Cost of sending to another data centre, as a share of one request's usual time.
-const REMOTE_COST: f64 = 0.02;
+const REMOTE_COST: f64 = 0.3;
 
 /// Time in which the penalty of a target halves, in seconds.
 const PENALTY_HALF_LIFE_S: f64 = 1.5;
