--- a/src/decide/hedge.rs
+++ b/src/decide/hedge.rs
@@ -1,8 +1,8 @@
 //! Hedging: when a request that is in progress at one target is also sent to a second one.
 //!
 //! A machine that was fast when the request was sent may slow down while it works on it; its target reports
-//! that when probed. A request that takes long on a machine at normal speed is simply a long request, and a
-//! second target would take as long.
+//! that when probed. Or the request takes much longer than usual there for a reason that no reading shows; a
+//! second target usually answers it in the usual time.
 
 use std::time::Duration;
 
@@ -20,6 +20,9 @@
 /// to be faster.
 const MIN_GAIN: f64 = 1.1;
 
+/// A request counts as overdue at its target after this many times the usual time.
+pub const OVERDUE_RATIO: f64 = 2.0;
+
 /// One request in progress.
 #[derive(Debug, Clone, Copy)]
 pub struct InFlightRequest {
@@ -31,6 +34,8 @@
     pub objective: Duration,
     /// Median time from sending a request to its response.
     pub usual_time: Duration,
+    /// Time after `sent` from which the request is overdue; `None` while no usual time has been learned.
+    pub overdue_after: Option<Duration>,
 }
 
 /// What to do about a request in progress.
@@ -53,8 +58,11 @@
     let usual_s = request.usual_time.as_secs_f64();
     let remaining_s = (usual_s - elapsed_s).max(usual_s * MIN_REMAINING_SHARE);
     let is_slow = reading.is_some_and(|r| remaining_s * r.slowdown > usual_s * MIN_GAIN);
-    if is_slow && now + request.usual_time <= useful_until {
+    let overdue_at = request.overdue_after.map(|after| request.sent + after);
+    let is_overdue = overdue_at.is_some_and(|at| now >= at);
+    if (is_slow || is_overdue) && now + request.usual_time <= useful_until {
         return HedgeDecision::SendNow;
     }
-    HedgeDecision::CheckAgainAt((now + request.objective / CHECKS_PER_OBJECTIVE).min(useful_until))
+    let next_check = (now + request.objective / CHECKS_PER_OBJECTIVE).min(useful_until);
+    HedgeDecision::CheckAgainAt(overdue_at.filter(|at| *at > now).map_or(next_check, |at| at.min(next_check)))
 }
--- a/src/decide/probed_pool.rs
+++ b/src/decide/probed_pool.rs
@@ -12,6 +12,7 @@
 use super::{
     directory::{DirectoryChange, Listing},
     duration::DurationHistogram,
+    hedge::OVERDUE_RATIO,
     probe_budget::ProbeBudget,
     probed_target::{FRESH_AGE, HealthSignal, LoadReading, ProbedTarget},
     wait_stage::WaitStage,
@@ -100,6 +101,12 @@
         self.answer_times.median()
     }
 
+    /// Returns the time after which a request is overdue at its target, or `None` while too few durations are
+    /// known.
+    pub fn overdue_time(&self) -> Option<Duration> {
+        self.answer_times.has_enough_samples().then(|| self.answer_times.median().mul_f64(OVERDUE_RATIO))
+    }
+
     /// Applies a change of the directory.
     pub fn apply_change(&mut self, now: MonoTime, change: &DirectoryChange) {
         match change {
--- a/src/decide/service_pools.rs
+++ b/src/decide/service_pools.rs
@@ -167,6 +167,12 @@
         self.service(service).pool.usual_time()
     }
 
+    /// Returns the time after which a request to a service is overdue at its target, or `None` while too few
+    /// durations are known.
+    pub fn overdue_time(&mut self, service: &ServiceName) -> Option<Duration> {
+        self.service(service).pool.overdue_time()
+    }
+
     /// Records the duration of an attempt that was answered.
     pub fn record_duration(&mut self, service: &ServiceName, time: Duration) {
         self.service(service).pool.record_duration(time);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -404,8 +404,12 @@
             gateway.state_changed.notified().await;
             continue;
         };
-        let usual_time = gateway.service_pools().usual_time(&call.service);
-        let request = InFlightRequest { arrived: call.arrived, sent, objective, usual_time };
+        let (usual_time, overdue_after) = {
+            let mut service_pools = gateway.service_pools();
+            (service_pools.usual_time(&call.service), service_pools.overdue_time(&call.service))
+        };
+        let arrived = call.arrived;
+        let request = InFlightRequest { arrived, sent, objective, usual_time, overdue_after };
         let now = gateway.now();
         let reading = gateway.service_pools().latest_reading(now, &listing.service, &listing.id);
         let fresh = reading.filter(|(_, age)| *age <= PROBE_WAIT).map(|(reading, _)| reading);
