Restore the store from a copy in the soak

Cause: the soak's store forgot its history, but never came back from an older copy. Change: a step takes a copy, puts it back after a while, and writes again what was lost a second later.

--- a/bench/src/rows.rs
+++ b/bench/src/rows.rs
@@ -60,6 +60,15 @@
     version: u64,
 }
 
+/// Changes that a restore has lost.
+#[derive(Debug, Clone, Default)]
+pub struct LostRows {
+    /// Changed rows by table and key.
+    rows: BTreeMap<(String, String), StoredRow>,
+    /// Version of the store right after the restore.
+    restored_version: u64,
+}
+
 /// A running stand-in of the store; stops when dropped.
 #[derive(Debug)]
 pub struct RowStoreStandIn {
@@ -117,14 +126,31 @@
         RowStoreCopy { rows: state.rows.clone(), version: state.version }
     }
 
-    /// Puts an earlier content back: all later changes are lost, and their versions are given out again.
-    pub fn restore(&self, copy: RowStoreCopy) {
+    /// Puts an earlier content back: all later changes are lost, and their versions are given out again. Returns
+    /// the changes that were lost.
+    pub fn restore(&self, copy: RowStoreCopy) -> LostRows {
         let mut state = lock(&self.state);
-        (state.rows, state.version) = (copy.rows, copy.version);
+        let rows = std::mem::replace(&mut state.rows, copy.rows);
+        let is_lost = |row: &StoredRow| row.version > copy.version;
+        let lost = rows.into_iter().filter(|(_, row)| is_lost(row)).collect();
+        let lost = LostRows { rows: lost, restored_version: copy.version };
+        state.version = copy.version;
+        state.compacted_version = state.compacted_version.min(copy.version);
         state.era += 1;
         drop(state);
         // Wakes the long polls, so that they notice the new era.
         self.changed.send_replace(0);
+        lost
+    }
+
+    /// Writes lost changes again, except to rows that have been written since the restore.
+    pub fn write_again(&self, lost: &LostRows) {
+        for ((table, key), row) in &lost.rows {
+            let written = lock(&self.state).rows.get(&(table.clone(), key.clone())).map(|row| row.version);
+            if written.is_none_or(|version| version <= lost.restored_version) {
+                self.write_row(table, key, row.value.clone());
+            }
+        }
     }
 
     /// Sets how every request is handled from now on.
--- a/bench/src/soak/cluster.rs
+++ b/bench/src/soak/cluster.rs
@@ -54,6 +54,12 @@
 /// Time after which another worker reuses the address of a removed one, as on the users' platform.
 const ADDRESS_REUSE: Duration = Duration::from_secs(2);
 
+/// Time for which the store is away when it is restored from a copy.
+const RESTORE_OUTAGE: Duration = Duration::from_millis(300);
+
+/// Time after a restore in which operators and workers have written again what was lost.
+const REWRITE_DELAY: Duration = Duration::from_secs(1);
+
 /// Time for which callers still send requests to a removed route.
 const REMOVED_ROUTE_CALL_TIME: Duration = Duration::from_secs(5);
 
@@ -296,6 +302,10 @@
                 self.store.forget_history();
                 Ok(())
             }
+            Action::RestoreStore => {
+                self.restore_store(length).await;
+                Ok(())
+            }
             Action::Worker(number, mode) => {
                 self.disturb_worker(number, "worker", length, |worker, is_active| {
                     worker.set_mode(if is_active { mode } else { WorkerMode::Serve });
@@ -323,6 +333,28 @@
         }
     }
 
+    /// Restores the store from a copy of age `age`; what was lost is written again shortly after.
+    async fn restore_store(&self, age: Duration) {
+        let copy = self.store.copy();
+        tokio::time::sleep(age).await;
+        let lost = Mutex::default();
+        self.disturb(Scope::Store, "store restore", RESTORE_OUTAGE, |is_active| {
+            if is_active {
+                self.store.set_fault(RowStoreFault::Down);
+            } else {
+                *lost.lock().unwrap_or_else(PoisonError::into_inner) = self.store.restore(copy.clone());
+                self.store.set_fault(RowStoreFault::None);
+            }
+        })
+        .await;
+        self.disturb(Scope::Store, "store restore", REWRITE_DELAY, |is_active| {
+            if !is_active {
+                self.store.write_again(&lost.lock().unwrap_or_else(PoisonError::into_inner));
+            }
+        })
+        .await;
+    }
+
     /// Activates a fault for a time and records the period as a disturbance.
     async fn disturb(&self, scope: Scope, name: &'static str, length: Duration, set_active: impl Fn(bool)) {
         let from_ms = self.now_ms();
--- a/bench/src/soak/schedule.rs
+++ b/bench/src/soak/schedule.rs
@@ -27,6 +27,9 @@
     /// Makes the store forget its change history, so that instances cannot resume reading changes where they
     /// stopped.
     ForgetHistory,
+    /// Takes a copy of the store at the start of the step and puts it back at its end; what was written meanwhile
+    /// is written again shortly after.
+    RestoreStore,
     /// Makes a worker misbehave.
     Worker(usize, WorkerMode),
     /// Slows a worker down, which the worker reports.
@@ -73,6 +76,13 @@
 /// Range of the time between the starts of two steps of a series, in milliseconds.
 const STEP_GAP_MS: std::ops::Range<u64> = 0..700;
 
+/// Mean time between two restores of the store from a copy, in milliseconds.
+const RESTORE_GAP_MS: u64 = 8_000;
+
+/// Number that is mixed into the seed of the restores. They are drawn separately, so that the other steps of a
+/// seed stay as they were before there were restores.
+const RESTORE_SEED: u64 = 0x5e57_03e0;
+
 /// Generates the schedule of a seed, sorted by start.
 pub fn generate_schedule(seed: u64, size: &SoakSize) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -95,6 +105,13 @@
         }
         series_start_ms += rng.random_range(SERIES_GAP_MS / 2..SERIES_GAP_MS * 3 / 2);
     }
+    let mut rng = SmallRng::seed_from_u64(seed ^ RESTORE_SEED);
+    let mut restore_ms = rng.random_range(0..RESTORE_GAP_MS);
+    while restore_ms < size.disturbed_ms {
+        let for_ms = rng.random_range(STEP_LENGTH_MS);
+        steps.push(Step { at_ms: restore_ms, for_ms, action: Action::RestoreStore });
+        restore_ms += rng.random_range(RESTORE_GAP_MS / 2..RESTORE_GAP_MS * 3 / 2);
+    }
     steps.retain(|step| step.at_ms < size.disturbed_ms);
     steps.sort_by_key(|step| step.at_ms);
     steps
