--- a/src/decide/probed_pool.rs
+++ b/src/decide/probed_pool.rs
@@ -32,6 +32,12 @@
 /// behind targets without a reading.
 const ORDER_COLD_OFFSET: f64 = 2.0;
 
+/// Rounds of probes after which a call without a free slot shows that the service is short of them.
+const SHORTAGE_PROBE_ROUNDS: u32 = 2;
+
+/// Time for which the service counts as short of slots after that.
+const SHORTAGE_MEMORY: Duration = Duration::from_secs(1);
+
 /// Number of targets probed at once in the first round of a choice.
 const FIRST_ROUND_PROBES: usize = 2;
 
@@ -75,6 +81,8 @@
     targets: HashMap<TargetId, ProbedTarget>,
     /// Durations of answered attempts.
     answer_times: DurationHistogram,
+    /// Latest time at which a call found no free slot at the targets that it had probed.
+    short_of_slots_at: Option<MonoTime>,
     probe_budget: ProbeBudget,
     rng: SmallRng,
 }
@@ -86,6 +94,7 @@
             data_centre,
             targets: HashMap::default(),
             answer_times: DurationHistogram::default(),
+            short_of_slots_at: None,
             probe_budget: ProbeBudget::default(),
             rng,
         }
@@ -101,10 +110,12 @@
         self.answer_times.median()
     }
 
-    /// Returns the time after which a request is overdue at its target, or `None` while too few durations are
-    /// known.
-    pub fn overdue_time(&self) -> Option<Duration> {
-        self.answer_times.has_enough_samples().then(|| self.answer_times.median().mul_f64(OVERDUE_RATIO))
+    /// Returns the time after which a request is overdue at its target; `None` while too few durations are known,
+    /// and while calls have to wait for slots, which a second send would take from them.
+    pub fn overdue_time(&self, now: MonoTime) -> Option<Duration> {
+        let is_short = self.short_of_slots_at.is_some_and(|at| now.since(at) < SHORTAGE_MEMORY);
+        let is_known = self.answer_times.has_enough_samples() && !is_short;
+        is_known.then(|| self.answer_times.median().mul_f64(OVERDUE_RATIO))
     }
 
     /// Applies a change of the directory.
@@ -153,6 +164,9 @@
             Some(_) => return Choice::Wait(FRESH_AGE / 2),
             None => {}
         }
+        if request.probe_rounds > SHORTAGE_PROBE_ROUNDS {
+            self.short_of_slots_at = Some(now);
+        }
         if request.stage == WaitStage::Expired {
             return self.choose_unread(now, request);
         }
--- a/src/decide/service_pools.rs
+++ b/src/decide/service_pools.rs
@@ -169,8 +169,8 @@
 
     /// Returns the time after which a request to a service is overdue at its target, or `None` while too few
     /// durations are known.
-    pub fn overdue_time(&mut self, service: &ServiceName) -> Option<Duration> {
-        self.service(service).pool.overdue_time()
+    pub fn overdue_time(&mut self, now: MonoTime, service: &ServiceName) -> Option<Duration> {
+        self.service(service).pool.overdue_time(now)
     }
 
     /// Records the duration of an attempt that was answered.
--- /dev/null
+++ b/src/gateway/apply.rs
@@ -0,0 +1,141 @@
+//! Applies updates of the store's tables to the replica, the routing table and the directory of targets.
+
+use super::{
+    Gateway,
+    platform_adapter::{DecodedRouting, Table, TableRow, TableRows},
+    replica::{TableUpdate, UpdateResult},
+};
+use crate::{
+    decide::directory::{DirectoryChange, DirectoryRow},
+    routing::RoutingSpec,
+};
+
+/// Applies an update of a table, from the store or from another instance.
+pub fn apply_update(gateway: &Gateway, table: Table, update: TableUpdate) -> UpdateResult {
+    let result = match table {
+        Table::Routing => apply_routing(gateway, update),
+        Table::Targets => apply_targets(gateway, update),
+    };
+    gateway.notify_followers();
+    result
+}
+
+/// Applies an update to the replica of a table.
+fn apply_to_replica(gateway: &Gateway, table: Table, update: &TableUpdate) -> UpdateResult {
+    let mut replica = gateway.replica();
+    let (known_era, era) = (replica.era(), update.rows().position.era);
+    let result = replica.apply(table, update);
+    let is_restored = era > known_era && gateway.check_ready().is_ok();
+    if is_restored {
+        replica.status.answered_since = Some(gateway.now());
+    }
+    drop(replica);
+    if is_restored {
+        log::warn!("event=store-restored table={table} era={era} was={known_era}");
+        gateway.metrics.record_store_restored();
+    }
+    if result != UpdateResult::Applied {
+        log::info!("event=update-not-applied table={table} result={result} era={era} known_era={known_era}");
+    }
+    result
+}
+
+/// Applies an update of the routing table. Routing tables are ordered by their own version, whatever the
+/// position of the store from which they were read.
+fn apply_routing(gateway: &Gateway, mut update: TableUpdate) -> UpdateResult {
+    let key = gateway.platform.routing_key;
+    let row = update.rows().latest(key).cloned();
+    let received = row.and_then(|row| Some((decode_routing(gateway, &row)?, row)));
+    let (received, spec) = match received {
+        Some((spec, row)) => (Some((spec.version, row)), Some(spec)),
+        None => (None, None),
+    };
+    let kept = gateway.replica().keep_newest_routing(key, received, &mut update);
+    if let Some(kept) = kept {
+        let received = spec.as_ref().map_or_else(|| "none".to_owned(), |spec| spec.version.to_string());
+        log::warn!(
+            "event=routing-kept version={kept} received={received} position={}",
+            update.rows().position
+        );
+    }
+    let result = apply_to_replica(gateway, Table::Routing, &update);
+    if let Some(spec) = spec {
+        gateway.apply_routing_if_newer(spec);
+    }
+    result
+}
+
+fn decode_routing(gateway: &Gateway, row: &TableRow) -> Option<RoutingSpec> {
+    match (gateway.platform.decode_routing)(row.value.as_ref()?) {
+        Ok(DecodedRouting { spec, faults }) => {
+            for fault in faults {
+                log::warn!("event=routing-fault version={} error={fault:?}", spec.version);
+            }
+            Some(spec)
+        }
+        Err(e) => {
+            log::error!("event=routing-unreadable row_position={} error={e:?}", row.position);
+            None
+        }
+    }
+}
+
+fn apply_targets(gateway: &Gateway, update: TableUpdate) -> UpdateResult {
+    let result = apply_to_replica(gateway, Table::Targets, &update);
+    if result != UpdateResult::Applied {
+        return result;
+    }
+    let now = gateway.now();
+    let decode = |rows: Vec<TableRow>| rows.into_iter().map(|row| decode_row(gateway, row)).collect();
+    let mut service_pools = gateway.service_pools();
+    let changes = match update {
+        TableUpdate::Snapshot(TableRows { rows, position }) => {
+            service_pools.directory.replace(now, decode(rows), position)
+        }
+        TableUpdate::Delta(TableRows { rows, .. }) => service_pools.directory.apply(now, decode(rows)),
+    };
+    service_pools.apply_changes(now, &changes);
+    drop(service_pools);
+    log_changes(&changes);
+    gateway.mark_targets_known();
+    gateway.state_changed.notify_waiters();
+    UpdateResult::Applied
+}
+
+fn decode_row(gateway: &Gateway, row: TableRow) -> DirectoryRow {
+    let decoded = row.value.map(|value| (gateway.platform.decode_listing)(&row.key, &value));
+    let listing = match decoded {
+        Some(Ok(listing)) => Some(listing),
+        Some(Err(e)) => {
+            log::warn!("event=listing-unreadable key={:?} position={} error={e:?}", row.key, row.position);
+            None
+        }
+        None => None,
+    };
+    DirectoryRow { key: row.key, position: row.position, listing }
+}
+
+/// Logs changes of the set of targets.
+pub fn log_changes(changes: &[DirectoryChange]) {
+    for change in changes {
+        match change {
+            DirectoryChange::Added(l) => log::info!(
+                "event=target-added target={} service={} address={} data_centre={} draining={}",
+                l.id,
+                l.service,
+                l.address,
+                l.data_centre,
+                l.draining
+            ),
+            DirectoryChange::Updated(l) => {
+                log::info!(
+                    "event=target-updated target={} service={} draining={}",
+                    l.id,
+                    l.service,
+                    l.draining
+                );
+            }
+            DirectoryChange::Removed(id) => log::info!("event=target-removed target={id}"),
+        }
+    }
+}
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -406,7 +406,8 @@
         };
         let (usual_time, overdue_after) = {
             let mut service_pools = gateway.service_pools();
-            (service_pools.usual_time(&call.service), service_pools.overdue_time(&call.service))
+            let overdue_after = service_pools.overdue_time(gateway.now(), &call.service);
+            (service_pools.usual_time(&call.service), overdue_after)
         };
         let arrived = call.arrived;
         let request = InFlightRequest { arrived, sent, objective, usual_time, overdue_after };
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -18,19 +18,14 @@
 
 use super::{
     Gateway,
+    apply::{apply_update, log_changes},
     backoff::{Backoff, JITTER},
-    platform_adapter::{ChangesRequest, DecodedRouting, StoreError, Table, TableRow, TableRows},
+    budget_shares::count_instances,
+    platform_adapter::{ChangesRequest, StoreError, Table},
     replica::{TableUpdate, UpdateResult},
     replication_client, seeds,
 };
-use crate::{
-    decide::{
-        directory::{DirectoryChange, DirectoryRow},
-        repeat_budget::RepeatAllowance,
-    },
-    routing::RoutingSpec,
-    units::MonoTime,
-};
+use crate::units::MonoTime;
 
 /// Time for which the store may delay a response while nothing changes. Each response also confirms that the
 /// reader's replica is current, so this must be short enough for followers to notice within
@@ -75,23 +70,9 @@
 /// Pause between two attempts to reach a seed at the start.
 const SEED_RETRY_PAUSE: Duration = Duration::from_millis(30);
 
-/// Time after the start from which the count of instances is used. All instances of a deployment start within
-/// a second.
-const COUNT_AFTER: Duration = Duration::from_secs(3);
-
 /// Time for which a seed must have been followed to be tried again at once after it is lost.
 const MIN_STABLE_FOLLOW: Duration = Duration::from_secs(5);
 
-/// Time between two updates of the count of instances.
-const COUNT_PERIOD: Duration = Duration::from_secs(1);
-
-/// Part of the repeat budget that is used; the rest is a reserve for instances that are not counted yet.
-const REPEAT_BUDGET_PART: f64 = 0.8;
-
-/// Part of the probe budget that is used in the long run; the rest covers bursts, which may use saved-up
-/// probes of several seconds.
-const PROBE_BUDGET_PART: f64 = 0.6;
-
 /// Runs all tasks of this module until dropped.
 pub async fn run(gateway: Arc<Gateway>) {
     tokio::join!(
@@ -421,135 +402,6 @@
     gateway.notify_followers();
 }
 
-/// Applies an update of a table, from the store or from another instance.
-pub fn apply_update(gateway: &Gateway, table: Table, update: TableUpdate) -> UpdateResult {
-    let result = match table {
-        Table::Routing => apply_routing(gateway, update),
-        Table::Targets => apply_targets(gateway, update),
-    };
-    gateway.notify_followers();
-    result
-}
-
-/// Applies an update to the replica of a table.
-fn apply_to_replica(gateway: &Gateway, table: Table, update: &TableUpdate) -> UpdateResult {
-    let mut replica = gateway.replica();
-    let (known_era, era) = (replica.era(), update.rows().position.era);
-    let result = replica.apply(table, update);
-    let is_restored = era > known_era && gateway.check_ready().is_ok();
-    if is_restored {
-        replica.status.answered_since = Some(gateway.now());
-    }
-    drop(replica);
-    if is_restored {
-        log::warn!("event=store-restored table={table} era={era} was={known_era}");
-        gateway.metrics.record_store_restored();
-    }
-    if result != UpdateResult::Applied {
-        log::info!("event=update-not-applied table={table} result={result} era={era} known_era={known_era}");
-    }
-    result
-}
-
-/// Applies an update of the routing table. Routing tables are ordered by their own version, whatever the
-/// position of the store from which they were read.
-fn apply_routing(gateway: &Gateway, mut update: TableUpdate) -> UpdateResult {
-    let key = gateway.platform.routing_key;
-    let row = update.rows().latest(key).cloned();
-    let received = row.and_then(|row| Some((decode_routing(gateway, &row)?, row)));
-    let (received, spec) = match received {
-        Some((spec, row)) => (Some((spec.version, row)), Some(spec)),
-        None => (None, None),
-    };
-    let kept = gateway.replica().keep_newest_routing(key, received, &mut update);
-    if let Some(kept) = kept {
-        let received = spec.as_ref().map_or_else(|| "none".to_owned(), |spec| spec.version.to_string());
-        log::warn!(
-            "event=routing-kept version={kept} received={received} position={}",
-            update.rows().position
-        );
-    }
-    let result = apply_to_replica(gateway, Table::Routing, &update);
-    if let Some(spec) = spec {
-        gateway.apply_routing_if_newer(spec);
-    }
-    result
-}
-
-fn decode_routing(gateway: &Gateway, row: &TableRow) -> Option<RoutingSpec> {
-    match (gateway.platform.decode_routing)(row.value.as_ref()?) {
-        Ok(DecodedRouting { spec, faults }) => {
-            for fault in faults {
-                log::warn!("event=routing-fault version={} error={fault:?}", spec.version);
-            }
-            Some(spec)
-        }
-        Err(e) => {
-            log::error!("event=routing-unreadable row_position={} error={e:?}", row.position);
-            None
-        }
-    }
-}
-
-fn apply_targets(gateway: &Gateway, update: TableUpdate) -> UpdateResult {
-    let result = apply_to_replica(gateway, Table::Targets, &update);
-    if result != UpdateResult::Applied {
-        return result;
-    }
-    let now = gateway.now();
-    let decode = |rows: Vec<TableRow>| rows.into_iter().map(|row| decode_row(gateway, row)).collect();
-    let mut service_pools = gateway.service_pools();
-    let changes = match update {
-        TableUpdate::Snapshot(TableRows { rows, position }) => {
-            service_pools.directory.replace(now, decode(rows), position)
-        }
-        TableUpdate::Delta(TableRows { rows, .. }) => service_pools.directory.apply(now, decode(rows)),
-    };
-    service_pools.apply_changes(now, &changes);
-    drop(service_pools);
-    log_changes(&changes);
-    gateway.mark_targets_known();
-    gateway.state_changed.notify_waiters();
-    UpdateResult::Applied
-}
-
-fn decode_row(gateway: &Gateway, row: TableRow) -> DirectoryRow {
-    let decoded = row.value.map(|value| (gateway.platform.decode_listing)(&row.key, &value));
-    let listing = match decoded {
-        Some(Ok(listing)) => Some(listing),
-        Some(Err(e)) => {
-            log::warn!("event=listing-unreadable key={:?} position={} error={e:?}", row.key, row.position);
-            None
-        }
-        None => None,
-    };
-    DirectoryRow { key: row.key, position: row.position, listing }
-}
-
-fn log_changes(changes: &[DirectoryChange]) {
-    for change in changes {
-        match change {
-            DirectoryChange::Added(l) => log::info!(
-                "event=target-added target={} service={} address={} data_centre={} draining={}",
-                l.id,
-                l.service,
-                l.address,
-                l.data_centre,
-                l.draining
-            ),
-            DirectoryChange::Updated(l) => {
-                log::info!(
-                    "event=target-updated target={} service={} draining={}",
-                    l.id,
-                    l.service,
-                    l.draining
-                );
-            }
-            DirectoryChange::Removed(id) => log::info!("event=target-removed target={id}"),
-        }
-    }
-}
-
 /// Removes targets whose directory rows were removed and did not reappear in time.
 async fn expire_targets(gateway: &Gateway) {
     loop {
@@ -570,43 +422,3 @@
         log_changes(&changes);
     }
 }
-
-/// Keeps this instance's share of the budgets in line with the number of instances.
-async fn count_instances(gateway: &Gateway) {
-    // The part of the repeat budget that is proportional to this instance's requests does not depend on the
-    // count.
-    set_allowance(gateway, None);
-    sleep(COUNT_AFTER).await;
-    let mut known = 0;
-    loop {
-        let instances = u64::from(gateway.estimate_instance_count());
-        if instances != known && instances > 0 {
-            log::info!("event=instances-counted instances={instances} was={known}");
-            known = instances;
-            gateway.set_instance_count(instances);
-        }
-        if known > 0 {
-            set_shares(gateway, known);
-        }
-        // Set again each time, so that changed settings take effect, too.
-        sleep(COUNT_PERIOD).await;
-    }
-}
-
-/// Sets this instance's share of the repeat and probe budgets.
-fn set_shares(gateway: &Gateway, instances: u64) {
-    set_allowance(gateway, Some(instances));
-    let probes = gateway.config().probes_per_target_per_s * PROBE_BUDGET_PART / instances as f64;
-    gateway.service_pools().set_probe_rate(probes);
-}
-
-/// Sets the repeat budget: a part of this instance's requests and, once the number of instances is known, its
-/// share of the fixed allowance.
-fn set_allowance(gateway: &Gateway, instances: Option<u64>) {
-    let config = gateway.config();
-    gateway.service_pools().set_allowance(RepeatAllowance {
-        ratio: config.repeat_ratio * REPEAT_BUDGET_PART,
-        extra: instances.map_or(0.0, |n| config.repeat_extra * REPEAT_BUDGET_PART / n as f64),
-        window: Duration::from_secs_f64(config.repeat_window_s),
-    });
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,7 +5,9 @@
 //! their load. To save store calls, instances replicate from *seeds*: instances whose addresses are listed in
 //! the setting `peer_seeds`. Instances also work without contact to each other.
 
+pub mod apply;
 pub mod backoff;
+pub mod budget_shares;
 pub mod call;
 pub mod config;
 pub mod exchange;
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -13,7 +13,8 @@
 
 use super::{
     Gateway,
-    follow::{MAX_CURRENT_AGE, SEED_MAX_CURRENT_AGE, apply_update, read_from_store},
+    apply::apply_update,
+    follow::{MAX_CURRENT_AGE, SEED_MAX_CURRENT_AGE, read_from_store},
     platform_adapter::{Table, TableRow, TableRows},
     replica::{ReplicaStatus, TableUpdate, UpdateResult},
 };
--- a/tests/load_requests_slow_at_their_target.rs
+++ b/tests/load_requests_slow_at_their_target.rs
@@ -4,8 +4,11 @@
 
 use std::time::Duration;
 
-use arbutusshelf::decide::hedge::{HedgeDecision, InFlightRequest, decide};
-use pool_env::{at, pool, reading};
+use arbutusshelf::decide::{
+    hedge::{HedgeDecision, InFlightRequest, decide},
+    probed_pool::ChoiceRequest,
+};
+use pool_env::{FIRST_CHOICE, at, pool, reading, sent_to};
 
 /// Returns a request that arrived and was sent at time 0.
 fn request() -> InFlightRequest {
@@ -45,10 +48,24 @@
     let unknown = InFlightRequest { overdue_after: None, ..request() };
     assert!(matches!(decide(at(300), &unknown, Some(reading(1, 1.0))), HedgeDecision::CheckAgainAt(_)));
     let mut pool = pool(&[("a", None)], at(0));
-    assert_eq!(pool.overdue_time(), None);
+    assert_eq!(pool.overdue_time(at(0)), None);
     for _ in 0..32 {
         pool.record_duration(Duration::from_millis(50));
     }
-    let overdue = pool.overdue_time().expect("enough durations are known");
+    let overdue = pool.overdue_time(at(0)).expect("enough durations are known");
     assert!((90..=125).contains(&overdue.as_millis()), "{overdue:?}");
 }
+
+/// A second send takes a slot from a call that waits for one.
+#[test]
+fn nothing_is_overdue_while_calls_wait_for_slots() {
+    let mut pool = pool(&[("a", Some(reading(3, 1.0)))], at(1_000));
+    for _ in 0..32 {
+        pool.record_duration(Duration::from_millis(50));
+    }
+    assert!(pool.overdue_time(at(1_000)).is_some());
+    let after_three_rounds = ChoiceRequest { probe_rounds: 3, ..FIRST_CHOICE };
+    assert_eq!(sent_to(&pool.choose_target(at(1_000), &after_three_rounds)), None);
+    assert_eq!(pool.overdue_time(at(1_500)), None);
+    assert!(pool.overdue_time(at(2_000)).is_some());
+}
