Show which targets state a rate limit, and what is sent to them

Change: the header is decoded in the adapter; a change of a limit is logged (event=rate-limit), request-sent names the limit, gauge targets_limited and counter sends_to_limited. No decision reads the limit.

--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -71,6 +71,8 @@
     service_time: Duration,
     /// Service time that load reports state, as a percentage of the usual one.
     reported_pace_percent: u32,
+    /// Requests per second that responses state as the limit for all instances together.
+    rate_limit_per_s: Option<f64>,
     running: u32,
     executed: Vec<WorkerRequest>,
     refused: Vec<WorkerRequest>,
@@ -153,6 +155,11 @@
         lock(&self.state).reported_pace_percent = reported_pace_percent;
     }
 
+    /// Sets the requests per second that its responses state as the limit for all instances together.
+    pub fn set_rate_limit_per_s(&self, rate_limit_per_s: Option<f64>) {
+        lock(&self.state).rate_limit_per_s = rate_limit_per_s;
+    }
+
     /// Returns the requests that it executed, including those still being executed, in order of arrival.
     pub fn executed_requests(&self) -> Vec<WorkerRequest> {
         lock(&self.state).executed.clone()
@@ -179,9 +186,12 @@
     while let Some(request) = read_request(&mut stream, &mut buffer).await? {
         let load_headers = {
             let state = lock(state);
+            let rate_limit = state.rate_limit_per_s.map(|limit| format!("Server-Limit: {limit}\r\n"));
             format!(
-                "X-Worker-Id: {id}\r\nX-Worker-Load: {},0,3,{}\r\n",
-                state.running, state.reported_pace_percent
+                "X-Worker-Id: {id}\r\nX-Worker-Load: {},0,3,{}\r\n{}",
+                state.running,
+                state.reported_pace_percent,
+                rate_limit.unwrap_or_default()
             )
         };
         if request.head.contains(" /healthz ") {
--- a/src/decide/probed_pool.rs
+++ b/src/decide/probed_pool.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     collections::HashMap,
-    units::{DataCentre, MonoTime, TargetId},
+    units::{DataCentre, MonoTime, PerSecond, TargetId},
 };
 
 /// Maximum age of a reading that proves that probes of the service are answered.
@@ -193,6 +193,28 @@
         target.record_reading(now, reading);
     }
 
+    /// Records the rate limit that a target states, `None` for no limit. Returns the one that it stated before if
+    /// that was another.
+    pub fn record_rate_limit(
+        &mut self,
+        id: &TargetId,
+        limit: Option<PerSecond>,
+    ) -> Option<Option<PerSecond>> {
+        let target = self.targets.get_mut(id)?;
+        let previous = std::mem::replace(&mut target.rate_limit, limit);
+        (previous != limit).then_some(previous)
+    }
+
+    /// Returns the rate limit that a target states.
+    pub fn rate_limit(&self, id: &TargetId) -> Option<PerSecond> {
+        self.targets.get(id)?.rate_limit
+    }
+
+    /// Returns the number of targets that state a rate limit.
+    pub fn limited_count(&self) -> usize {
+        self.targets.values().filter(|t| t.rate_limit.is_some()).count()
+    }
+
     /// Records the duration of an attempt that was answered.
     pub fn record_duration(&mut self, time: Duration) {
         self.answer_times.record(time);
--- a/src/decide/probed_target.rs
+++ b/src/decide/probed_target.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::directory::Listing;
-use crate::units::MonoTime;
+use crate::units::{MonoTime, PerSecond};
 
 /// Maximum age of a reading that allows a send without another probe.
 pub(super) const FRESH_AGE: Duration = Duration::from_millis(12);
@@ -84,6 +84,8 @@
     /// Time until which it is slow after its start.
     pub(super) cold_until: MonoTime,
     pub(super) reading: Option<(LoadReading, MonoTime)>,
+    /// Requests per second that it takes from all instances together, as it last stated; `None` without a limit.
+    pub(super) rate_limit: Option<PerSecond>,
     /// This instance's attempts in progress.
     pub(super) own_in_flight: u32,
     /// This instance's attempts since the target was added.
@@ -104,6 +106,7 @@
             affinity,
             cold_until: MonoTime::default(),
             reading: None,
+            rate_limit: None,
             own_in_flight: 0,
             sent: 0,
             sent_since: 0,
--- a/src/decide/service_pools.rs
+++ b/src/decide/service_pools.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     collections::HashMap,
-    units::{DataCentre, MonoTime, ServiceName, TargetId},
+    units::{DataCentre, MonoTime, PerSecond, ServiceName, TargetId},
 };
 
 /// State of one service.
@@ -154,6 +154,27 @@
         self.service(service).pool.record_reading(now, target, reading);
     }
 
+    /// Records the rate limit that a target states, `None` for no limit. Returns the one that it stated before if
+    /// that was another.
+    pub fn record_rate_limit(
+        &mut self,
+        service: &ServiceName,
+        target: &TargetId,
+        limit: Option<PerSecond>,
+    ) -> Option<Option<PerSecond>> {
+        self.service(service).pool.record_rate_limit(target, limit)
+    }
+
+    /// Returns the rate limit that a target states.
+    pub fn rate_limit(&self, service: &ServiceName, target: &TargetId) -> Option<PerSecond> {
+        self.services.get(service)?.pool.rate_limit(target)
+    }
+
+    /// Returns the number of targets that state a rate limit.
+    pub fn limited_count(&self) -> usize {
+        self.services.values().map(|s| s.pool.limited_count()).sum()
+    }
+
     /// Sets the maximum rate of probes from this instance to one target, in probes per second.
     pub fn set_probe_rate(&mut self, per_target_per_s: f64) {
         self.probes_per_target_per_s = Some(per_target_per_s);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -506,8 +506,15 @@
     call.tried.lock().unwrap_or_else(PoisonError::into_inner).push(target.clone());
     let now = call.gateway.now();
     *call.latest_send.lock().unwrap_or_else(PoisonError::into_inner) = Some((listing.clone(), now));
-    let reading = call.gateway.service_pools().latest_reading(now, &listing.service, &target);
-    call.record(RequestEvent::Sent { target: target.clone(), reading, rounds });
+    let (reading, rate_limit) = {
+        let service_pools = call.gateway.service_pools();
+        let reading = service_pools.latest_reading(now, &listing.service, &target);
+        (reading, service_pools.rate_limit(&listing.service, &target))
+    };
+    if rate_limit.is_some() {
+        call.gateway.metrics.record_send_to_limited();
+    }
+    call.record(RequestEvent::Sent { target: target.clone(), reading, rate_limit, rounds });
     let result = send(call, listing).await;
     let outcome = result.outcome();
     call.gateway.metrics.record_send(outcome);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -12,7 +12,7 @@
 };
 use tokio::time::timeout;
 
-use super::{Gateway, call::CallContext, request_log::SendOutcome, response::ResponseBody};
+use super::{Gateway, call::CallContext, rate_limits, request_log::SendOutcome, response::ResponseBody};
 use crate::{
     decide::{directory::Listing, probed_target::HealthSignal},
     kernel::in_progress::RequestGuard,
@@ -207,6 +207,9 @@
     // A target that rejects a request meant for another one does not execute it, even without the not-run
     // header.
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    if !is_misdirected {
+        rate_limits::record(&call.gateway, &guard.listing, headers);
+    }
     if is_misdirected || headers.contains_key(&names.not_run) {
         if discard(response.into_body()).await {
             guard.return_connection();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -70,6 +70,7 @@
     requests: Family<RequestLabels, Counter>,
     request_times: TimeFamily,
     sends: Family<SendLabels, Counter>,
+    sends_to_limited: Counter,
     repeats: Family<RepeatLabels, Counter>,
     probes: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
@@ -77,6 +78,7 @@
     dropped_log_lines: Counter,
     routing_version: Gauge,
     targets: Gauge,
+    targets_limited: Gauge,
     instances: Gauge,
     ready: Gauge,
     in_progress: Gauge,
@@ -92,6 +94,7 @@
             requests: Family::default(),
             request_times: Family::new_with_constructor(times),
             sends: Family::default(),
+            sends_to_limited: Counter::default(),
             repeats: Family::default(),
             probes: Family::default(),
             store_calls: Family::default(),
@@ -99,6 +102,7 @@
             dropped_log_lines: Counter::default(),
             routing_version: Gauge::default(),
             targets: Gauge::default(),
+            targets_limited: Gauge::default(),
             instances: Gauge::default(),
             ready: Gauge::default(),
             in_progress: Gauge::default(),
@@ -116,6 +120,7 @@
         r.register("requests", "Ended requests", self.requests.clone());
         r.register_with_unit("request", "Time to the end", Unit::Seconds, self.request_times.clone());
         r.register("sends", "Ended sends to targets", self.sends.clone());
+        r.register("sends_to_limited", "Sends to targets with a rate limit", self.sends_to_limited.clone());
         r.register("repeats", "Sends after the first, wanted or made", self.repeats.clone());
         r.register("probes", "Ended probes", self.probes.clone());
         r.register("store_calls", "Calls of the store", self.store_calls.clone());
@@ -123,6 +128,7 @@
         r.register("log_lines_left_out", "Log lines left out", self.dropped_log_lines.clone());
         r.register("routing_version", "Version of the routing table", self.routing_version.clone());
         r.register("targets", "Targets listed", self.targets.clone());
+        r.register("targets_limited", "Targets with a rate limit", self.targets_limited.clone());
         r.register("instances", "Instances that share the budgets", self.instances.clone());
         r.register("ready", "1 while callers should be sent here", self.ready.clone());
         r.register("requests_in_progress", "Requests in progress", self.in_progress.clone());
@@ -144,6 +150,11 @@
         self.sends.get_or_create(&SendLabels { outcome: outcome.to_string() }).inc();
     }
 
+    /// Counts a send to a target that states a rate limit.
+    pub fn record_send_to_limited(&self) {
+        self.sends_to_limited.inc();
+    }
+
     /// Counts a repeated send that was attempted, whether the repeat budget allowed it or not.
     pub fn record_repeat(&self, cause: RepeatCause, within_budget: bool) {
         let labels = RepeatLabels { cause: cause.to_string(), within_budget: within_budget.to_string() };
@@ -180,8 +191,12 @@
         self.record_dropped_log_lines();
         let version = gateway.routing().map_or(0, |table| u64::from(table.version));
         self.routing_version.set(i64::try_from(version).unwrap_or(i64::MAX));
-        let targets = gateway.service_pools().directory.listings().count();
+        let (targets, limited) = {
+            let service_pools = gateway.service_pools();
+            (service_pools.directory.listings().count(), service_pools.limited_count())
+        };
         self.targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
+        self.targets_limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
         self.instances.set(gateway.instance_count().map_or(0, |n| i64::try_from(n).unwrap_or(i64::MAX)));
         self.ready.set(i64::from(gateway.check_ready().is_ok()));
         self.in_progress.set(i64::try_from(gateway.in_progress().request_count()).unwrap_or(i64::MAX));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod platform_adapter;
 pub mod probe;
+pub mod rate_limits;
 pub mod ready;
 pub mod reload;
 pub mod replica;
--- a/src/gateway/platform_adapter.rs
+++ b/src/gateway/platform_adapter.rs
@@ -15,6 +15,7 @@
     routing::RoutingSpec,
     store::DriverFn,
     store_position::StorePosition,
+    units::PerSecond,
 };
 
 /// The tables of the store that a gateway follows.
@@ -116,6 +117,8 @@
     pub target_id: HeaderName,
     /// Load of the target at the time of its response.
     pub load: HeaderName,
+    /// Requests per second that the target takes from all instances together; absent if it states no limit.
+    pub rate_limit: HeaderName,
     /// Present in a response if the target did not execute the request.
     pub not_run: HeaderName,
     /// Proof that a response was made by the target rather than by something on the way to it.
@@ -139,6 +142,8 @@
     pub headers: CallHeaders,
     /// Decodes the value of the load header; `None` if it is malformed.
     pub decode_load: fn(&HeaderValue) -> Option<LoadReading>,
+    /// Decodes the value of the rate limit header; `None` if it is malformed.
+    pub decode_rate_limit: fn(&HeaderValue) -> Option<PerSecond>,
 }
 
 impl std::fmt::Debug for PlatformAdapter {
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -10,6 +10,7 @@
 use super::{
     Gateway,
     exchange::{connect, discard},
+    rate_limits,
 };
 use crate::{
     decide::{directory::Listing, probed_target::LoadReading},
@@ -57,6 +58,7 @@
     if !is_expected_target || !is_probe_response {
         return None;
     }
+    rate_limits::record(gateway, listing, headers);
     // Targets that do not report their load are judged only by this instance's sends to them.
     let unreported = LoadReading { running: 0, waiting: 0, slots: listing.slots, slowdown: 1.0 };
     let load_header = headers.get(&names.load);
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -8,12 +8,13 @@
 
 use derive_more::Display;
 
+use super::rate_limits;
 use crate::{
     decide::probed_target::LoadReading,
     error::ErrorKind,
     logging::{Quoted, SELF_LIMITED_MODULE},
     routing::{Route, RoutingVersion},
-    units::{MonoTime, ServiceName, TargetId},
+    units::{MonoTime, PerSecond, ServiceName, TargetId},
 };
 
 /// Notable requests that are logged per second in the long run. A request is notable unless it got a response
@@ -65,6 +66,8 @@
         target: TargetId,
         /// Latest load reading of the target and its age; `None` if there is none.
         reading: Option<(LoadReading, Duration)>,
+        /// Rate limit that the target states; `None` if it states none.
+        rate_limit: Option<PerSecond>,
         /// Rounds of probes that the choice took.
         rounds: u32,
     },
@@ -219,12 +222,14 @@
             let mut line = String::new();
             // Writing to a string never fails.
             let _written = match event {
-                RequestEvent::Sent { target, reading, rounds } => {
+                RequestEvent::Sent { target, reading, rate_limit, rounds } => {
                     let reading = DisplayReading(*reading);
                     let head = "event=request-sent";
                     write!(
                         line,
-                        "{head} request={request} after_ms={after_ms} target={target} {reading} rounds={rounds}"
+                        "{head} request={request} after_ms={after_ms} target={target} {reading} limit_per_s={} \
+                         rounds={rounds}",
+                        rate_limits::display(*rate_limit)
                     )
                 }
                 RequestEvent::SendEnded { target, outcome } => {
