--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -76,7 +76,8 @@
     running: u32,
     executed: Vec<WorkerRequest>,
     refused: Vec<WorkerRequest>,
-    probe_count: u64,
+    /// Times of the health probes that it answered.
+    probes: Vec<Instant>,
     /// Number of requests whose connection was closed by the client during their execution.
     abandoned_count: u64,
 }
@@ -171,8 +172,17 @@
     }
 
     /// Returns the number of health probes that it answered.
-    pub fn probe_count(&self) -> u64 {
-        lock(&self.state).probe_count
+    pub fn probe_count(&self) -> usize {
+        lock(&self.state).probes.len()
+    }
+
+    /// Returns the times at which requests and probes arrived, in order.
+    pub fn arrival_times(&self) -> Vec<Instant> {
+        let state = lock(&self.state);
+        let requests = state.executed.iter().chain(&state.refused).map(|request| request.received_at);
+        let mut times = requests.chain(state.probes.iter().copied()).collect::<Vec<_>>();
+        times.sort_unstable();
+        times
     }
 
     /// Returns the number of requests whose connection the client closed during their execution.
@@ -195,7 +205,7 @@
             )
         };
         if request.head.contains(" /healthz ") {
-            lock(state).probe_count += 1;
+            lock(state).probes.push(Instant::now());
             let response = format!("HTTP/1.1 200 OK\r\n{load_headers}Content-Length: 0\r\n\r\n");
             stream.write_all(response.as_bytes()).await?;
             continue;
--- a/tests/gateway_rate_limit.rs
+++ b/tests/gateway_rate_limit.rs
@@ -2,10 +2,87 @@
 
 mod gateway_env;
 
-use gateway_env::TestDeployment;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use arbutusshelf_bench::worker::WorkerStandIn;
+use futures::future::join_all;
+use gateway_env::{GatewayProcess, TestDeployment};
 use hyper::Method;
 use serde_json::json;
 
+/// Time after its first statement from which a target's limit holds, as the users state it (`contactS`).
+const LIMIT_APPLY: Duration = Duration::from_secs(3);
+
+/// Window in which the users count what a target with a limit gets.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Pause between two requests to one instance.
+const REQUEST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Starts one instance that the others follow, and waits until all know how many they are.
+async fn start_instances(deployment: &TestDeployment, count: usize) -> Vec<GatewayProcess> {
+    let reader = deployment.gateway("reader", &json!({"peer_seeds": []})).await;
+    let seeds = json!({"peer_seeds": [reader.peers]});
+    let names = (1..count).map(|number| format!("follower-{number}")).collect::<Vec<_>>();
+    let followers = names.iter().map(|name| deployment.gateway(name, &seeds));
+    let mut instances = vec![reader];
+    instances.extend(join_all(followers).await);
+    for instance in &instances {
+        deployment
+            .wait_until("all instances are counted", || async {
+                instance.logged(&["event=instances-counted", &format!("instances={count}")])
+            })
+            .await;
+    }
+    instances
+}
+
+/// Sends requests to one instance, one after the other, for a time.
+async fn send_steadily(deployment: &TestDeployment, to: SocketAddr, number: usize, length: Duration) {
+    let until = Instant::now() + length;
+    let mut sent = 0;
+    while Instant::now() < until {
+        let id = format!("g{number}-{sent}");
+        let (method, path) =
+            if sent % 3 == 0 { (Method::POST, "/charge/x") } else { (Method::GET, "/read/x") };
+        deployment.send(to, method, path, &id).await.expect("an answer");
+        sent += 1;
+        tokio::time::sleep(REQUEST_PAUSE).await;
+    }
+}
+
+/// Returns the most requests and probes that a worker got in any window that begins after `from`.
+fn busiest_window(worker: &WorkerStandIn, from: Instant) -> usize {
+    let times = worker.arrival_times().into_iter().filter(|at| *at >= from).collect::<Vec<_>>();
+    let in_window =
+        |start: &Instant| times.iter().filter(|at| *at >= start && **at < *start + LIMIT_WINDOW).count();
+    times.iter().map(in_window).max().unwrap_or(0)
+}
+
+/// Guards against a limit that no instance keeps, or that each keeps by itself: eight instances with a limit of
+/// one request a second for all of them together.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_target_gets_no_more_than_it_takes_from_all_instances_together() {
+    let deployment = TestDeployment::start().await;
+    let (limited, free) = (deployment.worker("i-1").await, deployment.worker("i-2").await);
+    let instances = start_instances(&deployment, 8).await;
+    let limit_per_s = 1.0;
+    limited.set_rate_limit_per_s(Some(limit_per_s));
+    let stated_at = Instant::now();
+    let length = LIMIT_APPLY + LIMIT_WINDOW * 2;
+    let loads = instances.iter().enumerate();
+    join_all(loads.map(|(number, instance)| send_steadily(&deployment, instance.callers, number, length)))
+        .await;
+    let allowed = (1.5 * limit_per_s * LIMIT_WINDOW.as_secs_f64() + 5.0) as usize;
+    let most = busiest_window(&limited, stated_at + LIMIT_APPLY);
+    assert!(most <= allowed, "{most} requests in {LIMIT_WINDOW:?}, {allowed} allowed");
+    assert!(!limited.executed_requests().is_empty(), "the limited target got nothing");
+    assert!(free.executed_requests().len() > 100, "the other target took the work");
+}
+
 /// Without these lines and figures, nobody can tell whether an instance knows a target's limit.
 #[tokio::test]
 async fn a_stated_limit_and_its_end_are_logged_and_counted() {
@@ -31,7 +108,7 @@
             .send(gateway.callers, Method::POST, "/charge/x", &format!("a{number}"))
             .await
             .expect("an answer");
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
     let metrics = deployment.caller.get(gateway.metrics, "/metrics").await.expect("metrics");
     let text = String::from_utf8_lossy(&metrics.body).into_owned();
