Keep the rate that a target takes from all instances together

Overloaded targets stay overloaded. Cause: the header was passed on like any other, and nothing in the product knew a limit that holds for the sum of all instances (evidence: shares of the limited targets before and after the statement are alike; no source named the header). Class: a bound that the other side states and that nobody applies. Change: instances pass limits and their ends on along the links to the seeds (a frame that earlier builds skip), and each takes an equal share as permits that come at regular intervals, are offset between instances and expire after 1 s. A limited target gets no probes, and calls only where no other target is free; where all targets are limited and no permit comes in time, a call is refused at once. Retry-After follows the limits. Why it holds: all instances together use at most the permits of 5 s in a window of 4 s, and one more for each seed: 5 x limit + 3, where 6 x limit + 5 are allowed (docs/design/rate-limits.md). The pacing of refused callers takes the service's rate in place of slots and time: its test has the same figures, 36 slots of 100 ms being 360 a second.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -18,6 +18,8 @@
 pub mod probed_target;
 pub mod queue;
 pub mod quota;
+pub mod rate_limit;
+pub mod rate_share;
 pub mod repeat_budget;
 pub mod retry;
 pub mod retry_pacing;
--- a/src/decide/probed_pool.rs
+++ b/src/decide/probed_pool.rs
@@ -5,6 +5,8 @@
 //! probed at the moment of choice unless a recent reading exists: a probe takes a millisecond or two,
 //! whereas a request on a slow machine loses hundreds.
 
+mod limited;
+
 use std::time::Duration;
 
 use rand::{Rng, rngs::SmallRng};
@@ -72,6 +74,8 @@
     pub stage: WaitStage,
     /// Number of waiting calls that are served before this one.
     pub calls_ahead: usize,
+    /// Time after which the call is not sent any more.
+    pub give_up_at: MonoTime,
 }
 
 /// Targets of one service, with their readings.
@@ -84,6 +88,8 @@
     /// Latest time at which a call found no free slot at the targets that it had probed.
     short_of_slots_at: Option<MonoTime>,
     probe_budget: ProbeBudget,
+    /// Number of instances that share the targets' rate limits; `None` while unknown.
+    instances: Option<u64>,
     rng: SmallRng,
 }
 
@@ -96,6 +102,7 @@
             answer_times: DurationHistogram::default(),
             short_of_slots_at: None,
             probe_budget: ProbeBudget::default(),
+            instances: None,
             rng,
         }
     }
@@ -146,10 +153,16 @@
         self.targets.values().any(|t| !t.listing.draining)
     }
 
-    /// Returns the total number of slots of all targets that are not draining.
-    pub fn slots(&self) -> u32 {
+    /// Returns the number of requests per second that all targets which are not draining can process.
+    pub fn capacity(&self) -> PerSecond {
+        let usual_s = self.usual_time().as_secs_f64();
+        let capacity_of = |target: &ProbedTarget| {
+            let slots = target.reading.map_or(target.listing.slots, |(reading, _)| reading.slots);
+            let processed_per_s = f64::from(slots) / usual_s;
+            target.rate_limit.limit().map_or(processed_per_s, |limit| f64::from(limit).min(processed_per_s))
+        };
         let taking = self.targets.values().filter(|t| !t.listing.draining);
-        taking.map(|t| t.reading.map_or(t.listing.slots, |(r, _)| r.slots)).sum()
+        PerSecond::from(taking.map(capacity_of).sum::<f64>())
     }
 
     /// Chooses a target for a call, or the step that must come first.
@@ -159,10 +172,28 @@
             WaitStage::SpareSlot => t.has_spare_slot(now),
             WaitStage::Expired => false,
         };
-        match self.best_target(now, request, is_acceptable) {
-            Some((best, count)) if count > request.calls_ahead => return self.start_send(now, &best),
-            Some(_) => return Choice::Wait(FRESH_AGE / 2),
-            None => {}
+        let best = self.best_target(now, request, is_acceptable);
+        let free_targets = best.as_ref().map_or(0, |(_, count)| *count);
+        if let Some((best, count)) = best
+            && count > request.calls_ahead
+        {
+            return self.start_send(now, &best);
+        }
+        let has_unlimited = self.targets.values().any(|t| is_eligible(t, request) && !t.is_limited());
+        // Another target may turn out to have a free slot when it is probed.
+        let may_probe = has_unlimited && free_targets == 0 && request.stage != WaitStage::Expired;
+        let first_round = (may_probe && request.probe_rounds == 0).then(|| self.choose_probes(now, request));
+        if let Some(Choice::Probe(_)) = first_round {
+            return first_round.unwrap_or(Choice::NoTarget);
+        }
+        if let Some(send) = self.choose_permitted(now, request, free_targets) {
+            return send;
+        }
+        if !has_unlimited && let Some(next) = self.wait_for_permit(now, request) {
+            return next;
+        }
+        if free_targets > 0 {
+            return Choice::Wait(FRESH_AGE / 2);
         }
         if request.probe_rounds > SHORTAGE_PROBE_ROUNDS {
             self.short_of_slots_at = Some(now);
@@ -170,7 +201,7 @@
         if request.stage == WaitStage::Expired {
             return self.choose_unread(now, request);
         }
-        self.choose_probes(now, request)
+        first_round.unwrap_or_else(|| self.choose_probes(now, request))
     }
 
     /// Records the result of a probe; `reading` is `None` if it failed. `marker` is the value that
@@ -181,9 +212,9 @@
     }
 
     /// Records the start of a probe. Returns a marker to pass to [`finish_probe`](Self::finish_probe), or
-    /// `None` if a probe of the target is already in flight.
+    /// `None` if a probe of the target is already in flight or the target states a rate limit.
     pub fn start_probe(&mut self, id: &TargetId) -> Option<u64> {
-        let target = self.targets.get_mut(id)?;
+        let target = self.targets.get_mut(id).filter(|t| !t.is_limited())?;
         (!std::mem::replace(&mut target.is_probing, true)).then_some(target.sent)
     }
 
@@ -193,28 +224,6 @@
         target.record_reading(now, reading);
     }
 
-    /// Records the rate limit that a target states, `None` for no limit. Returns the one that it stated before if
-    /// that was another.
-    pub fn record_rate_limit(
-        &mut self,
-        id: &TargetId,
-        limit: Option<PerSecond>,
-    ) -> Option<Option<PerSecond>> {
-        let target = self.targets.get_mut(id)?;
-        let previous = std::mem::replace(&mut target.rate_limit, limit);
-        (previous != limit).then_some(previous)
-    }
-
-    /// Returns the rate limit that a target states.
-    pub fn rate_limit(&self, id: &TargetId) -> Option<PerSecond> {
-        self.targets.get(id)?.rate_limit
-    }
-
-    /// Returns the number of targets that state a rate limit.
-    pub fn limited_count(&self) -> usize {
-        self.targets.values().filter(|t| t.rate_limit.is_some()).count()
-    }
-
     /// Records the duration of an attempt that was answered.
     pub fn record_duration(&mut self, time: Duration) {
         self.answer_times.record(time);
@@ -231,22 +240,24 @@
         self.targets.get(id)?.reading.map(|(reading, at)| (reading, now.since(at)))
     }
 
-    /// Returns the eligible target with the lowest expected time, and the number of eligible targets.
+    /// Returns the target with the lowest expected time among the eligible ones without a rate limit, and their
+    /// number.
     fn best_target(
         &self,
         now: MonoTime,
         request: &ChoiceRequest,
         is_acceptable: impl Fn(&ProbedTarget) -> bool,
     ) -> Option<(TargetId, usize)> {
-        let eligible =
-            self.targets.values().filter(|t| is_eligible(t, request) && is_acceptable(t)).collect::<Vec<_>>();
+        let is_open = |t: &&ProbedTarget| is_eligible(t, request) && !t.is_limited() && is_acceptable(t);
+        let eligible = self.targets.values().filter(is_open).collect::<Vec<_>>();
         let best = eligible.iter().min_by(|a, b| a.expected_time(now).total_cmp(&b.expected_time(now)))?;
         Some((best.listing.id.clone(), eligible.len()))
     }
 
     /// Chooses the targets to probe next, within the probe budget.
     fn choose_probes(&mut self, now: MonoTime, request: &ChoiceRequest) -> Choice {
-        let eligible = self.targets.values().filter(|t| is_eligible(t, request)).collect::<Vec<_>>();
+        let is_open = |t: &&ProbedTarget| is_eligible(t, request) && !t.is_limited();
+        let eligible = self.targets.values().filter(is_open).collect::<Vec<_>>();
         if eligible.is_empty() {
             return Choice::NoTarget;
         }
--- a/src/decide/probed_target.rs
+++ b/src/decide/probed_target.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::directory::Listing;
-use crate::units::{MonoTime, PerSecond};
+use super::{directory::Listing, rate_limit::TargetRateLimit};
+use crate::units::MonoTime;
 
 /// Maximum age of a reading that allows a send without another probe.
 pub(super) const FRESH_AGE: Duration = Duration::from_millis(12);
@@ -84,8 +84,7 @@
     /// Time until which it is slow after its start.
     pub(super) cold_until: MonoTime,
     pub(super) reading: Option<(LoadReading, MonoTime)>,
-    /// Requests per second that it takes from all instances together, as it last stated; `None` without a limit.
-    pub(super) rate_limit: Option<PerSecond>,
+    pub(super) rate_limit: TargetRateLimit,
     /// This instance's attempts in progress.
     pub(super) own_in_flight: u32,
     /// This instance's attempts since the target was added.
@@ -106,7 +105,8 @@
             affinity,
             cold_until: MonoTime::default(),
             reading: None,
-            rate_limit: None,
+            // Any phase will do, as long as it differs between instances and targets.
+            rate_limit: TargetRateLimit::new(affinity),
             own_in_flight: 0,
             sent: 0,
             sent_since: 0,
@@ -149,6 +149,11 @@
         slowdown * (1.0 + queue) + remote_cost + self.penalty(now) * PENALTY_COST
     }
 
+    /// Returns whether the target states a rate limit.
+    pub(super) fn is_limited(&self) -> bool {
+        self.rate_limit.limit().is_some()
+    }
+
     /// Returns whether a request would be processed at once and at normal speed.
     pub(super) fn has_fast_slot(&self, now: MonoTime) -> bool {
         let Some((reading, at)) = self.reading else { return false };
--- a/src/decide/retry_pacing.rs
+++ b/src/decide/retry_pacing.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use crate::units::MonoTime;
+use crate::units::{MonoTime, PerSecond};
 
 /// Minimum `Retry-After`, about the duration of one short request.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -16,11 +16,9 @@
 /// Estimated capacity of a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServiceCapacity {
-    /// Total number of requests that its targets process at once.
-    pub slots: u32,
-    /// Median duration of one request.
-    pub usual_time: Duration,
-    /// Number of instances that share the slots.
+    /// Requests that its targets process per second.
+    pub rate: PerSecond,
+    /// Number of instances that share the targets.
     pub instances: u32,
 }
 
@@ -40,7 +38,8 @@
         waiting: usize,
     ) -> Duration {
         let instances = f64::from(capacity.instances.max(1));
-        let interval = capacity.usual_time.mul_f64(instances / f64::from(capacity.slots.max(1)));
+        let interval = Duration::try_from_secs_f64(instances / f64::from(capacity.rate));
+        let interval = interval.map_or(MAX_RETRY_AFTER, |interval| interval.min(MAX_RETRY_AFTER));
         let after_waiting = now + interval.mul_f64(waiting as f64);
         let at = (self.last.max(after_waiting) + interval).max(now + MIN_RETRY_AFTER);
         let after = at.since(now).min(MAX_RETRY_AFTER);
--- a/src/decide/service_pools.rs
+++ b/src/decide/service_pools.rs
@@ -9,6 +9,7 @@
     directory::{Directory, DirectoryChange},
     probed_pool::{Choice, ChoiceRequest, ProbedPool},
     probed_target::{HealthSignal, LoadReading},
+    rate_limit::{RateLimitChange, RateLimitStatement},
     repeat_budget::{RepeatAllowance, RepeatBudget},
     retry_pacing::{RetryAfterPacer, ServiceCapacity},
     wait_queue::{QueuePosition, WaitQueue},
@@ -40,6 +41,10 @@
     allowance: RepeatAllowance,
     /// `None` until the number of instances is known.
     probes_per_target_per_s: Option<f64>,
+    /// Number of instances that share the targets' rate limits; `None` while unknown.
+    instances: Option<u64>,
+    /// Number of changes of rate limits so far.
+    rate_limit_revision: u64,
 }
 
 impl ServicePools {
@@ -53,6 +58,8 @@
             services: HashMap::default(),
             allowance,
             probes_per_target_per_s: None,
+            instances: None,
+            rate_limit_revision: 0,
         }
     }
 
@@ -110,8 +117,7 @@
     /// Returns the `Retry-After` time for a caller that is refused now.
     pub fn retry_after(&mut self, now: MonoTime, service: &ServiceName, instances: u32) -> Duration {
         let service = self.service(service);
-        let capacity =
-            ServiceCapacity { slots: service.pool.slots(), usual_time: service.pool.usual_time(), instances };
+        let capacity = ServiceCapacity { rate: service.pool.capacity(), instances };
         service.retry_pacer.next_retry_after(now, &capacity, service.wait_queue.len())
     }
 
@@ -154,15 +160,59 @@
         self.service(service).pool.record_reading(now, target, reading);
     }
 
-    /// Records the rate limit that a target states, `None` for no limit. Returns the one that it stated before if
-    /// that was another.
+    /// Sets the number of instances that share the targets' rate limits; `None` while unknown.
+    pub fn set_instances(&mut self, now: MonoTime, instances: Option<u64>) {
+        self.instances = instances;
+        for service in self.services.values_mut() {
+            service.pool.set_instances(now, instances);
+        }
+    }
+
+    /// Records the rate limit that a response of a target states, `None` for no limit. Returns the change if it is
+    /// one.
     pub fn record_rate_limit(
         &mut self,
+        now: MonoTime,
         service: &ServiceName,
         target: &TargetId,
         limit: Option<PerSecond>,
-    ) -> Option<Option<PerSecond>> {
-        self.service(service).pool.record_rate_limit(target, limit)
+    ) -> Option<RateLimitChange> {
+        let revision = self.rate_limit_revision + 1;
+        let change = self.service(service).pool.record_rate_limit(now, target, limit, revision);
+        self.rate_limit_revision += u64::from(change.is_some());
+        change
+    }
+
+    /// Records what another instance knows of a target's rate limit. Returns the change if it is one.
+    pub fn merge_rate_limit(
+        &mut self,
+        now: MonoTime,
+        statement: &RateLimitStatement,
+    ) -> Option<RateLimitChange> {
+        let revision = self.rate_limit_revision + 1;
+        let mut pools = self.services.values_mut().map(|service| &mut service.pool);
+        let change = pools.find_map(|pool| pool.merge_rate_limit(now, statement, revision));
+        self.rate_limit_revision += u64::from(change.is_some());
+        change
+    }
+
+    /// Returns the number of changes of rate limits so far.
+    pub fn rate_limit_revision(&self) -> u64 {
+        self.rate_limit_revision
+    }
+
+    /// Returns what is known of all targets whose limit changed after `revision`, and of those with a limit if
+    /// `with_unchanged` is set. `place` is the receiver's place among all that get phases from this instance,
+    /// from 0 to 1.
+    pub fn rate_limit_statements(
+        &self,
+        now: MonoTime,
+        revision: u64,
+        with_unchanged: bool,
+        place: Option<f64>,
+    ) -> Vec<RateLimitStatement> {
+        let pools = self.services.values().map(|service| &service.pool);
+        pools.flat_map(|pool| pool.rate_limit_statements(now, revision, with_unchanged, place)).collect()
     }
 
     /// Returns the rate limit that a target states.
@@ -216,13 +266,14 @@
 
     fn service(&mut self, name: &ServiceName) -> &mut Service {
         let (allowance, data_centre, seed) = (self.allowance, &self.data_centre, &mut self.seed);
-        let probes_per_target_per_s = self.probes_per_target_per_s;
+        let (probes_per_target_per_s, instances) = (self.probes_per_target_per_s, self.instances);
         self.services.entry(name.clone()).or_insert_with(|| {
             *seed = seed.wrapping_add(1);
             let mut pool = ProbedPool::new(data_centre.clone(), SmallRng::seed_from_u64(*seed));
             if let Some(rate) = probes_per_target_per_s {
                 pool.set_probe_rate(rate);
             }
+            pool.set_instances(MonoTime::default(), instances);
             Service {
                 pool,
                 repeat_budget: RepeatBudget::new(allowance),
--- a/src/decide/wait_stage.rs
+++ b/src/decide/wait_stage.rs
@@ -57,15 +57,17 @@
         since + self.objective.mul_f64(HEDGE_WAIT_SHARE)
     }
 
-    /// Returns the stage of a call whose choice of a target began at `since`, and when that stage ends.
-    pub fn stage(&self, now: MonoTime, since: MonoTime) -> (WaitStage, MonoTime) {
-        let share = |share: f64| self.objective.mul_f64(share);
-        let answer = self.usual_time.mul_f64(ANSWER_MARGIN);
-        let fast_slot_wait = share(FAST_SLOT_WAIT_SHARE).min(self.objective.saturating_sub(answer));
-        let fast_slot_until = (self.arrived + fast_slot_wait).max(since + share(MIN_FAST_SLOT_WAIT_SHARE));
+    /// Returns the time after which a call whose choice of a target began at `since` is not sent any more.
+    pub fn give_up_at(&self, since: MonoTime) -> MonoTime {
         let spare_slot_until =
             self.arrived + self.deadline.since(self.arrived).mul_f64(SPARE_SLOT_DEADLINE_SHARE);
-        let spare_slot_until = spare_slot_until.max(fast_slot_until);
+        spare_slot_until.max(self.fast_slot_until(since))
+    }
+
+    /// Returns the stage of a call whose choice of a target began at `since`, and when that stage ends.
+    pub fn stage(&self, now: MonoTime, since: MonoTime) -> (WaitStage, MonoTime) {
+        let fast_slot_until = self.fast_slot_until(since);
+        let spare_slot_until = self.give_up_at(since);
         if now < fast_slot_until {
             (WaitStage::FastSlot, fast_slot_until)
         } else if now < spare_slot_until {
@@ -74,4 +76,11 @@
             (WaitStage::Expired, self.deadline)
         }
     }
+
+    fn fast_slot_until(&self, since: MonoTime) -> MonoTime {
+        let share = |share: f64| self.objective.mul_f64(share);
+        let answer = self.usual_time.mul_f64(ANSWER_MARGIN);
+        let fast_slot_wait = share(FAST_SLOT_WAIT_SHARE).min(self.objective.saturating_sub(answer));
+        (self.arrived + fast_slot_wait).max(since + share(MIN_FAST_SLOT_WAIT_SHARE))
+    }
 }
--- a/src/gateway/budget_shares.rs
+++ b/src/gateway/budget_shares.rs
@@ -1,4 +1,4 @@
-//! Keeps this instance's share of the repeat and probe budgets in line with the number of instances.
+//! Keeps this instance's share of the repeat and probe budgets and of targets' rate limits in line with the number of instances.
 
 use std::time::Duration;
 
@@ -43,11 +43,13 @@
     }
 }
 
-/// Sets this instance's share of the repeat and probe budgets.
+/// Sets this instance's share of the repeat and probe budgets and of targets' rate limits.
 fn set_shares(gateway: &Gateway, instances: u64) {
     set_allowance(gateway, Some(instances));
     let probes = gateway.config().probes_per_target_per_s * PROBE_BUDGET_PART / instances as f64;
-    gateway.service_pools().set_probe_rate(probes);
+    let mut service_pools = gateway.service_pools();
+    service_pools.set_probe_rate(probes);
+    service_pools.set_instances(gateway.now(), Some(instances));
 }
 
 /// Sets the repeat budget: a part of this instance's requests and, once the number of instances is known, its
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -446,6 +446,7 @@
                 return AttemptResult::NotSent(ErrorKind::Overloaded);
             }
         }
+        let give_up_at = if is_hedge { stage_until } else { times.give_up_at(started) };
         if !is_hedge && matches!(stage, WaitStage::SpareSlot | WaitStage::Expired) {
             // From here on, the call takes only slots that no queued call can use.
             queued = None;
@@ -459,7 +460,7 @@
             service_pools.choose_target(
                 now,
                 &call.service,
-                &ChoiceRequest { excluded: &tried, probe_rounds, stage, calls_ahead },
+                &ChoiceRequest { excluded: &tried, probe_rounds, stage, calls_ahead, give_up_at },
             )
         };
         let recheck_at = match choice {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod exchange;
 pub mod follow;
+pub mod follower_places;
 pub mod known_instances;
 pub mod listen;
 pub mod metrics;
@@ -40,8 +41,8 @@
 use tokio::sync::{Notify, watch};
 
 use self::{
-    config::Config, known_instances::KnownInstances, metrics::Metrics, platform_adapter::PlatformAdapter,
-    replica::StoreReplica, request_log::RequestLogLimiter,
+    config::Config, follower_places::FollowerPlaces, known_instances::KnownInstances, metrics::Metrics,
+    platform_adapter::PlatformAdapter, replica::StoreReplica, request_log::RequestLogLimiter,
 };
 use crate::{
     decide::service_pools::ServicePools,
@@ -90,6 +91,10 @@
     known_instances: Mutex<KnownInstances>,
     /// Incremented when the replica or its status changes, so that followers may need an update.
     replica_changed: watch::Sender<u64>,
+    /// Places of the instances that follow this one.
+    pub follower_places: Arc<FollowerPlaces>,
+    /// Incremented when a target's rate limit changes, so that other instances may need to hear of it.
+    rate_limits_changed: watch::Sender<u64>,
     targets_known: watch::Sender<bool>,
     /// Whether the routing tables of the seeds have been received or are no longer waited for.
     seed_routing_known: watch::Sender<bool>,
@@ -126,6 +131,8 @@
             replica: Mutex::default(),
             known_instances: Mutex::new(KnownInstances::new(config.instance.clone())),
             replica_changed: watch::Sender::new(0),
+            follower_places: Arc::default(),
+            rate_limits_changed: watch::Sender::new(0),
             targets_known: watch::Sender::new(false),
             seed_routing_known: watch::Sender::new(false),
             instance_count: AtomicU64::new(0),
@@ -205,6 +212,16 @@
         self.replica_changed.subscribe()
     }
 
+    /// Makes the links to other instances check whether they have to send changed rate limits.
+    pub fn notify_rate_limit_change(&self) {
+        self.rate_limits_changed.send_modify(|n| *n += 1);
+    }
+
+    /// Returns a receiver that changes when other instances may need to hear of changed rate limits.
+    pub fn watch_rate_limits(&self) -> watch::Receiver<u64> {
+        self.rate_limits_changed.subscribe()
+    }
+
     /// Returns whether other instances may follow this one.
     pub fn is_seed(&self) -> bool {
         let config = self.config();
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -16,6 +16,7 @@
     apply::apply_update,
     follow::{MAX_CURRENT_AGE, SEED_MAX_CURRENT_AGE, read_from_store},
     platform_adapter::{Table, TableRow, TableRows},
+    rate_limits::{self, SentRateLimits},
     replica::{ReplicaStatus, TableUpdate, UpdateResult},
 };
 use crate::{
@@ -128,7 +129,10 @@
                 return Ok(Some(to_table_update(era, rows)));
             }
             Frame::StoreRows(rows) if rows.must_read => return Ok(None),
-            Frame::StoreState(_) | Frame::StoreRows(_) | Frame::StoreAnsweredFor(_) => {}
+            Frame::StoreState(_)
+            | Frame::StoreRows(_)
+            | Frame::StoreAnsweredFor(_)
+            | Frame::RateLimits(_) => {}
             _ => return Err("unexpected frame type".into()),
         }
     }
@@ -256,7 +260,7 @@
             Link::open(gateway, self.address, true).await?;
         tokio::select! {
             ended = self.receive_frames(&mut recv_stream) => ended,
-            ended = send_instance_names(gateway, sent_revision, send_stream) => ended,
+            ended = send_updates(gateway, sent_revision, send_stream) => ended,
         }
     }
 
@@ -272,6 +276,7 @@
                 Frame::StoreState(state) => self.apply_state(state)?,
                 Frame::StoreRows(rows) if rows.must_read => self.read_table(rows.of_targets).await?,
                 Frame::StoreRows(rows) => self.apply_rows(rows)?,
+                Frame::RateLimits(entries) => rate_limits::receive(self.gateway, entries),
                 _ => return Err("unexpected frame type".into()),
             }
         }
@@ -342,21 +347,27 @@
     (known.revision(), known.names())
 }
 
-/// Sends the known instance names to the followed instance whenever there are new ones, and at least every
-/// [`NAMES_RESEND_PERIOD`].
-async fn send_instance_names(
+/// Sends to the followed instance the known instance names whenever there are new ones, and at least every
+/// [`NAMES_RESEND_PERIOD`], and changes of targets' rate limits at once.
+async fn send_updates(
     gateway: &Gateway,
     sent_revision: u64,
     mut send_stream: SendStream<Bytes>,
 ) -> Result<(), LinkError> {
     let mut last_sent = (sent_revision, gateway.now());
+    let mut sent_limits = SentRateLimits::default();
+    let mut limit_changes = gateway.watch_rate_limits();
     loop {
-        sleep(NAMES_CHECK_PERIOD).await;
+        let mut frames = sent_limits.next_frames(gateway, None);
         let (revision, instances) = revision_and_names(gateway);
         if revision != last_sent.0 || gateway.now().since(last_sent.1) > NAMES_RESEND_PERIOD {
-            timeout(OPEN_TIMEOUT, send_all(&mut send_stream, encode(&Frame::KnownInstances(instances))))
-                .await??;
+            frames.push(Frame::KnownInstances(instances));
             last_sent = (revision, gateway.now());
         }
+        for frame in frames {
+            timeout(OPEN_TIMEOUT, send_all(&mut send_stream, encode(&frame))).await??;
+        }
+        // After a timeout, the names are checked.
+        let _change_or_timeout = timeout(NAMES_CHECK_PERIOD, limit_changes.changed()).await;
     }
 }
--- a/src/gateway/replication_server.rs
+++ b/src/gateway/replication_server.rs
@@ -14,7 +14,9 @@
 
 use super::{
     Gateway,
+    follower_places::FollowerPlace,
     platform_adapter::{Table, TableRow, TableRows},
+    rate_limits::{self, SentRateLimits},
     replica::TableUpdate,
 };
 use crate::{
@@ -108,11 +110,13 @@
             targets: position(subscription.targets),
             wants_rows: subscription.wants_rows,
             sent_era: StoreEra::default(),
+            place: subscription.wants_rows.then(|| gateway.follower_places.take()),
+            sent_limits: SentRateLimits::default(),
             stream,
         };
         tokio::select! {
             result = sender.run() => result,
-            result = receiver.read_instance_names(gateway) => result,
+            result = receiver.read_updates(gateway) => result,
         }
     };
     // The HTTP/2 connection makes progress only while it is polled.
@@ -142,13 +146,16 @@
         }
     }
 
-    /// Receives the instance names that the follower knows, until it closes the link.
-    async fn read_instance_names(&mut self, gateway: &Gateway) -> Result<(), LinkError> {
+    /// Receives the instance names and rate limits that the follower knows, until it closes the link.
+    async fn read_updates(&mut self, gateway: &Gateway) -> Result<(), LinkError> {
         while let Some(frame) = self.next_frame().await? {
-            let Frame::KnownInstances(instances) = frame else {
-                return Err("unexpected frame type".into());
-            };
-            gateway.known_instances().add(gateway.now(), instances);
+            match frame {
+                Frame::KnownInstances(instances) => {
+                    gateway.known_instances().add(gateway.now(), instances);
+                }
+                Frame::RateLimits(entries) => rate_limits::receive(gateway, entries),
+                _ => return Err("unexpected frame type".into()),
+            }
         }
         Ok(())
     }
@@ -182,12 +189,16 @@
     wants_rows: bool,
     /// Era to which the follower takes all versions on the link to belong.
     sent_era: StoreEra,
+    /// Place of the follower, if it wants rows.
+    place: Option<FollowerPlace>,
+    sent_limits: SentRateLimits,
     stream: SendStream<Bytes>,
 }
 
 impl FollowerSender<'_> {
     async fn run(&mut self) -> Result<(), LinkError> {
         let mut replica_changes: watch::Receiver<u64> = self.gateway.watch_replica();
+        let mut limit_changes = self.gateway.watch_rate_limits();
         let mut period = interval(HEARTBEAT_PERIOD);
         period.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut sent_store_lost = false;
@@ -200,6 +211,10 @@
                     changed?;
                     false
                 }
+                changed = limit_changes.changed() => {
+                    changed?;
+                    false
+                }
             };
             if self.gateway.is_leaving() {
                 return Ok(());
@@ -223,6 +238,9 @@
             if self.wants_rows {
                 self.add_update(Table::Routing, is_heartbeat, &mut frames);
                 self.add_update(Table::Targets, is_heartbeat, &mut frames);
+                let place = self.place.as_ref().map(FollowerPlace::share);
+                // After the rows, so that the follower knows the targets.
+                frames.extend(self.sent_limits.next_frames(self.gateway, place));
             }
             let has_changes =
                 has_new_era || frames.len() > frames_without_rows || state.is_store_lost != sent_store_lost;
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -135,6 +135,21 @@
     pub value: Option<Bytes>,
 }
 
+/// What the sender knows of one target's rate limit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateLimitEntry {
+    /// Target that stated it.
+    pub target: TargetId,
+    /// Start time of the target's process in milliseconds since the Unix epoch, if it states one.
+    pub started_unix_ms: Option<u64>,
+    /// Millionths of a request per second from all instances together; `None` if the target takes any number.
+    pub limit_micros_per_s: Option<u64>,
+    /// Number of changes that led to this limit; of two entries, the one with more is later.
+    pub version: u64,
+    /// Phase of the receiver's permits for the target, in millionths; only from an instance to its followers.
+    pub phase_micros: Option<u32>,
+}
+
 /// Message between two instances.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Frame {
@@ -164,6 +179,8 @@
     /// Time in milliseconds for which the store has answered the instance that reads it. Precedes the state that
     /// it belongs to; instances that don't know it skip it.
     StoreAnsweredFor(u32),
+    /// Rate limits that targets stated. Instances that don't know it skip it.
+    RateLimits(Vec<RateLimitEntry>),
 }
 
 const TAG_HELLO: u8 = 1;
@@ -178,6 +195,7 @@
 const TAG_KNOWN_INSTANCES: u8 = 10;
 const TAG_STORE_ERA: u8 = 11;
 const TAG_STORE_ANSWERED_FOR: u8 = 12;
+const TAG_RATE_LIMITS: u8 = 13;
 
 /// Largest frame accepted from a peer, tag and body, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
@@ -229,6 +247,7 @@
         Frame::StoreRows(rows) => (TAG_STORE_ROWS, to_bytes(rows)),
         Frame::StoreEra(era) => (TAG_STORE_ERA, to_bytes(era)),
         Frame::StoreAnsweredFor(ms) => (TAG_STORE_ANSWERED_FOR, to_bytes(ms)),
+        Frame::RateLimits(entries) => (TAG_RATE_LIMITS, to_bytes(entries)),
     };
     encode_raw(tag, &body)
 }
@@ -323,6 +342,7 @@
         TAG_STORE_ROWS => Frame::StoreRows(from_bytes_limited::<_, MAX_FRAME_BYTES>(tag, &body)?),
         TAG_STORE_ERA => Frame::StoreEra(from_bytes(tag, &body)?),
         TAG_STORE_ANSWERED_FOR => Frame::StoreAnsweredFor(from_bytes(tag, &body)?),
+        TAG_RATE_LIMITS => Frame::RateLimits(from_bytes(tag, &body)?),
         _ => return Ok(None),
     }))
 }
--- a/src/peer/receive.rs
+++ b/src/peer/receive.rs
@@ -135,7 +135,8 @@
             | Frame::StoreState(_)
             | Frame::StoreRows(_)
             | Frame::StoreEra(_)
-            | Frame::StoreAnsweredFor(_) => {}
+            | Frame::StoreAnsweredFor(_)
+            | Frame::RateLimits(_) => {}
         }
         Ok(())
     }
--- a/src/units.rs
+++ b/src/units.rs
@@ -184,6 +184,9 @@
 pub struct MonoTime(u64);
 
 impl MonoTime {
+    /// Latest point in time.
+    pub const MAX: Self = Self(u64::MAX);
+
     /// Returns the time elapsed from `earlier` to `self`, or zero if `earlier` is later.
     #[must_use]
     pub fn since(self, earlier: Self) -> Duration {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -25,6 +25,7 @@
     platform,
     routing::{Backend, CallerLimits, RouteSpec, RoutingSpec, RoutingTable, RoutingVersion},
     store_position::StorePosition,
+    units::PerSecond,
 };
 use hyper::header::HeaderValue;
 use pool_env::{FIRST_CHOICE, at, listing, pool, reading, sent_to};
@@ -243,7 +244,7 @@
 #[test]
 fn refused_callers_come_back_one_after_the_other_as_fast_as_there_is_room() {
     // 36 slots of 100 ms each serve 360 requests a second; a thirteenth of that is one every 36 ms.
-    let capacity = ServiceCapacity { slots: 36, usual_time: Duration::from_millis(100), instances: 13 };
+    let capacity = ServiceCapacity { rate: PerSecond::from(360.0), instances: 13 };
     let mut pacer = RetryAfterPacer::default();
     let retry_after_ms =
         (0..10).map(|_| pacer.next_retry_after(at(1_000), &capacity, 0).as_millis()).collect::<Vec<_>>();
@@ -255,7 +256,7 @@
     );
     // After the load peak, earlier return times no longer delay a caller.
     assert_eq!(pacer.next_retry_after(at(5_000), &capacity, 0).as_millis(), 100);
-    let no_capacity = ServiceCapacity { slots: 0, ..capacity };
+    let no_capacity = ServiceCapacity { rate: PerSecond::from(0.0), ..capacity };
     assert_eq!(RetryAfterPacer::default().next_retry_after(at(1_000), &no_capacity, 0).as_millis(), 1_000);
 }
 
--- a/tests/gateway_rate_limit.rs
+++ b/tests/gateway_rate_limit.rs
@@ -62,6 +62,59 @@
     times.iter().map(in_window).max().unwrap_or(0)
 }
 
+/// An instance that sends a target one request in a minute would learn that late of its limit.
+#[tokio::test]
+async fn a_limit_and_its_end_that_one_instance_hears_are_known_to_all() {
+    let deployment = TestDeployment::start().await;
+    let worker = deployment.worker("i-1").await;
+    let instances = start_instances(&deployment, 4).await;
+    for (limit, words) in [(Some(40.0), "limit_per_s=40"), (None, "limit_per_s=none")] {
+        worker.set_rate_limit_per_s(limit);
+        let to = instances[1].callers;
+        // The only permits are those of this instance, so not each request gets through.
+        for number in 0..100 {
+            deployment
+                .send(to, Method::POST, "/charge/x", &format!("{words}-{number}"))
+                .await
+                .expect("an answer");
+            if instances[1].logged(&["event=rate-limit", words, "source=response"]) {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+        for instance in [&instances[0], &instances[2], &instances[3]] {
+            deployment
+                .wait_until("another instance knows it", || async {
+                    instance.logged(&["event=rate-limit", "target=i-1", words, "source=instance"])
+                })
+                .await;
+        }
+    }
+}
+
+/// Guards against requests that wait, although no target takes one before they are given up.
+#[tokio::test]
+async fn a_request_that_no_limit_has_room_for_is_refused_at_once() {
+    let deployment = TestDeployment::start().await;
+    let worker = deployment.worker("i-1").await;
+    let instances = start_instances(&deployment, 1).await;
+    worker.set_rate_limit_per_s(Some(0.2));
+    for number in 0..20 {
+        let id = format!("a{number}");
+        let sent_at = Instant::now();
+        let answer = deployment.send(instances[0].callers, Method::POST, "/charge/x", &id).await;
+        let (answer, took) = (answer.expect("an answer"), sent_at.elapsed());
+        if answer.status != 200 {
+            assert_eq!((answer.status, answer.outcome()), (429, "not-run"));
+            assert!(answer.headers.contains_key("retry-after"));
+            // A tenth of the route's timeout: the request was not kept waiting.
+            assert!(took < Duration::from_millis(200), "{took:?}");
+        }
+    }
+    assert!(worker.executed_requests().len() <= 2, "{}", worker.executed_requests().len());
+    assert_eq!(worker.refused_requests().len(), 0);
+}
+
 /// Guards against a limit that no instance keeps, or that each keeps by itself: eight instances with a limit of
 /// one request a second for all of them together.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -3,7 +3,7 @@
 use arbutusshelf::{
     peer::frame::{
         Decoder, DrainNotice, Frame, FrameError, Heartbeat, Hello, LoadCount, Loads, MAX_SMALL_FRAME_BYTES,
-        PROTOCOL_VERSION, encode, encode_raw,
+        PROTOCOL_VERSION, RateLimitEntry, encode, encode_raw,
     },
     units::RunId,
 };
@@ -29,6 +29,13 @@
         Frame::Plan(Bytes::from_static(b"{}")),
         Frame::Loads(Loads { plan_version: 7.into(), sent_at_us: 1 << 40, counts }),
         Frame::DrainNotice(DrainNotice { target: "a-01".parse().expect("a name"), after_return_unix_s: 5 }),
+        Frame::RateLimits(vec![RateLimitEntry {
+            target: "a-01".parse().expect("a name"),
+            started_unix_ms: Some(1_780_000_000_000),
+            limit_micros_per_s: Some(1_200_000),
+            version: 3,
+            phase_micros: None,
+        }]),
     ]
 }
 
--- a/tests/pool_env/mod.rs
+++ b/tests/pool_env/mod.rs
@@ -72,5 +72,10 @@
 }
 
 /// A call that has just begun to choose, with no other one ahead of it.
-pub const FIRST_CHOICE: ChoiceRequest<'static> =
-    ChoiceRequest { excluded: &[], probe_rounds: 0, stage: WaitStage::FastSlot, calls_ahead: 0 };
+pub const FIRST_CHOICE: ChoiceRequest<'static> = ChoiceRequest {
+    excluded: &[],
+    probe_rounds: 0,
+    stage: WaitStage::FastSlot,
+    calls_ahead: 0,
+    give_up_at: MonoTime::MAX,
+};
