Let the soak's workers state rate limits, and check them

Change: a worker states a limit of 0 to 6 a second for 5 to 9 s, about every 4 s, drawn apart from the other steps, so that these stay as they were; the finding Limit counts as the users do, and only for instances that were told. Its checker test forges a history that must be found and near misses.

--- a/bench/src/soak/checker.rs
+++ b/bench/src/soak/checker.rs
@@ -5,7 +5,9 @@
 use arbutusshelf::collections::HashMap;
 use derive_more::Display;
 
-use super::history::{Arrival, Attempt, AttemptKind, AttemptResult, History, ProcessRun, Scope};
+use super::history::{
+    Arrival, Attempt, AttemptKind, AttemptResult, History, ProcessRun, RateLimitPeriod, Scope,
+};
 
 /// Limits of the invariants, which follow from the users' settings.
 #[derive(Debug, Clone, Copy)]
@@ -26,6 +28,12 @@
     pub repeat_extra: f64,
     /// Length of the window over which retries are counted.
     pub repeat_window_ms: u64,
+    /// Length of the window over which requests to a worker with a rate limit are counted.
+    pub limit_window_ms: u64,
+    /// Requests allowed in that window, as a multiple of what the limit states.
+    pub limit_ratio: f64,
+    /// Requests allowed in that window besides.
+    pub limit_extra: f64,
 }
 
 /// Time that a response or a cancellation may exceed its limit by, and by which the exit of a killed
@@ -72,6 +80,9 @@
     /// Retries stay within the budget.
     #[display("Budget")]
     RetryBudget,
+    /// Workers that state a rate limit get no more than it allows from all instances that they told.
+    #[display("Limit")]
+    RateLimit,
     /// Requests are cancelled at workers when their callers close the connection.
     #[display("Gone")]
     CancelledWhenCallerLeaves,
@@ -124,6 +135,7 @@
     checker.check_routes(&mut findings);
     checker.check_unanswered(&mut findings);
     checker.check_budget(&mut findings);
+    checker.check_rate_limits(&mut findings);
     checker.check_cancellation(&mut findings);
     checker.check_processes(&mut findings);
     checker.check_recovery(&mut findings);
@@ -371,6 +383,60 @@
         }
     }
 
+    /// Checks that workers get no more requests than the rate limits that they state, once these have been in
+    /// force for [`Bounds::settle_ms`].
+    fn check_rate_limits(&self, findings: &mut Vec<Finding>) {
+        let attempts = self.history.attempts.iter().map(|a| (a.id.as_str(), a)).collect::<HashMap<_, _>>();
+        for limit in &self.history.rate_limits {
+            let is_within =
+                |a: &&Arrival| a.worker == limit.worker && (limit.from_ms..limit.to_ms).contains(&a.at_ms);
+            let arrivals = self.history.arrivals.iter().filter(is_within);
+            let sent = arrivals.filter_map(|a| Some((a, attempts.get(a.id.as_str())?.instance)));
+            let sent = sent.collect::<Vec<_>>();
+            let applied_ms = limit.from_ms + self.bounds.settle_ms;
+            let counted = sent.iter().filter(|(a, instance)| {
+                a.at_ms >= applied_ms && self.must_keep_limit(*instance, a.at_ms, &sent)
+            });
+            let mut times_ms = counted.map(|(a, _)| a.at_ms).collect::<Vec<_>>();
+            times_ms.sort_unstable();
+            let allowed = self.allowed_by(limit);
+            for (first, from_ms) in times_ms.iter().enumerate() {
+                let count =
+                    times_ms.partition_point(|at| *at < from_ms + self.bounds.limit_window_ms) - first;
+                if count as f64 > allowed {
+                    let (worker, limit) = (&limit.worker, limit.limit_per_s);
+                    let detail = format!(
+                        "{count} requests from {from_ms} ms at {worker}, limit {limit} a second, {allowed:.0} allowed"
+                    );
+                    report(findings, Invariant::RateLimit, detail);
+                    break;
+                }
+            }
+        }
+    }
+
+    fn allowed_by(&self, limit: &RateLimitPeriod) -> f64 {
+        let window_s = self.bounds.limit_window_ms as f64 / 1_000.0;
+        self.bounds.limit_ratio * limit.limit_per_s * window_s + self.bounds.limit_extra
+    }
+
+    /// Returns whether an instance must keep a worker's rate limit at `at_ms`: one of its requests `sent` to the
+    /// worker under the limit has ended long enough before, and it was neither restarted nor disturbed since
+    /// [`Bounds::settle_ms`] before.
+    fn must_keep_limit(&self, instance: usize, at_ms: u64, sent: &[(&Arrival, usize)]) -> bool {
+        let runs = self.history.process_runs.iter().filter(|r| r.instance == instance && r.from_ms <= at_ms);
+        let started_ms = runs.map(|r| r.from_ms).max().unwrap_or(0);
+        let told = sent.iter().filter(|(a, other)| *other == instance && a.at_ms >= started_ms);
+        let is_told = told.filter_map(|(a, _)| a.ended_ms).any(|ended_ms| ended_ms + SLACK_MS <= at_ms);
+        let from_ms = at_ms.saturating_sub(self.bounds.settle_ms);
+        let is_disturbed = self
+            .history
+            .disturbances
+            .iter()
+            .any(|d| d.scope == Scope::Instance(instance) && d.from_ms <= at_ms && d.to_ms >= from_ms);
+        is_told && !is_disturbed && started_ms <= from_ms
+    }
+
     /// Checks that few requests reach workers after their callers left, and that at most a quarter of those
     /// that arrived before keep running.
     fn check_cancellation(&self, findings: &mut Vec<Finding>) {
--- a/bench/src/soak/cluster.rs
+++ b/bench/src/soak/cluster.rs
@@ -15,7 +15,7 @@
 use super::{
     callers::{CallerContext, ROUTE_HOST, ROUTE_TIMEOUT_MS},
     checker::Bounds,
-    history::{Arrival, Disturbance, Drain, History, ProcessRun, RouteLifetime, Scope},
+    history::{Arrival, Disturbance, Drain, History, ProcessRun, RateLimitPeriod, RouteLifetime, Scope},
     instance::{Addresses, Launch, Process},
     schedule::{Action, Step},
 };
@@ -74,6 +74,9 @@
         repeat_ratio: 0.2,
         repeat_extra: 4.0 * instances as f64,
         repeat_window_ms: 10_000,
+        limit_window_ms: 4_000,
+        limit_ratio: 1.5,
+        limit_extra: 5.0,
     }
 }
 
@@ -256,32 +259,28 @@
     pub async fn run_step(&self, step: Step) -> Result<()> {
         let length = Duration::from_millis(step.for_ms);
         match step.action {
-            Action::Restart(number) => self.restart(number, Signal::TERM).await,
-            Action::Kill(number) => self.restart(number, Signal::KILL).await,
+            Action::Restart(number) => self.restart(number, Signal::TERM).await?,
+            Action::Kill(number) => self.restart(number, Signal::KILL).await?,
             Action::Pause(number) => {
                 self.disturb(Scope::Instance(number), "pause", length, |is_active| {
                     self.signal(number, if is_active { Signal::STOP } else { Signal::CONT });
                 })
                 .await;
-                Ok(())
             }
             Action::Reload(number) => {
                 self.signal(number, Signal::HUP);
-                Ok(())
             }
             Action::StoreLink(number, fault) => {
                 self.disturb(Scope::Instance(number), "store link", length, |is_active| {
                     self.relays[number].store.set_fault(if is_active { fault } else { LinkFault::None });
                 })
                 .await;
-                Ok(())
             }
             Action::CallerLink(number, fault) => {
                 self.disturb(Scope::Instance(number), "caller link", length, |is_active| {
                     self.relays[number].callers.set_fault(if is_active { fault } else { LinkFault::None });
                 })
                 .await;
-                Ok(())
             }
             Action::PeerLink(number, fault) => {
                 // Not recorded as a disturbance: the invariants must hold without what peers send to each
@@ -289,29 +288,30 @@
                 self.relays[number].peers.set_fault(fault);
                 tokio::time::sleep(length).await;
                 self.relays[number].peers.set_fault(LinkFault::None);
-                Ok(())
             }
             Action::Store(fault) => {
                 self.disturb(Scope::Store, "store", length, |is_active| {
                     self.store.set_fault(if is_active { fault } else { RowStoreFault::None });
                 })
                 .await;
-                Ok(())
             }
             Action::ForgetHistory => {
                 self.store.forget_history();
-                Ok(())
             }
             Action::RestoreStore => {
                 self.restore_store(length).await;
-                Ok(())
+            }
+            Action::AddRoute => {
+                self.add_route();
+            }
+            Action::RemoveRoute => {
+                self.remove_route().await;
             }
             Action::Worker(number, mode) => {
                 self.disturb_worker(number, "worker", length, |worker, is_active| {
                     worker.set_mode(if is_active { mode } else { WorkerMode::Serve });
                 })
                 .await;
-                Ok(())
             }
             Action::SlowWorker(number) => {
                 self.disturb_worker(number, "slow worker", length, |worker, is_active| {
@@ -319,18 +319,13 @@
                     worker.set_reported_pace_percent(if is_active { 500 } else { 100 });
                 })
                 .await;
-                Ok(())
             }
-            Action::Drain(number) => self.drain(number).await,
-            Action::AddRoute => {
-                self.add_route();
-                Ok(())
-            }
-            Action::RemoveRoute => {
-                self.remove_route().await;
-                Ok(())
+            Action::LimitWorker(number, millis_per_s) => {
+                self.limit_worker(number, f64::from(millis_per_s) / 1_000.0, length).await;
             }
+            Action::Drain(number) => self.drain(number).await?,
         }
+        Ok(())
     }
 
     /// Restores the store from a copy of age `age`; what was lost is written again shortly after.
@@ -390,6 +385,28 @@
         self.disturb(Scope::Worker(id.clone()), name, length, set_active).await;
     }
 
+    /// Makes a worker state a rate limit for a time, unless it states one already.
+    async fn limit_worker(&self, number: usize, limit_per_s: f64, length: Duration) {
+        let id = {
+            let state = self.lock();
+            let worker = &state.workers[number];
+            if worker.rate_limit_per_s().is_some() {
+                return;
+            }
+            worker.set_rate_limit_per_s(Some(limit_per_s));
+            worker.id.clone()
+        };
+        let from_ms = self.now_ms();
+        tokio::time::sleep(length).await;
+        let to_ms = self.now_ms();
+        let mut state = self.lock();
+        // The worker may have been drained and replaced meanwhile.
+        if let Some(worker) = state.workers.iter().chain(&state.retired_workers).find(|w| w.id == id) {
+            worker.set_rate_limit_per_s(None);
+        }
+        state.history.rate_limits.push(RateLimitPeriod { worker: id, limit_per_s, from_ms, to_ms });
+    }
+
     fn signal(&self, number: usize, signal: Signal) {
         if let Some(process) = &mut self.lock().instances[number].process {
             process.signal(signal);
--- a/bench/src/soak/history.rs
+++ b/bench/src/soak/history.rs
@@ -102,6 +102,19 @@
     pub acked_ms: u64,
 }
 
+/// A period in which a worker stated a rate limit.
+#[derive(Debug, Clone)]
+pub struct RateLimitPeriod {
+    /// Id of the worker.
+    pub worker: String,
+    /// Requests per second that it took from all instances together.
+    pub limit_per_s: f64,
+    /// Time from which on it stated the limit.
+    pub from_ms: u64,
+    /// Time from which on it stated none.
+    pub to_ms: u64,
+}
+
 /// A route that was added during the soak, and possibly removed.
 #[derive(Debug, Clone)]
 pub struct RouteLifetime {
@@ -139,6 +152,8 @@
     pub disturbances: Vec<Disturbance>,
     /// Workers that were drained.
     pub drains: Vec<Drain>,
+    /// Rate limits that workers stated.
+    pub rate_limits: Vec<RateLimitPeriod>,
     /// Routes that were added during the soak.
     pub routes: Vec<RouteLifetime>,
     /// Processes of instances, in the order of their starts.
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -86,11 +86,11 @@
         ends.filter(|e| matches!(e, AttemptResult::Answered { status, .. } if is(*status))).count()
     };
     let lost = history.attempts.iter().filter(|a| matches!(a.result, AttemptResult::NoResponse(_))).count();
-    let (drains, routes) = (history.drains.len(), history.routes.len());
+    let (drains, routes, limits) = (history.drains.len(), history.routes.len(), history.rate_limits.len());
     let stops = history.process_runs.iter().filter(|r| r.exited_ms.is_some()).count();
     format!(
         "seed={seed} findings={} requests={} served={} refused={} unknown={} lost={lost} disturbances={} stops={stops} \
-         drains={drains} routes={routes}",
+         drains={drains} routes={routes} limits={limits}",
         findings.len(),
         history.attempts.len(),
         answered(|s| s == 200),
--- a/bench/src/soak/schedule.rs
+++ b/bench/src/soak/schedule.rs
@@ -34,6 +34,8 @@
     Worker(usize, WorkerMode),
     /// Slows a worker down, which the worker reports.
     SlowWorker(usize),
+    /// Makes a worker state a rate limit, in thousandths of a request per second from all instances together.
+    LimitWorker(usize, u32),
     /// Drains a worker and removes it; another worker reuses its address.
     Drain(usize),
     /// Adds a route.
@@ -83,6 +85,19 @@
 /// seed stay as they were before there were restores.
 const RESTORE_SEED: u64 = 0x5e57_03e0;
 
+/// Mean time between two rate limits of workers, in milliseconds.
+const LIMIT_GAP_MS: u64 = 4_000;
+
+/// Range of the time for which a worker states a rate limit, in milliseconds: longer than the time after which the
+/// limit holds.
+const LIMIT_LENGTH_MS: std::ops::Range<u64> = 5_000..9_000;
+
+/// Range of rate limits, in thousandths of a request per second.
+const LIMIT_MILLIS_PER_S: std::ops::Range<u32> = 0..6_000;
+
+/// Number that is mixed into the seed of the rate limits, for the same reason as [`RESTORE_SEED`].
+const LIMIT_SEED: u64 = 0x6c69_6d69;
+
 /// Generates the schedule of a seed, sorted by start.
 pub fn generate_schedule(seed: u64, size: &SoakSize) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -112,6 +127,15 @@
         steps.push(Step { at_ms: restore_ms, for_ms, action: Action::RestoreStore });
         restore_ms += rng.random_range(RESTORE_GAP_MS / 2..RESTORE_GAP_MS * 3 / 2);
     }
+    let mut rng = SmallRng::seed_from_u64(seed ^ LIMIT_SEED);
+    let mut limit_ms = rng.random_range(0..LIMIT_GAP_MS);
+    while limit_ms < size.disturbed_ms {
+        let for_ms = rng.random_range(LIMIT_LENGTH_MS);
+        let worker = rng.random_range(0..size.workers);
+        let action = Action::LimitWorker(worker, rng.random_range(LIMIT_MILLIS_PER_S));
+        steps.push(Step { at_ms: limit_ms, for_ms, action });
+        limit_ms += rng.random_range(LIMIT_GAP_MS / 2..LIMIT_GAP_MS * 3 / 2);
+    }
     steps.retain(|step| step.at_ms < size.disturbed_ms);
     steps.sort_by_key(|step| step.at_ms);
     steps
--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -156,6 +156,11 @@
         lock(&self.state).reported_pace_percent = reported_pace_percent;
     }
 
+    /// Returns the requests per second that its responses state as the limit for all instances together.
+    pub fn rate_limit_per_s(&self) -> Option<f64> {
+        lock(&self.state).rate_limit_per_s
+    }
+
     /// Sets the requests per second that its responses state as the limit for all instances together.
     pub fn set_rate_limit_per_s(&self, rate_limit_per_s: Option<f64>) {
         lock(&self.state).rate_limit_per_s = rate_limit_per_s;
--- a/bench/tests/soak_checker.rs
+++ b/bench/tests/soak_checker.rs
@@ -5,8 +5,8 @@
     checker::{Bounds, Invariant, check},
     cluster::bounds,
     history::{
-        Arrival, Attempt, AttemptKind, AttemptResult, Disturbance, Drain, History, ProcessRun, RouteLifetime,
-        Scope,
+        Arrival, Attempt, AttemptKind, AttemptResult, Disturbance, Drain, History, ProcessRun,
+        RateLimitPeriod, RouteLifetime, Scope,
     },
     schedule::{SoakSize, generate_schedule},
 };
@@ -21,6 +21,9 @@
     repeat_ratio: 0.2,
     repeat_extra: 5.0,
     repeat_window_ms: 10_000,
+    limit_window_ms: 4_000,
+    limit_ratio: 1.5,
+    limit_extra: 5.0,
 };
 
 fn answered(status: u16) -> AttemptResult {
@@ -324,3 +327,34 @@
         [bounds.settle_ms, bounds.drain_ms, bounds.route_apply_ms, bounds.rollback_ms, bounds.grace_ms];
     assert_eq!(times, [3_000, 2_000, 2_000, 250, 6_000]);
 }
+
+/// Of the requests of the healthy history, i-1 gets four in each second.
+#[test]
+fn a_worker_that_gets_more_than_it_takes_is_found_unless_the_instance_could_not_know() {
+    let limited = |limit_per_s: f64| {
+        let mut history = healthy_history();
+        let worker = "i-1".to_owned();
+        history.rate_limits.push(RateLimitPeriod { worker, limit_per_s, from_ms: 10_000, to_ms: 20_000 });
+        history
+    };
+    // Sixteen requests in 4 s; one and a half times the limit and five more are allowed.
+    assert_eq!(violated(&limited(1.8)), [Invariant::RateLimit]);
+    assert_eq!(violated(&limited(1.9)), []);
+    let mut restarted = limited(1.0);
+    restarted.process_runs[0].exited_ms = Some(11_000);
+    restarted.process_runs[0].term_ms = Some(10_900);
+    for from_ms in [11_500, 14_000, 16_500, 19_000] {
+        let run = ProcessRun { instance: 0, from_ms, term_ms: None, exited_ms: None, is_crash: false };
+        restarted.process_runs.push(run);
+    }
+    assert_eq!(violated(&restarted), []);
+    let mut paused = limited(1.0);
+    add_disturbance(&mut paused, Scope::Instance(0), 12_000, 20_000);
+    assert_eq!(violated(&paused), []);
+    let mut store_down = limited(1.0);
+    add_disturbance(&mut store_down, Scope::Store, 12_000, 20_000);
+    assert_eq!(violated(&store_down), [Invariant::RateLimit], "the store is no excuse");
+    let mut other = limited(1.0);
+    other.rate_limits[0].worker = "i-2".to_owned();
+    assert_eq!(violated(&other), []);
+}
