Apply the manifest's time for a request head

Cause: headerTimeoutS was decoded and used nowhere; the HTTP library's one timer for idle time and head is set to the idle time, five times as long. Change: a wrapper of the caller's stream starts a deadline with the first byte of a head and ends it with the head; idle connections, bodies and responses are not affected.

--- /dev/null
+++ b/src/gateway/head_timeout.rs
@@ -0,0 +1,168 @@
+//! Limits the time that a caller may take for a request head, from its first byte on.
+//!
+//! The HTTP library has one timer for the wait for a head and for its transfer. That timer is set to the time that
+//! a connection may be idle, which is several times as long.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Instant, Sleep, sleep_until},
+};
+
+/// What the server reads from a connection at present.
+#[derive(Debug, Default)]
+enum ReadState {
+    /// Nothing has arrived of the next head.
+    #[default]
+    Idle,
+    /// A head has begun, and must be complete at the deadline. Most heads arrive at once and need no timer.
+    Head { deadline: Instant, timer: Option<Pin<Box<Sleep>>> },
+    /// The head is complete, and the response is not.
+    Request,
+}
+
+/// State of one connection; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct HeadTimer {
+    state: Arc<Mutex<ReadState>>,
+}
+
+impl HeadTimer {
+    /// Records that a head is complete. The next one may begin when the returned guard is dropped.
+    pub fn head_complete(&self) -> RequestGuard {
+        *self.lock() = ReadState::Request;
+        RequestGuard { timer: self.clone() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ReadState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that bytes arrived, or that none did yet. Returns whether the time for the head is over.
+    fn poll_expired(&self, cx: &mut Context<'_>, has_bytes: bool, timeout: Duration) -> bool {
+        let mut state = self.lock();
+        match &mut *state {
+            ReadState::Idle if has_bytes => {
+                *state = ReadState::Head { deadline: Instant::now() + timeout, timer: None };
+                false
+            }
+            ReadState::Head { deadline, .. } if has_bytes => Instant::now() >= *deadline,
+            ReadState::Head { deadline, timer } => {
+                let timer = timer.get_or_insert_with(|| Box::pin(sleep_until(*deadline)));
+                timer.as_mut().poll(cx).is_ready()
+            }
+            ReadState::Idle | ReadState::Request => false,
+        }
+    }
+}
+
+/// A request whose response is not complete yet.
+#[derive(Debug)]
+pub struct RequestGuard {
+    timer: HeadTimer,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        *self.timer.lock() = ReadState::Idle;
+    }
+}
+
+/// A response body that keeps the request's guard until it is sent.
+#[derive(Debug)]
+pub struct GuardedBody<B> {
+    /// Body of the response.
+    pub body: B,
+    /// Guard of the request.
+    pub guard: RequestGuard,
+}
+
+impl<B: Body<Data = Bytes> + Unpin> Body for GuardedBody<B> {
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A caller's connection whose reads fail once a head takes too long.
+#[derive(Debug)]
+pub struct HeadTimeoutStream {
+    stream: TcpStream,
+    timer: HeadTimer,
+    timeout: Duration,
+}
+
+impl HeadTimeoutStream {
+    /// Wraps a stream; a head may take `timeout`.
+    pub fn new(stream: TcpStream, timer: HeadTimer, timeout: Duration) -> Self {
+        Self { stream, timer, timeout }
+    }
+}
+
+impl AsyncRead for HeadTimeoutStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled_before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let has_bytes = buffer.filled().len() > filled_before;
+        if self.timer.poll_expired(cx, has_bytes, self.timeout) {
+            return Poll::Ready(Err(io::Error::new(
+                io::ErrorKind::TimedOut,
+                "the request head took too long",
+            )));
+        }
+        result
+    }
+}
+
+impl AsyncWrite for HeadTimeoutStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -1,4 +1,4 @@
-//! Accepts and serves callers' connections, with size and idle limits, and closes them on shutdown.
+//! Accepts and serves callers' connections, with limits on size and time, and closes them on shutdown.
 
 use std::{convert::Infallible, pin::pin, sync::Arc, time::Duration};
 
@@ -9,7 +9,10 @@
     time::timeout,
 };
 
-use super::{Gateway, call};
+use super::{
+    Gateway, call,
+    head_timeout::{GuardedBody, HeadTimeoutStream, HeadTimer},
+};
 use crate::kernel::Phase;
 
 /// Smallest buffer for a request head that the HTTP library accepts.
@@ -18,6 +21,9 @@
 /// Time for which a connection may be idle while there is no routing table, which otherwise sets it.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time that a request head may take while there is no routing table.
+const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Pause after accepting a connection failed, for example for lack of file descriptors.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -54,10 +60,17 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout))
         .max_buf_size(limits.map_or(MIN_HEAD_BUFFER_BYTES, |l| l.max_head_bytes.max(MIN_HEAD_BUFFER_BYTES)));
+    let timer = HeadTimer::default();
+    let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.head_timeout);
+    let stream = HeadTimeoutStream::new(stream, timer.clone(), head_timeout);
     let shared = Arc::clone(&gateway);
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(call::handle(gateway, request).await) }
+        let guard = timer.head_complete();
+        async move {
+            let response = call::handle(gateway, request).await;
+            Ok::<_, Infallible>(response.map(|body| GuardedBody { body, guard }))
+        }
     });
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let result = tokio::select! {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod follower_places;
+pub mod head_timeout;
 pub mod known_instances;
 pub mod listen;
 pub mod metrics;
