Give a connection up before the idle time that its target states

Cause: the Keep-Alive header of targets was read by nobody; an idle connection was reused for up to 5 s, also after the target had said that it gives it up sooner. Change: a connection is reused only until 0.1 s before the stated timeout, and for 5 s at most as before.

--- a/src/proxy/connection.rs
+++ b/src/proxy/connection.rs
@@ -13,9 +13,10 @@
 };
 
 use hyper::{
-    Request, Response,
+    HeaderMap, Request, Response,
     body::Incoming,
     client::conn::http1::{self, SendRequest},
+    header::HeaderName,
 };
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -35,6 +36,13 @@
 /// Time since the last response after which an idle connection is no longer reused.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time by which a connection is given up before the idle timeout that its target states, since the target counts
+/// from an earlier moment.
+const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(100);
+
+/// Header in which a target states after how many idle seconds it closes a connection, as `timeout=5`.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Time since the last response within which a connection may carry a request that must not be retried.
 const RECENT_USE_LIMIT: Duration = Duration::from_millis(50);
 
@@ -67,7 +75,7 @@
 /// Which connections a request may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReusePolicy {
-    /// A connection that has been idle for less than `IDLE_TIMEOUT`, or a new one.
+    /// A connection that has been idle for less than `IDLE_TIMEOUT` and than its target states, or a new one.
     AnyIdle,
     /// A connection whose last response completed within `RECENT_USE_LIMIT`, which shows that it is alive, or
     /// a new one.
@@ -86,6 +94,13 @@
     }
 }
 
+/// Returns the idle timeout that a response states for its connection, if it does.
+fn stated_idle_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let mut parameters = headers.get(&KEEP_ALIVE)?.to_str().ok()?.split(',');
+    let seconds = parameters.find_map(|parameter| parameter.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
 /// Number of open connections to one target.
 #[derive(Debug, Default)]
 struct OpenConnections {
@@ -133,6 +148,8 @@
     allowance: ReadAllowance,
     /// When its last response was complete; `None` for a new connection.
     last_used: Option<Instant>,
+    /// Time since then after which it is no longer reused.
+    idle_timeout: Duration,
     _driver: DriverTask,
     _permit: ConnectionPermit,
 }
@@ -160,6 +177,9 @@
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.allowance.lift();
+                if let Some(stated) = stated_idle_timeout(response.headers()) {
+                    self.idle_timeout = stated.saturating_sub(IDLE_TIMEOUT_MARGIN).min(IDLE_TIMEOUT);
+                }
                 ExchangeResult::Answered(response)
             }
             Err(mut e) => e.take_message().map_or(ExchangeResult::Lost, ExchangeResult::Unsent),
@@ -184,7 +204,7 @@
     }
 
     fn used_within(&self, limit: Duration) -> bool {
-        self.last_used.is_some_and(|at| at.elapsed() < limit)
+        self.last_used.is_some_and(|at| at.elapsed() < limit.min(self.idle_timeout))
     }
 }
 
@@ -301,5 +321,13 @@
         }
     });
     let driver = DriverTask(task.abort_handle());
-    Some(Connection { sender, target, allowance, last_used: None, _driver: driver, _permit: permit })
+    Some(Connection {
+        sender,
+        target,
+        allowance,
+        last_used: None,
+        idle_timeout: IDLE_TIMEOUT,
+        _driver: driver,
+        _permit: permit,
+    })
 }
--- a/tests/proxy_connections.rs
+++ b/tests/proxy_connections.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use arbutusshelf::proxy::connection::connection_limit;
+use arbutusshelf::proxy::{
+    connection::{Connections, ExchangeResult, ReusePolicy, connection_limit},
+    upload::RequestBody,
+};
 use arbutusshelf_bench::{
     client::Caller,
     http::ConnectionLimits,
@@ -12,7 +15,8 @@
 };
 use bytes::Bytes;
 use futures::future::join_all;
-use hyper::Method;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request};
 
 const DEADLINE_MS: u64 = 2_000;
 
@@ -168,3 +172,34 @@
     assert_eq!((response.status, response.outcome(), response.cause()), (504, "unknown", "answer-timeout"));
     wait_until(|| instance.targets[0].cancelled_count() == 1 && instance.targets[0].in_flight() == 0).await;
 }
+
+/// Guards against a request on a connection that the target has given up without a sign: it states after which idle
+/// time it does.
+#[tokio::test]
+async fn a_connection_is_not_reused_after_the_idle_time_that_the_target_states() {
+    let response = |keep_alive: &'static str| {
+        let bytes = format!("HTTP/1.1 200 OK\r\n{keep_alive}Content-Length: 0\r\n\r\n");
+        ScriptedTarget::start(move |_| ScriptedResponse { bytes: bytes.clone().into(), close: false })
+    };
+    for (keep_alive, is_reused_later) in [("", true), ("Keep-Alive: timeout=1, max=100\r\n", false)] {
+        let target = response(keep_alive).await.expect("loopback has a free port");
+        let connections = Connections::default();
+        let exchange = async || {
+            let checkout = connections.checkout(target.address, 4, ReusePolicy::AnyIdle);
+            let mut connection = checkout.await.expect("a connection");
+            let is_reused = connection.is_reused();
+            let request =
+                Request::get("/x").header("Host", "target").body(RequestBody::Buffered(Full::default()));
+            let ExchangeResult::Answered(answer) = connection.send(request.expect("a request")).await else {
+                panic!("no answer")
+            };
+            answer.into_body().collect().await.expect("a body");
+            connection.release();
+            is_reused
+        };
+        assert!(!exchange().await);
+        assert!(exchange().await, "within the time");
+        tokio::time::sleep(Duration::from_millis(1_050)).await;
+        assert_eq!(exchange().await, is_reused_later, "{keep_alive:?}");
+    }
+}
