Share connections with all instances heard of, also right after a start

Cause: for the first 3 s an instance doesn't use the number of instances, and took 1/32 of the connections that a target accepts; where 117 instances share it, that is 3.6 times what it accepts. Change: until the number is known, the higher of 32 and the number heard of so far counts. It is read before the lock of the service pools is taken.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -381,11 +381,8 @@
         let call = self.call;
         call.end(RequestEnd::Refused(kind));
         let gateway = &call.gateway;
-        let retry_after = gateway.service_pools().retry_after(
-            gateway.now(),
-            &call.service,
-            gateway.instance_count_or_default(),
-        );
+        let (now, instances) = (gateway.now(), gateway.instance_count_or_default());
+        let retry_after = gateway.service_pools().retry_after(now, &call.service, instances);
         error_response(kind, Some(retry_after))
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -268,9 +268,11 @@
         Some(self.instance_count.load(Ordering::Acquire)).filter(|n| *n > 0)
     }
 
-    /// Returns the number of instances that share the targets, or a default until it is known.
+    /// Returns the number of instances that share the targets. Until it is known, returns a default, or the number
+    /// heard of so far if that is higher.
     pub fn instance_count_or_default(&self) -> u32 {
-        self.instance_count().map_or(DEFAULT_INSTANCE_COUNT, |n| u32::try_from(n).unwrap_or(u32::MAX))
+        let counted = self.instance_count().map(|n| u32::try_from(n).unwrap_or(u32::MAX));
+        counted.unwrap_or_else(|| DEFAULT_INSTANCE_COUNT.max(self.estimate_instance_count()))
     }
 
     /// Checks whether this instance is ready, that is, whether the ingress should send callers to it.
--- a/tests/gateway_roster.rs
+++ b/tests/gateway_roster.rs
@@ -5,7 +5,7 @@
 
 use arbutusshelf::{
     collections::HashMap,
-    gateway::{backoff::Backoff, known_instances::KnownInstances, seeds},
+    gateway::{Gateway, backoff::Backoff, config::Config, known_instances::KnownInstances, seeds},
     units::{InstanceId, MonoTime},
 };
 use quickcheck::quickcheck;
@@ -52,6 +52,27 @@
     assert_eq!(known_instances.count(at(650)), 2);
 }
 
+/// Guards against more connections than a target accepts: instances that have just started don't count themselves
+/// yet, and each took the share of one in 32, also where 120 share the target.
+#[test]
+fn an_instance_that_has_just_started_shares_with_all_that_it_has_heard_of() {
+    let settings = serde_json::json!({
+        "instance": "i-0", "data_centre": "ost-a", "callers_address": "127.0.0.1:0",
+        "ready_address": "127.0.0.1:0", "metrics_address": "127.0.0.1:0", "peers_address": "127.0.0.1:0",
+        "place": "stadtwerke", "store_address": "127.0.0.1:1", "grace_s": 6.0, "repeat_ratio": 0.2,
+        "repeat_window_s": 10.0, "repeat_extra": 56.0, "probes_per_target_per_s": 60.0,
+    });
+    let config = Config::parse(settings.to_string().as_bytes()).expect("valid settings");
+    let gateway = Gateway::open(config).expect("a known platform");
+    assert_eq!(gateway.instance_count_or_default(), 32, "nothing is known");
+    gateway.known_instances().record_reported_count(gateway.now(), 13);
+    assert_eq!(gateway.instance_count_or_default(), 32, "others may not have been counted yet");
+    gateway.known_instances().record_reported_count(gateway.now(), 120);
+    assert_eq!(gateway.instance_count_or_default(), 120);
+    gateway.set_instance_count(13);
+    assert_eq!(gateway.instance_count_or_default(), 13);
+}
+
 /// Guards against overloading the network link of one seed when hundreds of instances follow three seeds.
 #[test]
 fn instances_spread_over_the_seeds_and_seeds_follow_earlier_ones() {
