--- a/tests/load_targets_with_a_rate_limit.rs
+++ b/tests/load_targets_with_a_rate_limit.rs
@@ -295,3 +295,118 @@
     assert_eq!(first, Duration::from_millis(500));
     assert_eq!(second, Duration::from_secs(1));
 }
+
+/// Result of an emulation.
+#[derive(Debug, Default)]
+struct Outcome {
+    calls: usize,
+    served: usize,
+    refused: usize,
+    /// Longest time until a call was refused, in milliseconds.
+    longest_refusal_ms: u64,
+    /// Requests to each limited target, by the time at which they were sent in milliseconds.
+    sent_to_limited: Vec<Vec<u64>>,
+}
+
+/// Emulates 13 instances that share 14 targets of three slots, of which the first `limited` take one request per
+/// second. `calls_per_s` calls arrive, each takes 100 ms at a target, and gives up after 300 ms.
+fn emulate(limited: usize, calls_per_s: u64) -> Outcome {
+    const INSTANCES: usize = 13;
+    const TARGETS: usize = 14;
+    const STEP_MS: u64 = 5;
+    let names = (0..TARGETS).map(|number| format!("t{number}")).collect::<Vec<_>>();
+    let mut pools = (0..INSTANCES)
+        .map(|instance| {
+            let mut pool = pool(&names.iter().map(|name| (name.as_str(), None)).collect::<Vec<_>>(), at(0));
+            pool.set_instances(at(0), Some(INSTANCES as u64));
+            for (target, name) in names.iter().take(limited).enumerate() {
+                let phase = Some((instance as f64 / INSTANCES as f64 + target as f64 * 0.37).fract());
+                let limit = RateLimitStatement { target: id(name), ..statement(Some(1.0), 1, phase) };
+                pool.merge_rate_limit(at(0), &limit, 1);
+            }
+            pool
+        })
+        .collect::<Vec<_>>();
+    // Ends of the requests that each target processes, and the instances that sent them.
+    let mut running = vec![Vec::<(u64, usize)>::new(); TARGETS];
+    // Arrival, instance and probe rounds of the calls that wait.
+    let mut waiting = Vec::<(u64, usize, u32)>::new();
+    let mut outcome = Outcome { sent_to_limited: vec![Vec::new(); limited], ..Outcome::default() };
+    for ms in (STEP_MS..30_000).step_by(STEP_MS as usize) {
+        for (target, requests) in running.iter_mut().enumerate() {
+            for (_, instance) in requests.extract_if(.., |(ends_ms, _)| *ends_ms <= ms) {
+                pools[instance].record_end(at(ms), &id(&names[target]), HealthSignal::Answered);
+            }
+        }
+        let arrived = (ms * calls_per_s / 1_000) as usize;
+        while outcome.calls < arrived {
+            waiting.push((ms, outcome.calls * 5 % INSTANCES, 0));
+            outcome.calls += 1;
+        }
+        let mut ahead = [0; INSTANCES];
+        for (arrived_ms, instance, probe_rounds) in std::mem::take(&mut waiting) {
+            let give_up_ms = arrived_ms + 300;
+            let stage = if ms < give_up_ms { WaitStage::FastSlot } else { WaitStage::Expired };
+            let calls_ahead = ahead[instance];
+            let give_up_at = at(give_up_ms);
+            let request = ChoiceRequest { probe_rounds, stage, calls_ahead, give_up_at, ..FIRST_CHOICE };
+            match pools[instance].choose_target(at(ms), &request) {
+                Choice::Send(listing) => {
+                    let target =
+                        names.iter().position(|name| *name == listing.id.as_str()).expect("it exists");
+                    running[target].push((ms + 100, instance));
+                    outcome.served += 1;
+                    if let Some(sent) = outcome.sent_to_limited.get_mut(target) {
+                        sent.push(ms);
+                    }
+                }
+                Choice::NoTarget => {
+                    outcome.refused += 1;
+                    outcome.longest_refusal_ms = outcome.longest_refusal_ms.max(ms - arrived_ms);
+                }
+                Choice::Wait(_) => {
+                    ahead[instance] += 1;
+                    waiting.push((arrived_ms, instance, probe_rounds));
+                }
+                Choice::Probe(listings) => {
+                    for listing in listings {
+                        let target = names.iter().position(|name| *name == listing.id.as_str());
+                        let held = running[target.expect("it exists")].len() as u32;
+                        let Some(marker) = pools[instance].start_probe(&listing.id) else { continue };
+                        pools[instance].finish_probe(at(ms), &listing.id, marker, Some(reading(held, 1.0)));
+                    }
+                    ahead[instance] += 1;
+                    waiting.push((arrived_ms, instance, probe_rounds + 1));
+                }
+            }
+        }
+    }
+    outcome
+}
+
+/// The work of limited targets goes to the others while these have room.
+#[test]
+fn other_targets_take_the_work_of_limited_ones() {
+    for limited in [0, 2, 6] {
+        let outcome = emulate(limited, 100);
+        assert!(outcome.refused * 100 <= outcome.calls, "{limited}: {outcome:?}");
+        for sent_ms in &outcome.sent_to_limited {
+            // One and a half times one request per second, and five more.
+            assert!(most_in_a_window(sent_ms) <= 11, "{limited}: {sent_ms:?}");
+        }
+    }
+}
+
+/// Where all targets are limited, the service works at the rate of the limits, and refuses the rest at once.
+#[test]
+fn a_service_of_limited_targets_works_at_the_rate_of_the_limits() {
+    let outcome = emulate(14, 100);
+    let wanted = 14 * 30;
+    assert!((wanted * 8 / 10..=wanted + 14).contains(&outcome.served), "{outcome:?}");
+    assert!(outcome.served + outcome.refused + 50 >= outcome.calls, "{outcome:?}");
+    // A call waits only for a permit that comes in time.
+    assert!(outcome.longest_refusal_ms <= 300, "{outcome:?}");
+    for sent_ms in &outcome.sent_to_limited {
+        assert!(most_in_a_window(sent_ms) <= 11, "{sent_ms:?}");
+    }
+}
