Keep the rate limit of a target whose entry lapses and comes back

Cause: an entry may lapse in an outage of the store although its target lives; when it came back, the target counted as new and without a limit at every instance, until its next response. Found by reading. Change: the limit of a removed target is kept for two minutes, by name and start time of its process. Result: a_limit_outlasts_a_lapse_of_the_targets_entry_but_not_its_process failed before and passes; the 16 tests of its module and gateway_decisions pass.

--- a/src/decide/probed_pool.rs
+++ b/src/decide/probed_pool.rs
@@ -17,6 +17,7 @@
     hedge::OVERDUE_RATIO,
     probe_budget::ProbeBudget,
     probed_target::{FRESH_AGE, HealthSignal, LoadReading, ProbedTarget},
+    rate_limit::LapsedRateLimits,
     wait_stage::WaitStage,
 };
 use crate::{
@@ -90,6 +91,7 @@
     probe_budget: ProbeBudget,
     /// Number of instances that share the targets' rate limits; `None` while unknown.
     instances: Option<u64>,
+    lapsed_rate_limits: LapsedRateLimits,
     rng: SmallRng,
 }
 
@@ -103,6 +105,7 @@
             short_of_slots_at: None,
             probe_budget: ProbeBudget::default(),
             instances: None,
+            lapsed_rate_limits: LapsedRateLimits::default(),
             rng,
         }
     }
@@ -132,6 +135,10 @@
                 let is_near = listing.data_centre == self.data_centre;
                 let mut target = ProbedTarget::new(listing.clone(), is_near, self.rng.random());
                 target.cold_until = now + listing.warm_up;
+                if let Some(rate_limit) = self.lapsed_rate_limits.take(listing) {
+                    target.rate_limit = rate_limit;
+                    target.rate_limit.set_instances(now, self.instances);
+                }
                 self.targets.insert(listing.id.clone(), target);
             }
             DirectoryChange::Updated(listing) => {
@@ -143,7 +150,9 @@
                 }
             }
             DirectoryChange::Removed(id) => {
-                self.targets.remove(id);
+                if let Some(removed) = self.targets.remove(id) {
+                    self.lapsed_rate_limits.keep(now, &removed.listing, removed.rate_limit);
+                }
             }
         }
     }
--- a/src/decide/rate_limit.rs
+++ b/src/decide/rate_limit.rs
@@ -3,13 +3,21 @@
 //! An instance hears of a limit by its own responses and by other instances, and each keeps to its share. A
 //! limit lasts until a later response has none.
 
-use super::rate_share::RateShare;
-use crate::units::{MonoTime, PerSecond, TargetId};
+use std::time::Duration;
+
+use super::{directory::Listing, rate_share::RateShare};
+use crate::{
+    collections::HashMap,
+    units::{MonoTime, PerSecond, TargetId},
+};
 
 /// Lowest rate at which a target gets requests from all instances together. Only a response tells that a limit
 /// has ended, so a target whose limit is zero must get one now and then.
 const MIN_RATE_PER_S: f64 = 0.1;
 
+/// Time for which the limit of a removed target is kept. The entry of a live target may lapse and come back.
+const LAPSED_RETENTION: Duration = Duration::from_mins(2);
+
 /// What an instance knows of a target's limit, as passed on between instances.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RateLimitStatement {
@@ -167,3 +175,26 @@
     let share = |instances: u64| f64::from(limit).max(MIN_RATE_PER_S) / instances.max(1) as f64;
     PerSecond::from(instances.map_or(0.0, share))
 }
+
+/// Limits of targets that were removed from the directory and may come back.
+#[derive(Debug, Default)]
+pub(super) struct LapsedRateLimits {
+    /// Limit and time of the removal, by name and start time of the target's process.
+    limits: HashMap<(TargetId, Option<u64>), (TargetRateLimit, MonoTime)>,
+}
+
+impl LapsedRateLimits {
+    /// Keeps the limit of a removed target, if it has one.
+    pub(super) fn keep(&mut self, now: MonoTime, listing: &Listing, rate_limit: TargetRateLimit) {
+        self.limits.retain(|_, (_, removed_at)| now.since(*removed_at) < LAPSED_RETENTION);
+        if rate_limit.limit().is_some() {
+            self.limits.insert((listing.id.clone(), listing.started_unix_ms), (rate_limit, now));
+        }
+    }
+
+    /// Returns the limit of a target that has come back, if one was kept.
+    pub(super) fn take(&mut self, listing: &Listing) -> Option<TargetRateLimit> {
+        let (rate_limit, _) = self.limits.remove(&(listing.id.clone(), listing.started_unix_ms))?;
+        Some(rate_limit)
+    }
+}
--- a/tests/load_targets_with_a_rate_limit.rs
+++ b/tests/load_targets_with_a_rate_limit.rs
@@ -6,6 +6,7 @@
 
 use arbutusshelf::{
     decide::{
+        directory::{DirectoryChange, Listing},
         probed_pool::{Choice, ChoiceRequest, ProbedPool},
         probed_target::HealthSignal,
         rate_limit::RateLimitStatement,
@@ -15,7 +16,7 @@
     },
     units::PerSecond,
 };
-use pool_env::{FIRST_CHOICE, at, id, pool, reading, sent_to};
+use pool_env::{FIRST_CHOICE, at, id, listing, pool, reading, sent_to};
 use quickcheck::quickcheck;
 
 /// Window in which the users count the requests to such a target, in milliseconds.
@@ -410,3 +411,18 @@
         assert!(most_in_a_window(sent_ms) <= 11, "{sent_ms:?}");
     }
 }
+
+/// The entry of a live target may lapse in an outage of the store and come back.
+#[test]
+fn a_limit_outlasts_a_lapse_of_the_targets_entry_but_not_its_process() {
+    let mut pool = limited_pool(&["limited"], 1.0, 1);
+    let lapse = |pool: &mut ProbedPool, from_ms: u64, returned: &Listing| {
+        pool.apply_change(at(from_ms), &DirectoryChange::Removed(id("limited")));
+        pool.apply_change(at(from_ms + 2_000), &DirectoryChange::Added(returned.clone()));
+        pool.rate_limit(&id("limited"))
+    };
+    let same_run = listing("limited");
+    assert_eq!(lapse(&mut pool, 1_000, &same_run), Some(per_s(1.0)));
+    let other_run = Listing { started_unix_ms: Some(2), ..listing("limited") };
+    assert_eq!(lapse(&mut pool, 5_000, &other_run), None);
+}
