Let the soak's workers send bytes without end, and bound the memory of its processes

Change: about every 7 s a further worker registers that sends a head or a body without end (11 kinds) for 0.3 to 3.5 s and then drains; the memory of all processes is looked at every 20 ms, and more than 160 MB is a finding. Steps that are drawn apart from the others share one function. The checker's test forges a process beyond its memory.

--- a/bench/src/endless.rs
+++ b/bench/src/endless.rs
@@ -43,6 +43,23 @@
     ProbeBody,
 }
 
+impl EndlessPart {
+    /// All values.
+    pub const ALL: [Self; 11] = [
+        Self::HeaderLines,
+        Self::HeaderLine,
+        Self::InterimResponses,
+        Self::Noise,
+        Self::SlowHead,
+        Self::ChunkedBody,
+        Self::UnframedBody,
+        Self::SlowBody,
+        Self::FailureBody,
+        Self::RefusalBody,
+        Self::ProbeBody,
+    ];
+}
+
 /// Pause between two parts of a slow response.
 const DRIP_PAUSE: Duration = Duration::from_millis(20);
 
--- a/bench/src/soak/checker.rs
+++ b/bench/src/soak/checker.rs
@@ -34,6 +34,8 @@
     pub limit_ratio: f64,
     /// Requests allowed in that window besides.
     pub limit_extra: f64,
+    /// Memory that a process may use.
+    pub memory_bytes: u64,
 }
 
 /// Time that a response or a cancellation may exceed its limit by, and by which the exit of a killed
@@ -89,6 +91,9 @@
     /// An instance exits within [`Bounds::grace_ms`] of SIGTERM.
     #[display("Leave")]
     LeavesInTime,
+    /// Processes stay within their memory.
+    #[display("Memory")]
+    MemoryBounded,
     /// No process exits without a signal.
     #[display("Crash")]
     NoCrash,
@@ -484,6 +489,10 @@
             if process_run.is_crash {
                 report(findings, Invariant::NoCrash, format!("instance {instance} exited without a signal"));
             }
+            if process_run.peak_resident_bytes > self.bounds.memory_bytes {
+                let detail = format!("instance {instance} used {} bytes", process_run.peak_resident_bytes);
+                report(findings, Invariant::MemoryBounded, detail);
+            }
             let Some(term_ms) = process_run.term_ms else { continue };
             // A process that is paused meanwhile can't exit in time.
             let is_disturbed = self.history.disturbances.iter().any(|d| {
--- a/bench/src/soak/cluster.rs
+++ b/bench/src/soak/cluster.rs
@@ -22,6 +22,7 @@
 use crate::{
     client::Caller,
     deployment::ANY_PORT,
+    endless::{EndlessPart, EndlessTarget},
     relay::{LinkFault, Relay},
     rows::{RowStoreFault, RowStoreStandIn},
     worker::{WorkerMode, WorkerRequest, WorkerStandIn},
@@ -45,6 +46,9 @@
 /// Time between two checks of a process or of readiness.
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 
+/// Memory of the smallest instances on the users' platform, in bytes.
+const SMALLEST_MEMORY_BYTES: u64 = 160_000_000;
+
 /// Time between the exit of an instance and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(400);
 
@@ -77,6 +81,7 @@
         limit_window_ms: 4_000,
         limit_ratio: 1.5,
         limit_extra: 5.0,
+        memory_bytes: SMALLEST_MEMORY_BYTES,
     }
 }
 
@@ -227,8 +232,14 @@
         let instance = &mut state.instances[number];
         instance.launch.settings["first_start"] = json!(is_first);
         instance.process = Some(Process::start(&instance.launch)?);
-        let process_run =
-            ProcessRun { instance: number, from_ms, term_ms: None, exited_ms: None, is_crash: false };
+        let process_run = ProcessRun {
+            instance: number,
+            from_ms,
+            term_ms: None,
+            exited_ms: None,
+            is_crash: false,
+            peak_resident_bytes: 0,
+        };
         state.history.process_runs.push(process_run);
         Ok(())
     }
@@ -323,6 +334,7 @@
             Action::LimitWorker(number, millis_per_s) => {
                 self.limit_worker(number, f64::from(millis_per_s) / 1_000.0, length).await;
             }
+            Action::EndlessWorker(part) => self.add_endless_worker(part, length).await?,
             Action::Drain(number) => self.drain(number).await?,
         }
         Ok(())
@@ -407,6 +419,22 @@
         state.history.rate_limits.push(RateLimitPeriod { worker: id, limit_per_s, from_ms, to_ms });
     }
 
+    /// Adds a worker that sends bytes without end, for a time. What it gets is not recorded.
+    async fn add_endless_worker(&self, part: EndlessPart, length: Duration) -> Result<()> {
+        let id = {
+            let mut state = self.lock();
+            state.next_number += 1;
+            format!("endless-{}", state.next_number)
+        };
+        let worker = EndlessTarget::start(&id, part).await.map_err(|e| unavailable(&e))?;
+        self.store.put_json("servers", &id, &server_row(worker.address, "ready"));
+        tokio::time::sleep(length).await;
+        self.store.put_json("servers", &id, &server_row(worker.address, "draining"));
+        tokio::time::sleep(DRAINED_SERVE_TIME).await;
+        self.store.remove("servers", &id);
+        Ok(())
+    }
+
     fn signal(&self, number: usize, signal: Signal) {
         if let Some(process) = &mut self.lock().instances[number].process {
             process.signal(signal);
@@ -454,7 +482,7 @@
         }
     }
 
-    /// Restarts processes that exited without a signal, and records them as crashes; never returns without an
+    /// Restarts processes that exited without a signal, and records them as crashes, and the memory of all; never returns without an
     /// error.
     ///
     /// # Errors
@@ -471,11 +499,22 @@
                     self.record_exit(number, true);
                     self.start_instance(number, false)?;
                 }
+                self.record_memory(number);
             }
             tokio::time::sleep(POLL_PERIOD).await;
         }
     }
 
+    /// Records the memory that an instance uses if it is more than before.
+    fn record_memory(&self, number: usize) {
+        let mut state = self.lock();
+        let process = state.instances[number].process.as_ref();
+        let Some(bytes) = process.and_then(Process::resident_bytes) else { return };
+        if let Some(process_run) = state.history.process_runs.iter_mut().rfind(|r| r.instance == number) {
+            process_run.peak_resident_bytes = process_run.peak_resident_bytes.max(bytes);
+        }
+    }
+
     /// Replaces a worker, marks it as draining, removes it later, and then starts another worker at its
     /// address.
     async fn drain(&self, number: usize) -> Result<()> {
--- a/bench/src/soak/history.rs
+++ b/bench/src/soak/history.rs
@@ -139,6 +139,8 @@
     pub exited_ms: Option<u64>,
     /// Whether it exited without a signal from the soak.
     pub is_crash: bool,
+    /// Most memory that it was seen to use.
+    pub peak_resident_bytes: u64,
 }
 
 /// Everything that was observed during a soak.
--- a/bench/src/soak/instance.rs
+++ b/bench/src/soak/instance.rs
@@ -85,6 +85,14 @@
         }
     }
 
+    /// Returns the memory that the process uses; `None` if it has exited.
+    pub fn resident_bytes(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kib = line.trim().strip_suffix("kB")?.trim().parse::<u64>().ok()?;
+        Some(kib << 10)
+    }
+
     /// Returns whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -88,9 +88,10 @@
     let lost = history.attempts.iter().filter(|a| matches!(a.result, AttemptResult::NoResponse(_))).count();
     let (drains, routes, limits) = (history.drains.len(), history.routes.len(), history.rate_limits.len());
     let stops = history.process_runs.iter().filter(|r| r.exited_ms.is_some()).count();
+    let peak_mb = history.process_runs.iter().map(|r| r.peak_resident_bytes).max().unwrap_or(0) / 1_000_000;
     format!(
         "seed={seed} findings={} requests={} served={} refused={} unknown={} lost={lost} disturbances={} stops={stops} \
-         drains={drains} routes={routes} limits={limits}",
+         drains={drains} routes={routes} limits={limits} peak_mb={peak_mb}",
         findings.len(),
         history.attempts.len(),
         answered(|s| s == 200),
--- a/bench/src/soak/schedule.rs
+++ b/bench/src/soak/schedule.rs
@@ -3,7 +3,7 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::{relay::LinkFault, rows::RowStoreFault, worker::WorkerMode};
+use crate::{endless::EndlessPart, relay::LinkFault, rows::RowStoreFault, worker::WorkerMode};
 
 /// An operator action or an injected fault. Instances and workers are given by number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +36,8 @@
     SlowWorker(usize),
     /// Makes a worker state a rate limit, in thousandths of a request per second from all instances together.
     LimitWorker(usize, u32),
+    /// Adds a worker that sends bytes without end, and removes it.
+    EndlessWorker(EndlessPart),
     /// Drains a worker and removes it; another worker reuses its address.
     Drain(usize),
     /// Adds a route.
@@ -81,8 +83,7 @@
 /// Mean time between two restores of the store from a copy, in milliseconds.
 const RESTORE_GAP_MS: u64 = 8_000;
 
-/// Number that is mixed into the seed of the restores. They are drawn separately, so that the other steps of a
-/// seed stay as they were before there were restores.
+/// Number that is mixed into the seed of the restores.
 const RESTORE_SEED: u64 = 0x5e57_03e0;
 
 /// Mean time between two rate limits of workers, in milliseconds.
@@ -95,9 +96,15 @@
 /// Range of rate limits, in thousandths of a request per second.
 const LIMIT_MILLIS_PER_S: std::ops::Range<u32> = 0..6_000;
 
-/// Number that is mixed into the seed of the rate limits, for the same reason as [`RESTORE_SEED`].
+/// Number that is mixed into the seed of the rate limits.
 const LIMIT_SEED: u64 = 0x6c69_6d69;
 
+/// Mean time between two workers that send bytes without end, in milliseconds.
+const ENDLESS_GAP_MS: u64 = 7_000;
+
+/// Number that is mixed into the seed of those workers.
+const ENDLESS_SEED: u64 = 0xe4d1_e550;
+
 /// Generates the schedule of a seed, sorted by start.
 pub fn generate_schedule(seed: u64, size: &SoakSize) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -120,27 +127,41 @@
         }
         series_start_ms += rng.random_range(SERIES_GAP_MS / 2..SERIES_GAP_MS * 3 / 2);
     }
-    let mut rng = SmallRng::seed_from_u64(seed ^ RESTORE_SEED);
-    let mut restore_ms = rng.random_range(0..RESTORE_GAP_MS);
-    while restore_ms < size.disturbed_ms {
-        let for_ms = rng.random_range(STEP_LENGTH_MS);
-        steps.push(Step { at_ms: restore_ms, for_ms, action: Action::RestoreStore });
-        restore_ms += rng.random_range(RESTORE_GAP_MS / 2..RESTORE_GAP_MS * 3 / 2);
-    }
-    let mut rng = SmallRng::seed_from_u64(seed ^ LIMIT_SEED);
-    let mut limit_ms = rng.random_range(0..LIMIT_GAP_MS);
-    while limit_ms < size.disturbed_ms {
-        let for_ms = rng.random_range(LIMIT_LENGTH_MS);
+    steps.extend(regular_steps(seed ^ RESTORE_SEED, RESTORE_GAP_MS, STEP_LENGTH_MS, size, |_| {
+        Action::RestoreStore
+    }));
+    steps.extend(regular_steps(seed ^ LIMIT_SEED, LIMIT_GAP_MS, LIMIT_LENGTH_MS, size, |rng| {
         let worker = rng.random_range(0..size.workers);
-        let action = Action::LimitWorker(worker, rng.random_range(LIMIT_MILLIS_PER_S));
-        steps.push(Step { at_ms: limit_ms, for_ms, action });
-        limit_ms += rng.random_range(LIMIT_GAP_MS / 2..LIMIT_GAP_MS * 3 / 2);
-    }
+        Action::LimitWorker(worker, rng.random_range(LIMIT_MILLIS_PER_S))
+    }));
+    steps.extend(regular_steps(seed ^ ENDLESS_SEED, ENDLESS_GAP_MS, STEP_LENGTH_MS, size, |rng| {
+        Action::EndlessWorker(EndlessPart::ALL[rng.random_range(0..EndlessPart::ALL.len())])
+    }));
     steps.retain(|step| step.at_ms < size.disturbed_ms);
     steps.sort_by_key(|step| step.at_ms);
     steps
 }
 
+/// Generates steps of one kind at random distances, with a generator of their own, so that the other steps of a seed
+/// don't depend on them.
+fn regular_steps(
+    seed: u64,
+    mean_gap_ms: u64,
+    length_ms: std::ops::Range<u64>,
+    size: &SoakSize,
+    mut action: impl FnMut(&mut SmallRng) -> Action,
+) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    let mut at_ms = rng.random_range(0..mean_gap_ms);
+    while at_ms < size.disturbed_ms {
+        let for_ms = rng.random_range(length_ms.clone());
+        steps.push(Step { at_ms, for_ms, action: action(&mut rng) });
+        at_ms += rng.random_range(mean_gap_ms / 2..mean_gap_ms * 3 / 2);
+    }
+    steps
+}
+
 /// Returns the action applied to the instance or worker that is `number` places after that of `action`.
 fn for_next_in_series(action: Action, number: u64, size: &SoakSize) -> Action {
     let next = |i: usize| (i + number as usize) % size.instances;
--- a/bench/tests/soak_checker.rs
+++ b/bench/tests/soak_checker.rs
@@ -24,6 +24,7 @@
     limit_window_ms: 4_000,
     limit_ratio: 1.5,
     limit_extra: 5.0,
+    memory_bytes: 160_000_000,
 };
 
 fn answered(status: u16) -> AttemptResult {
@@ -76,6 +77,7 @@
         term_ms: None,
         exited_ms: None,
         is_crash: false,
+        peak_resident_bytes: 0,
     });
     history
 }
@@ -204,6 +206,7 @@
         term_ms: None,
         exited_ms: None,
         is_crash: false,
+        peak_resident_bytes: 0,
     });
     assert_eq!(violated(&restarted), []);
 }
@@ -284,13 +287,15 @@
 fn an_instance_that_does_not_leave_or_ends_by_itself_is_found() {
     let ended = |term_ms, exited_ms, is_crash| {
         let mut history = healthy_history();
-        history.process_runs[0] = ProcessRun { instance: 0, from_ms: 0, term_ms, exited_ms, is_crash };
+        history.process_runs[0] =
+            ProcessRun { instance: 0, from_ms: 0, term_ms, exited_ms, is_crash, peak_resident_bytes: 0 };
         history.process_runs.push(ProcessRun {
             instance: 0,
             from_ms: 30_000,
             term_ms: None,
             exited_ms: None,
             is_crash: false,
+            peak_resident_bytes: 0,
         });
         violated(&history)
     };
@@ -344,7 +349,14 @@
     restarted.process_runs[0].exited_ms = Some(11_000);
     restarted.process_runs[0].term_ms = Some(10_900);
     for from_ms in [11_500, 14_000, 16_500, 19_000] {
-        let run = ProcessRun { instance: 0, from_ms, term_ms: None, exited_ms: None, is_crash: false };
+        let run = ProcessRun {
+            instance: 0,
+            from_ms,
+            term_ms: None,
+            exited_ms: None,
+            is_crash: false,
+            peak_resident_bytes: 0,
+        };
         restarted.process_runs.push(run);
     }
     assert_eq!(violated(&restarted), []);
@@ -358,3 +370,12 @@
     other.rate_limits[0].worker = "i-2".to_owned();
     assert_eq!(violated(&other), []);
 }
+
+#[test]
+fn a_process_that_uses_more_memory_than_its_machine_has_is_found() {
+    let mut history = healthy_history();
+    history.process_runs[0].peak_resident_bytes = BOUNDS.memory_bytes;
+    assert_eq!(violated(&history), []);
+    history.process_runs[0].peak_resident_bytes += 1;
+    assert_eq!(violated(&history), [Invariant::MemoryBounded]);
+}
--- a/tests/gateway_endless_answers.rs
+++ b/tests/gateway_endless_answers.rs
@@ -21,20 +21,6 @@
 /// response.
 const MAX_GROWTH_BYTES: u64 = 4 * (256 << 10);
 
-const ALL_PARTS: [EndlessPart; 11] = [
-    EndlessPart::HeaderLines,
-    EndlessPart::HeaderLine,
-    EndlessPart::InterimResponses,
-    EndlessPart::Noise,
-    EndlessPart::SlowHead,
-    EndlessPart::ChunkedBody,
-    EndlessPart::UnframedBody,
-    EndlessPart::SlowBody,
-    EndlessPart::FailureBody,
-    EndlessPart::RefusalBody,
-    EndlessPart::ProbeBody,
-];
-
 async fn resident_bytes(deployment: &TestDeployment, gateway: &GatewayProcess) -> u64 {
     let page = deployment.caller.get(gateway.metrics, "/metrics").await.expect("the metrics");
     let text = String::from_utf8(page.body.to_vec()).expect("text");
@@ -58,7 +44,7 @@
 
 #[tokio::test]
 async fn a_caller_is_told_in_time_and_the_connection_is_closed() {
-    for part in ALL_PARTS {
+    for part in EndlessPart::ALL {
         let deployment = TestDeployment::start().await;
         let target = endless_target(&deployment, "i-1", part).await;
         let gateway = deployment.gateway("one", &json!({})).await;
@@ -99,7 +85,7 @@
 #[tokio::test]
 async fn another_target_answers_what_may_be_repeated() {
     // A success whose body goes on beyond what is buffered has been passed on in part and can't be repeated.
-    let repeatable = ALL_PARTS.into_iter().filter(|part| {
+    let repeatable = EndlessPart::ALL.into_iter().filter(|part| {
         !matches!(part, EndlessPart::ChunkedBody | EndlessPart::UnframedBody | EndlessPart::FailureBody)
     });
     for part in repeatable {
