Test routes with a bad specification, and all types of frames

Change: the route is written and its fault expected with its version; all types are cut, mutated and decoded, and a new type doesn't compile without a sample.

--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -67,6 +67,12 @@
         .wait_until("the fault is logged", || async { gateway.logged(&["event=routing-fault", "bad"]) })
         .await;
     bad["spec"] = json!("not a route");
+    deployment.put_routes(&[bad, route("good", "/good/", "idempotent", "plan", 2_000)]);
+    deployment
+        .wait_until("the fault of the later version is logged", || async {
+            gateway.logged(&["event=routing-fault", "version=00000009", "bad", "not a route"])
+        })
+        .await;
     deployment.store.put_bytes("op", "config", b"{\"version\": ");
     deployment
         .wait_until("the fault is logged", || async { gateway.logged(&["event=routing-unreadable"]) })
--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -3,8 +3,10 @@
 use arbutusshelf::{
     peer::frame::{
         Decoder, DrainNotice, Frame, FrameError, Heartbeat, Hello, LoadCount, Loads, MAX_SMALL_FRAME_BYTES,
-        PROTOCOL_VERSION, RateLimitEntry, encode, encode_raw,
+        PROTOCOL_VERSION, RateLimitEntry, StoreRow, StoreRows, StoreState, StoreSubscription, encode,
+        encode_raw,
     },
+    store_position::StoreEra,
     units::RunId,
 };
 use bytes::Bytes;
@@ -29,6 +31,33 @@
         Frame::Plan(Bytes::from_static(b"{}")),
         Frame::Loads(Loads { plan_version: 7.into(), sent_at_us: 1 << 40, counts }),
         Frame::DrainNotice(DrainNotice { target: "a-01".parse().expect("a name"), after_return_unix_s: 5 }),
+        Frame::StoreSubscription(StoreSubscription {
+            protocol_version: PROTOCOL_VERSION,
+            instance: "kremsau-02".parse().expect("a name"),
+            routing: Some(7),
+            targets: None,
+            wants_rows: true,
+            instances: vec!["kremsau-02".parse().expect("a name")],
+        }),
+        Frame::KnownInstances(vec!["kremsau-01".parse().expect("a name")]),
+        Frame::StoreState(StoreState {
+            confirmed_age_ms: Some(40),
+            is_store_lost: true,
+            distance: 1,
+            instances: 13,
+        }),
+        Frame::StoreRows(StoreRows {
+            of_targets: true,
+            is_all: false,
+            version: 9,
+            must_read: false,
+            rows: vec![
+                StoreRow { key: "a-01".to_owned(), version: 9, value: Some(Bytes::from_static(b"{}")) },
+                StoreRow { key: "a-02".to_owned(), version: 8, value: None },
+            ],
+        }),
+        Frame::StoreEra(StoreEra::from(3)),
+        Frame::StoreAnsweredFor(1_200),
         Frame::RateLimits(vec![RateLimitEntry {
             target: "a-01".parse().expect("a name"),
             started_unix_ms: Some(1_780_000_000_000),
@@ -60,6 +89,29 @@
     }
 }
 
+/// A new type of frame must be added to the samples, too; the match fails to compile without it.
+#[test]
+fn the_samples_have_each_type_of_frame() {
+    let number = |frame: &Frame| match frame {
+        Frame::Hello(_) => 0,
+        Frame::Heartbeat(_) => 1,
+        Frame::PlanRequest(_) => 2,
+        Frame::Plan(_) => 3,
+        Frame::Loads(_) => 4,
+        Frame::DrainNotice(_) => 5,
+        Frame::StoreSubscription(_) => 6,
+        Frame::KnownInstances(_) => 7,
+        Frame::StoreState(_) => 8,
+        Frame::StoreRows(_) => 9,
+        Frame::StoreEra(_) => 10,
+        Frame::StoreAnsweredFor(_) => 11,
+        Frame::RateLimits(_) => 12,
+    };
+    let mut numbers = sample_frames().iter().map(number).collect::<Vec<_>>();
+    numbers.dedup();
+    assert_eq!(numbers, (0..=12).collect::<Vec<_>>());
+}
+
 #[test]
 fn unknown_frames_are_skipped() {
     let mut decoder = Decoder::default();
