--- a/src/gateway/replication_server.rs
+++ b/src/gateway/replication_server.rs
@@ -44,7 +44,7 @@
 /// Largest update of a table, in bytes of its values, that is sent to followers. Sending this much to a
 /// hundred followers over a network link of 10 Mbit/s takes 20 s. For a larger update, each follower reads
 /// the table from the store.
-const MAX_UPDATE_BYTES: usize = 256 << 10;
+pub const MAX_UPDATE_BYTES: usize = 256 << 10;
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(300);
