--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod deployment;
 pub mod endless;
+pub mod endless_cost;
 pub mod experiment;
 pub mod fault_run;
 pub mod flood;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,8 +4,9 @@
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
 use arbutusshelf_bench::{
-    allocations::CountingAllocator, claim_load, control, experiment, fault_run, flood, latency, observe_cost,
-    plan_size, platform::PlatformStandIn, pool_cost, soak, store_outage, target::TargetStandIn, tour,
+    allocations::CountingAllocator, claim_load, control, endless_cost, experiment, fault_run, flood, latency,
+    observe_cost, plan_size, platform::PlatformStandIn, pool_cost, soak, store_outage, target::TargetStandIn,
+    tour,
 };
 use argh::FromArgs;
 
@@ -32,6 +33,7 @@
     ObserveCost(observe_cost::Args),
     Flood(flood::Args),
     Latency(latency::Args),
+    EndlessCost(endless_cost::Args),
     Platform(Platform),
     Target(Target),
     Replay(experiment::ReplayCommand),
@@ -136,6 +138,10 @@
             latency::run(&args).await?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::EndlessCost(args) => {
+            endless_cost::run(&args).await?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Platform(args) => {
             let stand_in =
                 PlatformStandIn::start(args.listen, args.seed).await.map_err(|e| unavailable(&e))?;
