Send unchanged rate limits to the followed instance every 10 s only

Cause: a follower sent all limits to its seed every 2 s; only the way down needs that, for the phases of permits. With 165 followers and 50 limited targets, a seed would have got 150 KB/s for nothing (worked out from 36 bytes a target).

--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -17,9 +17,12 @@
     units::{MonoTime, PerSecond, TargetId},
 };
 
-/// Time after which all limits are sent again: for receivers that did not know a target yet, and to keep the
+/// Time after which all limits are sent to a follower again: for one that did not know a target yet, and to keep the
 /// phases of permits together.
-const RESEND_PERIOD: Duration = Duration::from_secs(2);
+const FOLLOWER_RESEND_PERIOD: Duration = Duration::from_secs(2);
+
+/// Time after which all limits are sent to the followed instance again. It assigns phases and needs none.
+const UPSTREAM_RESEND_PERIOD: Duration = Duration::from_secs(10);
 
 /// Least time between two sends on one link; later changes wait for the next heartbeat.
 const MIN_SEND_PERIOD: Duration = Duration::from_millis(100);
@@ -103,7 +106,8 @@
     /// 0 to 1, or `None` if it is not a follower.
     pub fn next_frames(&mut self, gateway: &Gateway, place: Option<f64>) -> Vec<Frame> {
         let now = gateway.now();
-        let is_due = self.all_sent_at.is_none_or(|at| now.since(at) >= RESEND_PERIOD);
+        let resend_period = if place.is_some() { FOLLOWER_RESEND_PERIOD } else { UPSTREAM_RESEND_PERIOD };
+        let is_due = self.all_sent_at.is_none_or(|at| now.since(at) >= resend_period);
         let service_pools = gateway.service_pools();
         let revision = service_pools.rate_limit_revision();
         let is_too_soon = self.sent_at.is_some_and(|at| now.since(at) < MIN_SEND_PERIOD);
