Name requests by identity in the logs, and tell ended targets from lost answers

Change: keyed hashes of caller, host, path and body, with and without method and query, in request-admitted; after a lost send, a new connection and the open ones show whether the target's process has ended (send-ended, target-ended, metric sends_lost). The key is all zeros until instances share one. No decision reads any of it; a retry after a lost send waits for the check, 100 ms at most.

--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -13,6 +13,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
     task::JoinHandle,
 };
 
@@ -73,6 +74,8 @@
     reported_pace_percent: u32,
     /// Requests per second that responses state as the limit for all instances together.
     rate_limit_per_s: Option<f64>,
+    /// Part of the request line by which requests end the process.
+    fatal_marker: Option<String>,
     running: u32,
     executed: Vec<WorkerRequest>,
     refused: Vec<WorkerRequest>,
@@ -90,6 +93,8 @@
     /// Address that it listens on.
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
+    /// Whether the process has ended.
+    ended: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -122,17 +127,43 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State { reported_pace_percent: 100, ..State::default() }));
-        let (shared, own) = (Arc::clone(&state), id.to_owned());
+        let ended = watch::Sender::new(false);
+        let (shared, own, end) = (Arc::clone(&state), id.to_owned(), ended.clone());
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (state, id) = (Arc::clone(&shared), own.clone());
-                tokio::spawn(async move {
-                    // Some modes break the connection on purpose.
-                    let _broken = serve(stream, &state, &id).await;
-                });
+            let accept = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let (state, id, end) = (Arc::clone(&shared), own.clone(), end.clone());
+                    tokio::spawn(async move {
+                        tokio::select! {
+                            // Some modes break the connection on purpose.
+                            _broken = serve(stream, &state, &id, &end) => {}
+                            () = wait_for_end(&end) => {}
+                        }
+                    });
+                }
+            };
+            tokio::select! {
+                () = accept => {}
+                () = wait_for_end(&end) => {}
             }
         });
-        Ok(Self { id: id.to_owned(), address, state, task })
+        Ok(Self { id: id.to_owned(), address, state, ended, task })
+    }
+
+    /// Makes requests whose line contains `marker` end the process once they are executed, as a crash does: all
+    /// connections are closed, and nothing listens any more.
+    pub fn set_fatal_marker(&self, marker: &str) {
+        lock(&self.state).fatal_marker = Some(marker.to_owned());
+    }
+
+    /// Ends the process as a crash does.
+    pub fn end(&self) {
+        self.ended.send_replace(true);
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&self) -> bool {
+        *self.ended.borrow()
     }
 
     /// Stops accepting connections; open ones stay in use.
@@ -196,7 +227,18 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, state: &Mutex<State>, id: &str) -> std::io::Result<()> {
+async fn wait_for_end(ended: &watch::Sender<bool>) {
+    let mut ended = ended.subscribe();
+    // The sender lives as long as the borrow, so waiting can't fail.
+    let _closed = ended.wait_for(|ended| *ended).await;
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    state: &Mutex<State>,
+    id: &str,
+    ended: &watch::Sender<bool>,
+) -> std::io::Result<()> {
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buffer).await? {
         let load_headers = {
@@ -215,9 +257,17 @@
             stream.write_all(response.as_bytes()).await?;
             continue;
         }
-        if !handle(&mut stream, state, &request, (id, &load_headers)).await? {
+        let is_fatal = {
+            let state = lock(state);
+            let line = request.head.lines().next().unwrap_or_default();
+            state.fatal_marker.as_ref().is_some_and(|marker| line.contains(marker))
+        };
+        if !handle(&mut stream, state, &request, (id, &load_headers), is_fatal).await? {
             return Ok(());
         }
+        if is_fatal {
+            ended.send_replace(true);
+        }
     }
     Ok(())
 }
@@ -258,6 +308,7 @@
     state: &Mutex<State>,
     request: &WorkerRequest,
     (id, load_headers): (&str, &str),
+    is_fatal: bool,
 ) -> std::io::Result<bool> {
     let (mode, service_time) = {
         let state = lock(state);
@@ -293,8 +344,8 @@
         state.executed[index].ended_at = Some(Instant::now());
         state.abandoned_count += u64::from(is_abandoned);
     }
-    if is_abandoned {
-        return Ok(false);
+    if is_abandoned || is_fatal {
+        return Ok(!is_abandoned);
     }
     write_response(stream, mode, request, load_headers).await
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -4,6 +4,7 @@
 //! hedge).
 
 use std::{
+    net::IpAddr,
     pin::Pin,
     sync::{
         Arc, Mutex, PoisonError,
@@ -27,6 +28,7 @@
 use super::{
     Gateway,
     exchange::{SendResult, TargetResponse, send},
+    identity::{IdentityKey, RequestIdentity},
     probe,
     request_log::{RepeatCause, RequestEnd, RequestEvent, RequestLog},
     response::{ResponseBody, error_response},
@@ -82,6 +84,8 @@
     pub deadline: MonoTime,
     /// Head and body of the request.
     pub parts: RequestParts,
+    /// Identity of the request, the same for all attempts of its caller.
+    pub identity: RequestIdentity,
     /// Targets to which the request was sent, or for which a connection was tried.
     tried: Mutex<Vec<TargetId>>,
     /// Target and time of the latest send; `None` until the first one.
@@ -152,11 +156,17 @@
 }
 
 /// Handles one request and returns the response to its caller.
-pub async fn handle(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
+///
+/// `caller` is the address from which the caller has connected.
+pub async fn handle(
+    gateway: Arc<Gateway>,
+    caller: IpAddr,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
     let _in_progress = gateway.track_request();
     let arrived = gateway.now();
     let request_id = request.headers().get(&gateway.platform.headers.request_id).cloned();
-    let mut response = match prepare(&gateway, arrived, request).await {
+    let mut response = match prepare(&gateway, caller, arrived, request).await {
         Ok(call) => run(&call).await,
         Err(kind) => {
             let id = request_id.as_ref().map_or(&[][..], HeaderValue::as_bytes);
@@ -178,6 +188,7 @@
 /// to a target when this fails.
 async fn prepare(
     gateway: &Arc<Gateway>,
+    caller: IpAddr,
     arrived: MonoTime,
     request: Request<Incoming>,
 ) -> Result<CallContext, ErrorKind> {
@@ -192,6 +203,7 @@
     let deadline = arrived + requested_timeout.map_or(timeout, |requested| requested.min(timeout));
     let limit = routing.limits.max_body_bytes;
     let start = read_body_start(&mut body, limit, MAX_RETRYABLE_BODY_BYTES, BODY_PROGRESS_TIMEOUT).await?;
+    let identity = RequestIdentity::new(IdentityKey::default(), caller, &head, &start.bytes);
     let (body, upload) = if start.is_complete {
         (start.bytes, None)
     } else {
@@ -202,7 +214,7 @@
     let times = (arrived, deadline);
     Ok(CallContext {
         gateway: Arc::clone(gateway),
-        log: RequestLog::new(request_id.as_bytes(), &route, &service, routing.version, times),
+        log: RequestLog::new((request_id.as_bytes(), identity), &route, &service, routing.version, times),
         is_ended: AtomicBool::new(false),
         request_id,
         route,
@@ -210,6 +222,7 @@
         arrived,
         deadline,
         parts: RequestParts { head, body, upload },
+        identity,
         tried: Mutex::default(),
         latest_send: Mutex::default(),
         open_sends: AtomicU32::new(0),
@@ -338,7 +351,7 @@
                     return None;
                 }
             }
-            AttemptResult::Sent(SendResult::Lost) => {
+            AttemptResult::Sent(SendResult::Lost(_)) => {
                 self.executed_error = Some(ErrorKind::ConnectionLost);
                 if may_repeat && self.try_repeat(RepeatCause::Lost) {
                     return None;
@@ -516,6 +529,10 @@
     let result = send(call, listing).await;
     let outcome = result.outcome();
     call.gateway.metrics.record_send(outcome);
-    call.record(RequestEvent::SendEnded { target, outcome });
+    let process = if let SendResult::Lost(process) = result { Some(process) } else { None };
+    if let Some(process) = process {
+        call.gateway.metrics.record_lost_send(process);
+    }
+    call.record(RequestEvent::SendEnded { target, outcome, process });
     result
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,7 +18,7 @@
     kernel::in_progress::RequestGuard,
     plan::RequestKind,
     proxy::{
-        connection::{Connection, ExchangeResult, ReusePolicy, connection_limit},
+        connection::{Connection, ExchangeResult, ProcessState, ReusePolicy, connection_limit},
         headers,
     },
     units::MonoTime,
@@ -58,8 +58,8 @@
     NotRun,
     /// Nothing was sent to the target.
     Unsent,
-    /// No valid response came; the target may have executed the request.
-    Lost,
+    /// No valid response came; the target may have executed the request. Holds what is known of its process.
+    Lost(ProcessState),
 }
 
 impl SendResult {
@@ -70,7 +70,7 @@
             Self::Failed(_) => SendOutcome::Failed,
             Self::NotRun => SendOutcome::NotRun,
             Self::Unsent => SendOutcome::Unsent,
-            Self::Lost => SendOutcome::Lost,
+            Self::Lost(_) => SendOutcome::Lost,
         }
     }
 }
@@ -170,11 +170,26 @@
         }
         ExchangeResult::Lost => {
             guard.report(HealthSignal::Failed);
-            SendResult::Lost
+            drop(connection);
+            SendResult::Lost(check_process(&call.gateway, &guard.listing).await)
         }
     }
 }
 
+/// Finds out whether the process of a target has ended, after a response of it has not arrived.
+async fn check_process(gateway: &Gateway, listing: &Listing) -> ProcessState {
+    let process = gateway.connections.check_process(listing.address).await;
+    if process == ProcessState::Ended {
+        log::info!(
+            "event=target-ended target={} service={} address={}",
+            listing.id,
+            listing.service,
+            listing.address
+        );
+    }
+    process
+}
+
 async fn checkout(call: &CallContext, listing: &Listing) -> Option<Connection> {
     let reuse = match call.route.spec.kind {
         RequestKind::Idempotent => ReusePolicy::AnyIdle,
@@ -198,7 +213,7 @@
     if headers.get(&names.request_id).is_some_and(|id| *id != call.request_id) {
         // This is the late response to an earlier request on the connection.
         guard.report(HealthSignal::Failed);
-        return SendResult::Lost;
+        return SendResult::Lost(ProcessState::Listening);
     }
     if let Some(reading) = headers.get(&names.load).and_then(call.gateway.platform.decode_load) {
         let now = call.gateway.now();
@@ -223,7 +238,7 @@
     let is_error = !is_authentic || response.status().is_server_error();
     if response.status().is_success() && !is_authentic {
         guard.report(HealthSignal::Failed);
-        return SendResult::Lost;
+        return SendResult::Lost(ProcessState::Listening);
     }
     let (mut head, body) = response.into_parts();
     headers::strip_non_forwardable(&mut head.headers);
@@ -250,8 +265,9 @@
             SendResult::Answered(Box::new(TargetResponse { head, body }))
         }
         BufferedBody::Truncated => {
+            let listing = guard.listing.clone();
             guard.truncated();
-            SendResult::Lost
+            SendResult::Lost(check_process(&call.gateway, &listing).await)
         }
     }
 }
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -1,6 +1,6 @@
 //! Accepts and serves callers' connections, with limits on size and time, and closes them on shutdown.
 
-use std::{convert::Infallible, pin::pin, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::IpAddr, pin::pin, sync::Arc, time::Duration};
 
 use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -37,8 +37,8 @@
     let _ready_or_timeout = timeout(MAX_START_WAIT, gateway.wait_ready()).await;
     loop {
         match listener.accept().await {
-            Ok((stream, _address)) => {
-                tokio::spawn(serve(Arc::clone(&gateway), stream));
+            Ok((stream, address)) => {
+                tokio::spawn(serve(Arc::clone(&gateway), stream, address.ip()));
             }
             Err(e) => {
                 log::warn!("event=accept-failed error={:?}", e.to_string());
@@ -49,7 +49,7 @@
 }
 
 /// Serves a caller's connection until either side ends it.
-async fn serve(gateway: Arc<Gateway>, stream: TcpStream) {
+async fn serve(gateway: Arc<Gateway>, stream: TcpStream, caller: IpAddr) {
     let _connected = gateway.in_progress().track_connection();
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("event=nodelay-failed error={:?}", e.to_string());
@@ -68,7 +68,7 @@
         let gateway = Arc::clone(&shared);
         let guard = timer.head_complete();
         async move {
-            let response = call::handle(gateway, request).await;
+            let response = call::handle(gateway, caller, request).await;
             Ok::<_, Infallible>(response.map(|body| GuardedBody { body, guard }))
         }
     });
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -27,6 +27,7 @@
     logging,
     observe::snapshot::resident_bytes,
     plan::RequestKind,
+    proxy::connection::ProcessState,
     units::ServiceName,
 };
 
@@ -51,6 +52,11 @@
     outcome: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LostSendLabels {
+    process: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RepeatLabels {
     cause: String,
@@ -70,6 +76,7 @@
     requests: Family<RequestLabels, Counter>,
     request_times: TimeFamily,
     sends: Family<SendLabels, Counter>,
+    sends_lost: Family<LostSendLabels, Counter>,
     sends_to_limited: Counter,
     repeats: Family<RepeatLabels, Counter>,
     probes: Family<ResultLabels, Counter>,
@@ -94,6 +101,7 @@
             requests: Family::default(),
             request_times: Family::new_with_constructor(times),
             sends: Family::default(),
+            sends_lost: Family::default(),
             sends_to_limited: Counter::default(),
             repeats: Family::default(),
             probes: Family::default(),
@@ -120,6 +128,7 @@
         r.register("requests", "Ended requests", self.requests.clone());
         r.register_with_unit("request", "Time to the end", Unit::Seconds, self.request_times.clone());
         r.register("sends", "Ended sends to targets", self.sends.clone());
+        r.register("sends_lost", "Sends without an answer, by state of the process", self.sends_lost.clone());
         r.register("sends_to_limited", "Sends to targets with a rate limit", self.sends_to_limited.clone());
         r.register("repeats", "Sends after the first, wanted or made", self.repeats.clone());
         r.register("probes", "Ended probes", self.probes.clone());
@@ -150,6 +159,11 @@
         self.sends.get_or_create(&SendLabels { outcome: outcome.to_string() }).inc();
     }
 
+    /// Counts a lost send by what was found out of the target's process.
+    pub fn record_lost_send(&self, process: ProcessState) {
+        self.sends_lost.get_or_create(&LostSendLabels { process: process.to_string() }).inc();
+    }
+
     /// Counts a send to a target that states a rate limit.
     pub fn record_send_to_limited(&self) {
         self.sends_to_limited.inc();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod follow;
 pub mod follower_places;
 pub mod head_timeout;
+pub mod identity;
 pub mod known_instances;
 pub mod listen;
 pub mod metrics;
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -8,11 +8,12 @@
 
 use derive_more::Display;
 
-use super::rate_limits;
+use super::{identity::RequestIdentity, rate_limits};
 use crate::{
     decide::probed_target::LoadReading,
     error::ErrorKind,
     logging::{Quoted, SELF_LIMITED_MODULE},
+    proxy::connection::ProcessState,
     routing::{Route, RoutingVersion},
     units::{MonoTime, PerSecond, ServiceName, TargetId},
 };
@@ -77,6 +78,8 @@
         target: TargetId,
         /// Result of the send.
         outcome: SendOutcome,
+        /// What is known of the target's process after a lost send.
+        process: Option<ProcessState>,
     },
     /// The request should be sent again.
     Repeat {
@@ -149,6 +152,7 @@
 pub struct RequestLog {
     /// Identifier that the caller gave the request.
     request: String,
+    identity: RequestIdentity,
     route: Arc<Route>,
     service: ServiceName,
     routing: RoutingVersion,
@@ -158,9 +162,10 @@
 }
 
 impl RequestLog {
-    /// Creates the log of an admitted request; `times` are its arrival and its deadline.
+    /// Creates the log of an admitted request, from the identifier that the caller gave it and its identity.
+    /// `times` are its arrival and its deadline.
     pub fn new(
-        request: &[u8],
+        (request, identity): (&[u8], RequestIdentity),
         route: &Arc<Route>,
         service: &ServiceName,
         routing: RoutingVersion,
@@ -169,6 +174,7 @@
         let (arrived, deadline) = times;
         Self {
             request: String::from_utf8_lossy(request).into_owned(),
+            identity,
             route: Arc::clone(route),
             service: service.clone(),
             routing,
@@ -208,14 +214,16 @@
         let spec = &self.route.spec;
         let mut lines = vec![format!(
             "event=request-admitted request={request} route={} service={} kind={} priority={} routing={} \
-             objective_ms={} deadline_ms={}",
+             objective_ms={} deadline_ms={} identity={} path_identity={}",
             Quoted(&spec.name),
             self.service,
             spec.kind,
             spec.priority,
             self.routing,
             spec.objective.as_millis(),
-            self.deadline.since(self.arrived).as_millis()
+            self.deadline.since(self.arrived).as_millis(),
+            self.identity.exact,
+            self.identity.path
         )];
         for (at, event) in events {
             let after_ms = at.since(self.arrived).as_millis();
@@ -232,11 +240,12 @@
                         rate_limits::display(*rate_limit)
                     )
                 }
-                RequestEvent::SendEnded { target, outcome } => {
+                RequestEvent::SendEnded { target, outcome, process } => {
                     let head = "event=send-ended";
+                    let process = process.map(|process| format!(" process={process}")).unwrap_or_default();
                     write!(
                         line,
-                        "{head} request={request} after_ms={after_ms} target={target} outcome={outcome}"
+                        "{head} request={request} after_ms={after_ms} target={target} outcome={outcome}{process}"
                     )
                 }
                 RequestEvent::Repeat { cause, within_budget } => write!(
--- a/src/proxy/connection.rs
+++ b/src/proxy/connection.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use derive_more::Display;
 use hyper::{
     HeaderMap, Request, Response,
     body::Incoming,
@@ -24,7 +25,7 @@
     net::TcpStream,
     sync::Notify,
     task::AbortHandle,
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use super::{
@@ -61,6 +62,16 @@
 /// Only these probes detect that a target has become unreachable while a response is awaited.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time limit for finding out whether a target's process has ended. A caller may wait for the result.
+const PROCESS_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Pause before a refused connection is taken as the end of a process, if another connection to it still seems to
+/// be open: the end of that one may not have been read yet.
+const PROCESS_CHECK_PAUSE: Duration = Duration::from_millis(5);
+
+/// Most pauses of one check.
+const MAX_PROCESS_CHECK_PAUSES: u32 = 3;
+
 /// Size of the read buffer of one connection in bytes; also the largest chunk of a response body.
 pub const READ_BUFFER_BYTES: usize = 64 << 10;
 
@@ -101,10 +112,25 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
+/// What new and open connections show of the process at an address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "kebab-case")]
+pub enum ProcessState {
+    /// It accepts connections.
+    Listening,
+    /// Nothing listens there, and no connection to it is left.
+    Ended,
+    /// It gave no sign in time, or contradictory ones.
+    Unknown,
+}
+
 /// Number of open connections to one target.
 #[derive(Debug, Default)]
 struct OpenConnections {
+    /// Permits in use.
     count: AtomicUsize,
+    /// Connections whose other end has not closed them, as far as has been read.
+    alive: AtomicUsize,
     /// Notified when a connection is closed or becomes idle.
     released: Notify,
 }
@@ -130,6 +156,23 @@
     }
 }
 
+/// Counts a connection as alive until dropped.
+#[derive(Debug)]
+struct AliveGuard(Arc<OpenConnections>);
+
+impl AliveGuard {
+    fn new(open: &Arc<OpenConnections>) -> Self {
+        open.alive.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for AliveGuard {
+    fn drop(&mut self) {
+        self.0.alive.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Aborts the task that drives a connection, and so closes the connection, when dropped.
 #[derive(Debug)]
 struct DriverTask(AbortHandle);
@@ -283,6 +326,28 @@
         self.target(address).open.count.load(Ordering::Acquire)
     }
 
+    /// Finds out whether the process at an address has ended, by a new connection and by those that are open.
+    ///
+    /// A target at its limit may reset or refuse a new connection, too, but it keeps the open ones.
+    pub async fn check_process(&self, address: SocketAddr) -> ProcessState {
+        let connected = timeout(PROCESS_CHECK_TIMEOUT, TcpStream::connect(address)).await;
+        match connected {
+            Ok(Ok(_stream)) => ProcessState::Listening,
+            Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => {
+                let open = Arc::clone(&self.target(address).open);
+                for _ in 0..MAX_PROCESS_CHECK_PAUSES {
+                    if open.alive.load(Ordering::Acquire) == 0 {
+                        return ProcessState::Ended;
+                    }
+                    sleep(PROCESS_CHECK_PAUSE).await;
+                }
+                let is_any_alive = open.alive.load(Ordering::Acquire) > 0;
+                if is_any_alive { ProcessState::Unknown } else { ProcessState::Ended }
+            }
+            Ok(Err(_)) | Err(_) => ProcessState::Unknown,
+        }
+    }
+
     /// Closes idle connections that can no longer be reused; called about once a second.
     pub fn close_expired(&self) {
         let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
@@ -315,7 +380,9 @@
     let allowance = ReadAllowance::default();
     let stream = LimitedStream::new(stream, allowance.clone());
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+    let alive = AliveGuard::new(&target.open);
     let task = tokio::spawn(async move {
+        let _alive = alive;
         if let Err(e) = connection.await {
             log::debug!("event=target-connection-ended target={address} error={:?}", e.to_string());
         }
--- a/src/units.rs
+++ b/src/units.rs
@@ -117,6 +117,21 @@
     }
 }
 
+/// Keyed hash that identifies a request over all attempts to send it.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize, From, Into,
+)]
+#[display("{_0:032x}")]
+pub struct RequestDigest(u128);
+
+impl FromStr for RequestDigest {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// Version of the configuration plan; rises by one with each accepted change, and is 0 before the first.
 #[derive(
     Debug,
