Add a failing test of a request that ends each target that executes it

Four instances, eight targets that come back 0.6 s after their end under another name; one caller sends the same request every 30 ms, at one instance after another, as a read and as a charge. Sends that begin later than 3 s after the third target has ended are counted, as the users count them; 3 are allowed.

--- a/tests/gateway_poison.rs
+++ b/tests/gateway_poison.rs
@@ -2,14 +2,123 @@
 
 mod gateway_env;
 
-use arbutusshelf_bench::worker::WorkerMode;
-use gateway_env::TestDeployment;
+use std::time::{Duration, Instant};
+
+use arbutusshelf_bench::worker::{WorkerMode, WorkerStandIn};
+use futures::future::join_all;
+use gateway_env::{GatewayProcess, TestDeployment};
 use hyper::Method;
 use serde_json::json;
 
 /// Part of the request line by which a request ends its target.
 const FATAL_MARKER: &str = "/fatal";
 
+/// Time after the third target has ended from which on the users count further sends (`contactS`).
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Sends that the users allow after that.
+const ALLOWED_SENDS: usize = 3;
+
+/// Time that a target takes for a request.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+
+/// Time after which a target that has ended is back under another name.
+const RETURN_TIME: Duration = Duration::from_millis(600);
+
+/// Starts one instance that the others follow, and waits until all know how many they are.
+async fn start_instances(deployment: &TestDeployment, count: usize) -> Vec<GatewayProcess> {
+    let reader = deployment.gateway("reader", &json!({"peer_seeds": []})).await;
+    let seeds = json!({"peer_seeds": [reader.peers]});
+    let names = (1..count).map(|number| format!("follower-{number}")).collect::<Vec<_>>();
+    let followers = names.iter().map(|name| deployment.gateway(name, &seeds));
+    let mut instances = vec![reader];
+    instances.extend(join_all(followers).await);
+    for instance in &instances {
+        deployment
+            .wait_until("all instances are counted", || async {
+                instance.logged(&["event=instances-counted", &format!("instances={count}")])
+            })
+            .await;
+    }
+    instances
+}
+
+/// Workers of which each that has ended comes back.
+struct Workers<'a> {
+    deployment: &'a TestDeployment,
+    all: Vec<WorkerStandIn>,
+    /// When each worker was seen to have ended.
+    ended: Vec<Option<Instant>>,
+    number: usize,
+}
+
+impl<'a> Workers<'a> {
+    async fn start(deployment: &'a TestDeployment, count: usize) -> Self {
+        let mut workers = Self { deployment, all: Vec::new(), ended: Vec::new(), number: 0 };
+        for _ in 0..count {
+            workers.add().await;
+        }
+        workers
+    }
+
+    async fn add(&mut self) {
+        self.number += 1;
+        let worker = self.deployment.worker(&format!("i-{}", self.number)).await;
+        worker.set_service_time(SERVICE_TIME);
+        worker.set_fatal_marker(FATAL_MARKER);
+        self.all.push(worker);
+        self.ended.push(None);
+    }
+
+    /// Starts a worker in place of each that ended a while ago.
+    async fn replace_ended(&mut self) {
+        for index in 0..self.all.len() {
+            if !self.all[index].has_ended() {
+                continue;
+            }
+            match self.ended[index] {
+                None => self.ended[index] = Some(Instant::now()),
+                Some(at) if at.elapsed() > RETURN_TIME && at.elapsed() < RETURN_TIME * 100 => {
+                    self.ended[index] = at.checked_sub(RETURN_TIME * 100);
+                    self.deployment.store.remove("servers", &self.all[index].id);
+                    self.add().await;
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    /// Returns the times at which requests with `marker` in their line began to be executed, in order.
+    fn starts(&self, marker: &str) -> Vec<Instant> {
+        let executed = self.all.iter().flat_map(WorkerStandIn::executed_requests);
+        let mut starts =
+            executed.filter(|r| r.head.contains(marker)).map(|r| r.received_at).collect::<Vec<_>>();
+        starts.sort_unstable();
+        starts
+    }
+}
+
+/// One caller sends the same request again and again, at one instance after another, whatever the answer.
+async fn send_again_and_again(
+    deployment: &TestDeployment,
+    instances: &[GatewayProcess],
+    workers: &mut Workers<'_>,
+    (method, path): (Method, &str),
+    length: Duration,
+) -> Vec<u16> {
+    let started = Instant::now();
+    let mut statuses = Vec::new();
+    while started.elapsed() < length {
+        let to = &instances[statuses.len() % instances.len()];
+        let id = format!("p{}", statuses.len());
+        let answer = deployment.send(to.callers, method.clone(), path, &id).await.expect("an answer");
+        statuses.push(answer.status);
+        workers.replace_ended().await;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    statuses
+}
+
 /// Without these lines and figures, nobody can tell a target that has ended from a lost answer, or two attempts of
 /// one request from two requests.
 #[tokio::test]
@@ -48,3 +157,21 @@
         assert!(text.contains(&line), "{line} in {text}");
     }
 }
+
+/// Guards against a request that ends target after target for as long as it comes, at all instances together.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_ends_its_targets_is_not_sent_on_for_ever() {
+    let deployment = TestDeployment::start().await;
+    let mut workers = Workers::start(&deployment, 8).await;
+    let instances = start_instances(&deployment, 4).await;
+    let length = SETTLE_TIME * 3;
+    for (method, path) in [(Method::GET, "/read/fatal-a"), (Method::POST, "/charge/fatal-b")] {
+        let statuses =
+            send_again_and_again(&deployment, &instances, &mut workers, (method, path), length).await;
+        let starts = workers.starts(path);
+        let settled = starts.get(2).map(|third| *third + SERVICE_TIME + SETTLE_TIME);
+        let late = starts.iter().filter(|at| settled.is_some_and(|settled| **at > settled)).count();
+        let count = starts.len();
+        assert!(late <= ALLOWED_SENDS, "{path}: {late} of {count} sends came late, answers {statuses:?}");
+    }
+}
