--- a/bench/src/rows.rs
+++ b/bench/src/rows.rs
@@ -8,7 +8,9 @@
 };
 
 use base64::{Engine, prelude::BASE64_STANDARD};
+use http_body_util::BodyExt;
 use hyper::{Request, StatusCode, body::Incoming};
+use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
@@ -94,7 +96,7 @@
         let (shared, updates) = (Arc::clone(&state), changed.clone());
         let address = ([127, 0, 0, 1], 0).into();
         let server =
-            serve(address, move |request| handle(Arc::clone(&shared), updates.subscribe(), request)).await?;
+            serve(address, move |request| handle(Arc::clone(&shared), updates.clone(), request)).await?;
         Ok(Self { server, state, changed })
     }
 
@@ -176,10 +178,10 @@
 /// Handles a request, and states the era in the response.
 async fn handle(
     state: Arc<Mutex<State>>,
-    changes: watch::Receiver<u64>,
+    changed: watch::Sender<u64>,
     request: Request<Incoming>,
 ) -> Result<StandInResponse, ConnectionAborted> {
-    let mut response = respond(&state, changes, request).await?;
+    let mut response = respond(&state, &changed, request).await?;
     let era = lock(&state).era;
     response.headers_mut().insert(ERA_HEADER, era.into());
     Ok(response)
@@ -187,7 +189,7 @@
 
 async fn respond(
     state: &Mutex<State>,
-    mut changes: watch::Receiver<u64>,
+    changed: &watch::Sender<u64>,
     request: Request<Incoming>,
 ) -> Result<StandInResponse, ConnectionAborted> {
     let fault = {
@@ -201,6 +203,10 @@
         RowStoreFault::Throttled => return Ok(full_response(StatusCode::TOO_MANY_REQUESTS, "")),
         RowStoreFault::InvalidJson => return Ok(full_response(StatusCode::OK, "<html>")),
     }
+    if request.uri().path() == "/rows-tx" {
+        return write_rows(state, changed, request).await;
+    }
+    let mut updates = changed.subscribe();
     let table = query_parameter(&request, "table").unwrap_or_default();
     if request.uri().path() == "/rows-get" {
         let from = query_parameter(&request, "from").unwrap_or_default();
@@ -215,7 +221,7 @@
     let has_change =
         |state: &State| state.rows.iter().any(|((t, _), row)| *t == table && row.version > after);
     let wait_for_change = async {
-        while !has_change(&lock(state)) && lock(state).version >= after && changes.changed().await.is_ok() {}
+        while !has_change(&lock(state)) && lock(state).version >= after && updates.changed().await.is_ok() {}
     };
     // If nothing changes in time, the response has no rows.
     let _changed_or_timeout = tokio::time::timeout(wait, wait_for_change).await;
@@ -229,6 +235,65 @@
     Ok(json_response(StatusCode::OK, &rows_json(&state, &table, |_, row| row.version > after)))
 }
 
+/// Rows that a transaction names.
+#[derive(Deserialize)]
+struct Transaction {
+    /// Rows with the version that each must have; 0 for one that must not exist.
+    precondition: Vec<TransactionRow>,
+    #[serde(rename = "putRows")]
+    put_rows: Vec<TransactionRow>,
+    remove: Vec<TransactionRow>,
+}
+
+#[derive(Deserialize)]
+struct TransactionRow {
+    table: String,
+    key: String,
+    /// Content in Base64, of rows to write.
+    #[serde(default)]
+    value: String,
+    #[serde(default)]
+    ver: u64,
+}
+
+/// Carries out a transaction of an instance.
+async fn write_rows(
+    state: &Mutex<State>,
+    changed: &watch::Sender<u64>,
+    request: Request<Incoming>,
+) -> Result<StandInResponse, ConnectionAborted> {
+    let body = request.into_body().collect().await.map_err(|_broken| ConnectionAborted)?.to_bytes();
+    let Ok(transaction) = serde_json::from_slice::<Transaction>(&body) else {
+        return Ok(full_response(StatusCode::BAD_REQUEST, ""));
+    };
+    let rows = transaction.put_rows.iter().chain(&transaction.remove);
+    if rows.clone().any(|row| ["op", "servers"].contains(&row.table.as_str())) {
+        return Ok(full_response(StatusCode::FORBIDDEN, ""));
+    }
+    let mut state = lock(state);
+    let version_of = |row: &TransactionRow| {
+        let stored = state.rows.get(&(row.table.clone(), row.key.clone()));
+        stored.filter(|stored| stored.value.is_some()).map_or(0, |stored| stored.version)
+    };
+    if transaction.precondition.iter().any(|row| version_of(row) != row.ver) {
+        return Ok(json_response(StatusCode::PRECONDITION_FAILED, &json!({"rows": []})));
+    }
+    state.version += 1;
+    let version = state.version;
+    for row in transaction.put_rows {
+        let Ok(value) = BASE64_STANDARD.decode(row.value) else {
+            return Ok(full_response(StatusCode::BAD_REQUEST, ""));
+        };
+        state.rows.insert((row.table, row.key), StoredRow { value: Some(value), version });
+    }
+    for row in transaction.remove {
+        state.rows.insert((row.table, row.key), StoredRow { value: None, version });
+    }
+    drop(state);
+    changed.send_replace(version);
+    Ok(json_response(StatusCode::OK, &json!({"ver": version, "nowS": 0.0})))
+}
+
 fn rows_json(state: &State, table: &str, is_wanted: impl Fn(&str, &StoredRow) -> bool) -> Value {
     let wanted = state.rows.iter().filter(|((t, key), row)| t == table && is_wanted(key, row));
     let mut rows = wanted.collect::<Vec<_>>();
--- a/src/decide/directory.rs
+++ b/src/decide/directory.rs
@@ -180,6 +180,11 @@
         self.entries.values().filter_map(|e| e.expires_at).min()
     }
 
+    /// Returns the entry of a usable target.
+    pub fn get(&self, id: &TargetId) -> Option<&Listing> {
+        self.entries.get(id.as_str()).map(|entry| &entry.listing)
+    }
+
     /// Returns the entries of all usable targets.
     pub fn listings(&self) -> impl Iterator<Item = &Listing> {
         self.entries.values().map(|e| &e.listing)
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -24,8 +24,10 @@
 pub mod retry;
 pub mod retry_pacing;
 pub mod service_pools;
+pub mod suspects;
 pub mod target;
 pub mod timer;
+pub mod unconfirmed_ends;
 pub mod wait_queue;
 pub mod wait_stage;
 
--- /dev/null
+++ b/src/decide/suspects.rs
@@ -0,0 +1,386 @@
+//! Requests under which targets have ended, and which of them are no longer sent.
+//!
+//! A request may end each target that executes it. Its caller sends it again, to any instance. The instances
+//! therefore count together how many targets have ended under a request *in succession*: each under a send that
+//! began when the end before it was known. Ends at the same time count as one, since all the targets of a rack may
+//! end at once under requests that have nothing to do with it. An answer of a target clears the count.
+//!
+//! The counts of two instances are merged by taking the later one, so that they may arrive in any order and any
+//! number of times.
+
+use std::time::Duration;
+
+use crate::{
+    collections::HashMap,
+    units::{MonoTime, RequestDigest},
+};
+
+/// Ends in succession from which on a request is quarantined.
+pub const QUARANTINE_ENDS: u8 = 3;
+
+/// Ends in succession up to which an instance sends the request again by itself.
+const MAX_REPEATED_ENDS: u8 = 1;
+
+/// Time for which a request is quarantined after the last end that made it so.
+const FIRST_QUARANTINE: Duration = Duration::from_mins(10);
+
+/// Factor by which each further end prolongs the quarantine.
+const QUARANTINE_GROWTH: u32 = 4;
+
+/// Longest quarantine.
+const MAX_QUARANTINE: Duration = Duration::from_hours(24);
+
+/// Time for which ends are remembered, after the quarantine if there is one.
+const SUSPECT_RETENTION: Duration = Duration::from_hours(1);
+
+/// Time for which the end of a suspicion is remembered, so that an instance that was cut off does not bring it back.
+const CLEARED_RETENTION: Duration = Duration::from_mins(10);
+
+/// Most requests that are remembered. Of more, those with the fewest ends and the oldest ones are forgotten.
+pub const MAX_SUSPECTS: usize = 4_096;
+
+/// Longest time that may lie before the start of this process's clock: more than anything is remembered.
+const CLOCK_SHIFT: Duration = Duration::from_hours(48);
+
+/// Identity of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestIdentity {
+    /// Hash of caller, host, path, body, method and query.
+    pub exact: RequestDigest,
+    /// Hash of caller, host, path and body. A caller may vary the others from one attempt to the next.
+    pub path: RequestDigest,
+}
+
+/// Targets that have ended under a request. Of two counts of one request, the greater one is the later one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct EndCount {
+    /// Number of answers that have cleared the count.
+    pub generation: u32,
+    /// Ends in succession since then.
+    pub ends: u8,
+}
+
+/// The counts of a request that are known when a send of it begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct KnownEnds {
+    exact: EndCount,
+    path: EndCount,
+}
+
+/// Whether a request may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It may.
+    Send,
+    /// A target has ended under it, and another send of it is in progress at this instance. It may be sent when
+    /// that one has ended.
+    Wait,
+    /// It is quarantined for this time.
+    Quarantined(Duration),
+}
+
+/// What an instance knows of one digest, as passed on between instances and kept in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SuspectRecord {
+    /// Digest of the request.
+    pub digest: RequestDigest,
+    /// Targets that have ended under it.
+    pub count: EndCount,
+    /// Time since the last end, or since the answer that cleared the count.
+    pub age: Duration,
+}
+
+/// A count that has changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SuspectChange {
+    /// Digest of the request.
+    pub digest: RequestDigest,
+    /// Ends in succession now.
+    pub ends: u8,
+    /// Ends in succession before.
+    pub previous_ends: u8,
+}
+
+impl SuspectChange {
+    /// Returns whether the request is quarantined from this change on.
+    pub fn starts_quarantine(&self) -> bool {
+        self.ends >= QUARANTINE_ENDS && self.ends > self.previous_ends
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Suspect {
+    count: EndCount,
+    /// Time of the last change, shifted by [`CLOCK_SHIFT`].
+    changed_at: MonoTime,
+    /// Number of this change among those of all digests at this instance.
+    revision: u64,
+    /// Sends in progress at this instance that began when the digest was known.
+    in_progress: u32,
+    /// Whether the store has an earlier or the present count.
+    is_stored: bool,
+    /// Whether the present count must be written to the store by this instance.
+    must_store: bool,
+}
+
+impl Suspect {
+    fn age(&self, now: MonoTime) -> Duration {
+        (now + CLOCK_SHIFT).since(self.changed_at)
+    }
+
+    /// Returns the remaining time of the quarantine, zero if there is none.
+    fn quarantine_left(&self, now: MonoTime) -> Duration {
+        quarantine(self.count.ends).saturating_sub(self.age(now))
+    }
+
+    fn retention(&self) -> Duration {
+        match self.count.ends {
+            0 => CLEARED_RETENTION,
+            ends => quarantine(ends) + SUSPECT_RETENTION,
+        }
+    }
+
+    fn is_obsolete(&self, now: MonoTime) -> bool {
+        self.in_progress == 0 && self.age(now) > self.retention()
+    }
+}
+
+fn quarantine(ends: u8) -> Duration {
+    let Some(further) = ends.checked_sub(QUARANTINE_ENDS) else { return Duration::ZERO };
+    let factor = QUARANTINE_GROWTH.saturating_pow(u32::from(further));
+    FIRST_QUARANTINE.saturating_mul(factor).min(MAX_QUARANTINE)
+}
+
+/// A send of a request in progress, to be handed back when it ends.
+#[derive(Debug, Clone, Copy)]
+pub struct SuspectSend {
+    identity: RequestIdentity,
+    known: KnownEnds,
+    /// Whether it is counted as in progress, for the exact digest and for that of the path.
+    is_counted: [bool; 2],
+}
+
+/// Requests under which targets have ended, as this instance knows them.
+#[derive(Debug, Default)]
+pub struct SuspectTable {
+    suspects: HashMap<RequestDigest, Suspect>,
+    revision: u64,
+}
+
+impl SuspectTable {
+    /// Returns whether a request may be sent now.
+    pub fn admission(&self, now: MonoTime, identity: RequestIdentity) -> Admission {
+        let known = [identity.exact, identity.path].map(|digest| self.suspects.get(&digest));
+        let known = || known.into_iter().flatten();
+        let quarantine_left = known().map(|s| s.quarantine_left(now)).max().unwrap_or_default();
+        if !quarantine_left.is_zero() {
+            return Admission::Quarantined(quarantine_left);
+        }
+        let is_other_in_progress = known().any(|s| s.count.ends > 0 && s.in_progress > 0);
+        if is_other_in_progress { Admission::Wait } else { Admission::Send }
+    }
+
+    /// Returns whether an instance may send a request again by itself: a retry or a hedge.
+    pub fn may_repeat(&self, identity: RequestIdentity) -> bool {
+        self.ends(identity) <= MAX_REPEATED_ENDS
+    }
+
+    /// Returns how many targets have ended under a request in succession.
+    pub fn ends(&self, identity: RequestIdentity) -> u8 {
+        self.count(identity.exact).ends.max(self.count(identity.path).ends)
+    }
+
+    /// Starts a send of a request.
+    pub fn start_send(&mut self, identity: RequestIdentity) -> SuspectSend {
+        let known = KnownEnds { exact: self.count(identity.exact), path: self.count(identity.path) };
+        let is_counted = [identity.exact, identity.path].map(|digest| {
+            let suspect = self.suspects.get_mut(&digest);
+            suspect.map(|s| s.in_progress += 1).is_some()
+        });
+        SuspectSend { identity, known, is_counted }
+    }
+
+    /// Ends a send. Returns whether other calls may wait for this.
+    pub fn finish_send(&mut self, send: SuspectSend) -> bool {
+        for (digest, is_counted) in [send.identity.exact, send.identity.path].into_iter().zip(send.is_counted)
+        {
+            if let Some(suspect) = self.suspects.get_mut(&digest).filter(|_| is_counted) {
+                suspect.in_progress = suspect.in_progress.saturating_sub(1);
+            }
+        }
+        send.is_counted.contains(&true)
+    }
+
+    /// Records that the target of a send has ended without an answer.
+    pub fn record_end(&mut self, now: MonoTime, send: &SuspectSend) -> Vec<SuspectChange> {
+        let SuspectSend { identity, known, .. } = send;
+        let mut changes = Vec::new();
+        changes.extend(self.add_end(now, identity.exact, known.exact));
+        // Further ends under the same request don't show that others of the same path are like it.
+        if known.exact.ends == 0 {
+            changes.extend(self.add_end(now, identity.path, known.path));
+        }
+        changes
+    }
+
+    /// Records that a target has executed and answered a request.
+    pub fn record_answer(&mut self, now: MonoTime, identity: RequestIdentity) -> Vec<SuspectChange> {
+        [identity.exact, identity.path]
+            .into_iter()
+            .filter_map(|digest| self.clear_count(now, digest))
+            .collect()
+    }
+
+    /// Records what another instance, or the store, knows.
+    pub fn merge(&mut self, now: MonoTime, record: &SuspectRecord) -> Option<SuspectChange> {
+        if record.count <= self.count(record.digest) {
+            return None;
+        }
+        let change = self.set(now, record.digest, record.count, record.age);
+        if let Some(suspect) = self.suspects.get_mut(&record.digest) {
+            suspect.must_store |= suspect.is_stored;
+        }
+        Some(change)
+    }
+
+    /// Records what the store has.
+    pub fn merge_stored(&mut self, now: MonoTime, record: &SuspectRecord) -> Option<SuspectChange> {
+        let change = self.merge(now, record);
+        let known = self.count(record.digest);
+        if let Some(suspect) = self.suspects.get_mut(&record.digest) {
+            suspect.is_stored = true;
+            suspect.must_store = known > record.count;
+        }
+        change
+    }
+
+    /// Records that the store has nothing of the digests for which `is_missing`: what is known of them must be
+    /// written again.
+    pub fn record_missing_in_store(&mut self, is_missing: impl Fn(RequestDigest) -> bool) {
+        for (digest, suspect) in &mut self.suspects {
+            if suspect.count.ends > 0 && is_missing(*digest) {
+                suspect.must_store = true;
+            }
+        }
+    }
+
+    /// Returns the records that this instance must write to the store, at most `max`.
+    pub fn unstored(&self, now: MonoTime, max: usize) -> Vec<SuspectRecord> {
+        let unstored = self.suspects.iter().filter(|(_, suspect)| suspect.must_store);
+        unstored.take(max).map(|(digest, suspect)| record(now, *digest, suspect)).collect()
+    }
+
+    /// Records that the store has these records.
+    pub fn record_stored(&mut self, records: &[SuspectRecord]) {
+        for record in records {
+            if let Some(suspect) = self.suspects.get_mut(&record.digest) {
+                suspect.is_stored = true;
+                suspect.must_store &= suspect.count != record.count;
+            }
+        }
+    }
+
+    /// Forgets what is too old, and returns the digests of which the store has something.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<RequestDigest> {
+        let obsolete = self.suspects.extract_if(|_, suspect| suspect.is_obsolete(now));
+        obsolete.filter(|(_, suspect)| suspect.is_stored).map(|(digest, _)| digest).collect()
+    }
+
+    /// Returns whether a record is so old that it would be forgotten at once.
+    pub fn is_obsolete(record: &SuspectRecord) -> bool {
+        let quarantine = quarantine(record.count.ends);
+        record.age > quarantine + SUSPECT_RETENTION
+    }
+
+    /// Forgets everything.
+    pub fn clear(&mut self) {
+        self.suspects.clear();
+    }
+
+    /// Returns the number of changes so far.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the records that have changed after `revision`.
+    pub fn records_since(&self, now: MonoTime, revision: u64) -> Vec<SuspectRecord> {
+        let changed = self.suspects.iter().filter(|(_, suspect)| suspect.revision > revision);
+        changed.map(|(digest, suspect)| record(now, *digest, suspect)).collect()
+    }
+
+    /// Returns the number of digests that are remembered.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Returns whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Returns the number of digests in quarantine.
+    pub fn quarantined_count(&self, now: MonoTime) -> usize {
+        self.suspects.values().filter(|suspect| !suspect.quarantine_left(now).is_zero()).count()
+    }
+
+    fn clear_count(&mut self, now: MonoTime, digest: RequestDigest) -> Option<SuspectChange> {
+        let known = self.count(digest);
+        if known.ends == 0 {
+            return None;
+        }
+        let cleared = EndCount { generation: known.generation.saturating_add(1), ends: 0 };
+        let change = self.set(now, digest, cleared, Duration::ZERO);
+        if let Some(suspect) = self.suspects.get_mut(&digest) {
+            suspect.must_store = suspect.is_stored;
+        }
+        Some(change)
+    }
+
+    fn count(&self, digest: RequestDigest) -> EndCount {
+        self.suspects.get(&digest).map(|suspect| suspect.count).unwrap_or_default()
+    }
+
+    fn add_end(&mut self, now: MonoTime, digest: RequestDigest, known: EndCount) -> Option<SuspectChange> {
+        let current = self.count(digest);
+        // An answer since the send began has cleared what was known then.
+        let before = if current.generation == known.generation { known.ends } else { 0 };
+        let count = EndCount { generation: current.generation, ends: before.saturating_add(1) };
+        if count <= current {
+            return None;
+        }
+        let change = self.set(now, digest, count, Duration::ZERO);
+        if let Some(suspect) = self.suspects.get_mut(&digest) {
+            suspect.must_store = true;
+        }
+        Some(change)
+    }
+
+    fn set(&mut self, now: MonoTime, digest: RequestDigest, count: EndCount, age: Duration) -> SuspectChange {
+        if !self.suspects.contains_key(&digest) && self.suspects.len() >= MAX_SUSPECTS {
+            self.forget_least_important();
+        }
+        self.revision += 1;
+        let known = self.suspects.get(&digest).copied();
+        let suspect = Suspect {
+            count,
+            changed_at: (now + CLOCK_SHIFT).checked_sub(age).unwrap_or_default(),
+            revision: self.revision,
+            in_progress: known.map_or(0, |s| s.in_progress),
+            is_stored: known.is_some_and(|s| s.is_stored),
+            must_store: known.is_some_and(|s| s.must_store),
+        };
+        self.suspects.insert(digest, suspect);
+        SuspectChange { digest, ends: count.ends, previous_ends: known.map_or(0, |s| s.count.ends) }
+    }
+
+    fn forget_least_important(&mut self) {
+        let least = self.suspects.iter().min_by_key(|(_, suspect)| (suspect.count.ends, suspect.changed_at));
+        if let Some(digest) = least.map(|(digest, _)| *digest) {
+            self.suspects.remove(&digest);
+        }
+    }
+}
+
+fn record(now: MonoTime, digest: RequestDigest, suspect: &Suspect) -> SuspectRecord {
+    SuspectRecord { digest, count: suspect.count, age: suspect.age(now) }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -43,6 +43,8 @@
     Leaving,
     /// No target of the service accepts requests.
     NoTarget,
+    /// Targets have ended under this request one after the other, so it is not sent for a time.
+    Quarantined,
     /// The queue is full, or the request was shed in favour of requests of higher priority.
     Overloaded,
     /// The request can't be answered before its deadline.
@@ -116,6 +118,7 @@
             Self::NoPlan | Self::CutOff | Self::StoreUnavailable | Self::PlatformUnreachable => {
                 answer(503, NotRun, Some(5))
             }
+            Self::Quarantined => answer(503, NotRun, Some(600)),
             Self::Leaving
             | Self::NoTarget
             | Self::DeadlineUnreachable
--- a/src/gateway/apply.rs
+++ b/src/gateway/apply.rs
@@ -4,6 +4,7 @@
     Gateway,
     platform_adapter::{DecodedRouting, Table, TableRow, TableRows},
     replica::{TableUpdate, UpdateResult},
+    suspects::confirm_ends,
 };
 use crate::{
     decide::directory::{DirectoryChange, DirectoryRow},
@@ -97,6 +98,7 @@
     service_pools.apply_changes(now, &changes);
     drop(service_pools);
     log_changes(&changes);
+    confirm_ends(gateway, &changes);
     gateway.mark_targets_known();
     gateway.state_changed.notify_waiters();
     UpdateResult::Applied
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -28,7 +28,6 @@
 use super::{
     Gateway,
     exchange::{SendResult, TargetResponse, send},
-    identity::{IdentityKey, RequestIdentity},
     probe,
     request_log::{RepeatCause, RequestEnd, RequestEvent, RequestLog},
     response::{ResponseBody, error_response},
@@ -39,6 +38,7 @@
         hedge::{self, HedgeDecision, InFlightRequest},
         probed_pool::{Choice, ChoiceRequest},
         probed_target::HealthSignal,
+        suspects::{Admission, RequestIdentity},
         wait_queue::QueuePosition,
         wait_stage::{CallTimes, WaitStage},
     },
@@ -84,8 +84,9 @@
     pub deadline: MonoTime,
     /// Head and body of the request.
     pub parts: RequestParts,
-    /// Identity of the request, the same for all attempts of its caller.
-    pub identity: RequestIdentity,
+    /// Identity of the request, the same for all attempts of its caller; `None` while the key of the hashes is not
+    /// known.
+    pub identity: Option<RequestIdentity>,
     /// Targets to which the request was sent, or for which a connection was tried.
     tried: Mutex<Vec<TargetId>>,
     /// Target and time of the latest send; `None` until the first one.
@@ -123,6 +124,17 @@
         self.latest_send.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns the time after which its caller should send the request again: when the quarantine ends, or when its
+    /// service is expected to have room.
+    fn retry_after(&self) -> Duration {
+        let gateway = &self.gateway;
+        if let Admission::Quarantined(remaining) = self.admission() {
+            return remaining;
+        }
+        let (now, instances) = (gateway.now(), gateway.instance_count_or_default());
+        gateway.service_pools().retry_after(now, &self.service, instances)
+    }
+
     fn record(&self, event: RequestEvent) {
         self.log.record(self.gateway.now(), event);
     }
@@ -143,6 +155,23 @@
         self.gateway.metrics.record_request(&self.service, kind, result, now.since(self.arrived));
     }
 
+    /// Returns whether the request may be sent now, as far as targets have ended under it.
+    fn admission(&self) -> Admission {
+        let admission =
+            self.identity.map(|identity| self.gateway.suspects().admission(self.gateway.now(), identity));
+        admission.unwrap_or(Admission::Send)
+    }
+
+    /// Returns whether a target has ended under the request.
+    fn is_suspect(&self) -> bool {
+        self.identity.is_some_and(|identity| self.gateway.suspects().ends(identity) > 0)
+    }
+
+    /// Returns whether too many targets have ended under the request for this instance to send it again by itself.
+    fn is_repeat_harmful(&self) -> bool {
+        self.identity.is_some_and(|identity| !self.gateway.suspects().may_repeat(identity))
+    }
+
     /// Returns whether the request may be executed more than once and its whole body is buffered.
     fn may_repeat(&self) -> bool {
         self.route.spec.kind == RequestKind::Idempotent && self.parts.upload.is_none()
@@ -203,7 +232,7 @@
     let deadline = arrived + requested_timeout.map_or(timeout, |requested| requested.min(timeout));
     let limit = routing.limits.max_body_bytes;
     let start = read_body_start(&mut body, limit, MAX_RETRYABLE_BODY_BYTES, BODY_PROGRESS_TIMEOUT).await?;
-    let identity = RequestIdentity::new(IdentityKey::default(), caller, &head, &start.bytes);
+    let identity = gateway.identity_key().map(|key| key.identify(caller, &head, &start.bytes));
     let (body, upload) = if start.is_complete {
         (start.bytes, None)
     } else {
@@ -279,6 +308,7 @@
     attempts.start();
     let mut hedge_time = Box::pin(wait_for_hedge_time(call));
     let mut may_hedge = call.may_repeat();
+    let mut quarantine = Box::pin(wait_for_quarantine(call));
     loop {
         tokio::select! {
             biased;
@@ -288,6 +318,7 @@
                 }
             }
             () = sleep_until(deadline) => return attempts.on_deadline(),
+            () = &mut quarantine => return attempts.on_quarantine(),
             () = &mut hedge_time, if may_hedge => {
                 may_hedge = false;
                 attempts.hedge();
@@ -317,7 +348,7 @@
     /// Starts an attempt to send the call to a second target, unless the route's `max_attempts` is reached.
     /// The repeat budget is spent once that attempt has found a target.
     fn hedge(&mut self) {
-        if self.started < self.call.route.spec.max_attempts {
+        if self.started < self.call.route.spec.max_attempts && !self.call.is_suspect() {
             self.started += 1;
             self.in_flight.push(Box::pin(attempt(self.call, true)));
         }
@@ -326,7 +357,9 @@
     /// Starts a retry if the route and the repeat budget allow it; returns whether it did.
     fn try_repeat(&mut self, cause: RepeatCause) -> bool {
         let call = self.call;
-        if self.started >= call.route.spec.max_attempts || call.parts.is_body_consumed() {
+        let is_last = self.started >= call.route.spec.max_attempts || call.parts.is_body_consumed();
+        // A target that refuses the request is not affected by it.
+        if is_last || (cause != RepeatCause::NotRun && call.is_repeat_harmful()) {
             return false;
         }
         let is_allowed = call.gateway.service_pools().try_spend_repeat(call.gateway.now(), &call.service);
@@ -384,6 +417,16 @@
         self.give_up(ErrorKind::DeadlineUnreachable)
     }
 
+    /// Ends the call because the request is quarantined from now on. Its sends in progress are broken off, which
+    /// spares their targets.
+    fn on_quarantine(&mut self) -> Response<ResponseBody> {
+        if self.call.open_sends.load(Ordering::Acquire) > 0 {
+            self.executed_error = Some(ErrorKind::ConnectionLost);
+        }
+        self.in_flight.clear();
+        self.give_up(ErrorKind::Quarantined)
+    }
+
     /// Ends the call without a successful response of a target. `unsent_error` is the error to return if no
     /// target can have executed the request.
     fn give_up(&mut self, unsent_error: ErrorKind) -> Response<ResponseBody> {
@@ -393,10 +436,7 @@
         let kind = self.executed_error.unwrap_or(unsent_error);
         let call = self.call;
         call.end(RequestEnd::Refused(kind));
-        let gateway = &call.gateway;
-        let (now, instances) = (gateway.now(), gateway.instance_count_or_default());
-        let retry_after = gateway.service_pools().retry_after(now, &call.service, instances);
-        error_response(kind, Some(retry_after))
+        error_response(kind, Some(call.retry_after()))
     }
 
     fn forward(&self, response: TargetResponse) -> Response<ResponseBody> {
@@ -405,6 +445,19 @@
     }
 }
 
+/// Returns once the request is quarantined.
+async fn wait_for_quarantine(call: &CallContext) {
+    loop {
+        let mut started = Box::pin(call.gateway.quarantine_started().notified());
+        // Registered before the check, so that no start is missed.
+        started.as_mut().enable();
+        if matches!(call.admission(), Admission::Quarantined(_)) {
+            return;
+        }
+        started.await;
+    }
+}
+
 /// Returns once the call should be hedged, that is, sent to a second target.
 async fn wait_for_hedge_time(call: &CallContext) {
     let gateway = &call.gateway;
@@ -443,13 +496,28 @@
         usual_time: gateway.service_pools().usual_time(&call.service),
     };
     let mut probe_rounds = 0;
-    let mut queued = (!is_hedge).then(|| QueuedCall::new(call));
+    let mut queued = None;
     loop {
         let mut changed = Box::pin(gateway.state_changed.notified());
         // Registered before the state is read, so that no change is missed.
         Pin::as_mut(&mut changed).enable();
         let now = gateway.now();
         let (stage, mut stage_until) = times.stage(now, started);
+        match call.admission() {
+            Admission::Send => {}
+            Admission::Wait if is_hedge || now >= times.give_up_at(started) => {
+                return AttemptResult::NotSent(ErrorKind::Overloaded);
+            }
+            Admission::Wait => {
+                // It holds up no other calls meanwhile.
+                queued = None;
+                let recheck_at = gateway.clock.instant(times.give_up_at(started));
+                // After a timeout, the next iteration gives up.
+                let _change_or_timeout = timeout_at(recheck_at, changed).await;
+                continue;
+            }
+            Admission::Quarantined(_) => return AttemptResult::NotSent(ErrorKind::Quarantined),
+        }
         if is_hedge {
             stage_until = stage_until.min(times.hedge_until(started));
             if stage != WaitStage::FastSlot || now >= stage_until {
@@ -457,9 +525,10 @@
             }
         }
         let give_up_at = if is_hedge { stage_until } else { times.give_up_at(started) };
-        if !is_hedge && matches!(stage, WaitStage::SpareSlot | WaitStage::Expired) {
-            // From here on, the call takes only slots that no queued call can use.
-            queued = None;
+        // From the stage of spare slots on, the call takes only slots that no queued call can use.
+        let is_queued = !is_hedge && !matches!(stage, WaitStage::SpareSlot | WaitStage::Expired);
+        if is_queued != queued.is_some() {
+            queued = is_queued.then(|| QueuedCall::new(call));
         }
         let tried = call.tried();
         let choice = {
@@ -476,12 +545,8 @@
         let recheck_at = match choice {
             Choice::Send(listing) => {
                 if is_hedge && !spend_hedge(call) {
-                    gateway.service_pools().record_end(
-                        now,
-                        &call.service,
-                        &listing.id,
-                        HealthSignal::Neutral,
-                    );
+                    let (service, target) = (&call.service, &listing.id);
+                    gateway.service_pools().record_end(now, service, target, HealthSignal::Neutral);
                     return AttemptResult::NotSent(ErrorKind::Overloaded);
                 }
                 drop(queued);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -12,13 +12,19 @@
 };
 use tokio::time::timeout;
 
-use super::{Gateway, call::CallContext, rate_limits, request_log::SendOutcome, response::ResponseBody};
+use super::{
+    Gateway, call::CallContext, rate_limits, request_log::SendOutcome, response::ResponseBody,
+    suspects::SendWatch,
+};
 use crate::{
-    decide::{directory::Listing, probed_target::HealthSignal},
+    decide::{
+        directory::Listing, probed_target::HealthSignal, suspects::RequestIdentity,
+        unconfirmed_ends::ProcessState,
+    },
     kernel::in_progress::RequestGuard,
     plan::RequestKind,
     proxy::{
-        connection::{Connection, ExchangeResult, ProcessState, ReusePolicy, connection_limit},
+        connection::{Connection, ExchangeResult, ReusePolicy, connection_limit},
         headers,
     },
     units::MonoTime,
@@ -84,12 +90,14 @@
     connection: Option<Connection>,
     started: MonoTime,
     is_reported: bool,
+    /// Watches what the send shows of the request; `None` if the request can't be identified.
+    watch: Option<SendWatch>,
     _in_progress: RequestGuard,
 }
 
 impl SendGuard {
-    /// Starts a send to the target that was chosen.
-    pub fn new(gateway: &Arc<Gateway>, listing: Listing) -> Self {
+    /// Starts a send of a request to the target that was chosen.
+    pub fn new(gateway: &Arc<Gateway>, identity: Option<RequestIdentity>, listing: Listing) -> Self {
         let in_progress = gateway.track_request();
         Self {
             gateway: Arc::clone(gateway),
@@ -97,6 +105,7 @@
             connection: None,
             started: gateway.now(),
             is_reported: false,
+            watch: SendWatch::start(gateway, identity),
             _in_progress: in_progress,
         }
     }
@@ -105,11 +114,20 @@
     pub fn completed(mut self) {
         self.return_connection();
         self.report(HealthSignal::Answered);
+        if let Some(watch) = self.watch.take() {
+            watch.answered();
+        }
     }
 
-    /// Ends the send with a truncated response.
-    pub fn truncated(mut self) {
+    /// Ends the send without a complete response, and finds out whether the target's process has ended.
+    pub async fn lost(mut self) -> ProcessState {
         self.report(HealthSignal::Failed);
+        self.connection = None;
+        let process = check_process(&self.gateway, &self.listing).await;
+        if let Some(watch) = self.watch.take() {
+            watch.lost(&self.listing, process);
+        }
+        process
     }
 
     fn return_connection(&mut self) {
@@ -139,7 +157,7 @@
 
 /// Sends a call to a target and waits for the response and for up to `MAX_BUFFERED_BYTES` of its body.
 pub async fn send(call: &CallContext, listing: Listing) -> SendResult {
-    let mut guard = SendGuard::new(&call.gateway, listing);
+    let mut guard = SendGuard::new(&call.gateway, call.identity, listing);
     let Some(mut connection) = checkout(call, &guard.listing).await else {
         guard.report(HealthSignal::Failed);
         return SendResult::Unsent;
@@ -169,9 +187,8 @@
             SendResult::Unsent
         }
         ExchangeResult::Lost => {
-            guard.report(HealthSignal::Failed);
             drop(connection);
-            SendResult::Lost(check_process(&call.gateway, &guard.listing).await)
+            SendResult::Lost(guard.lost().await)
         }
     }
 }
@@ -264,11 +281,7 @@
             let body = ResponseBody::streaming(chunks, remainder, guard, deadline);
             SendResult::Answered(Box::new(TargetResponse { head, body }))
         }
-        BufferedBody::Truncated => {
-            let listing = guard.listing.clone();
-            guard.truncated();
-            SendResult::Lost(check_process(&call.gateway, &listing).await)
-        }
+        BufferedBody::Truncated => SendResult::Lost(guard.lost().await),
     }
 }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -23,7 +23,7 @@
     budget_shares::count_instances,
     platform_adapter::{ChangesRequest, StoreError, Table},
     replica::{TableUpdate, UpdateResult},
-    replication_client, seeds,
+    replication_client, seeds, suspect_store,
 };
 use crate::units::MonoTime;
 
@@ -80,7 +80,8 @@
         read_at_start(&gateway),
         ask_seeds_for_routing(&gateway),
         expire_targets(&gateway),
-        count_instances(&gateway)
+        count_instances(&gateway),
+        suspect_store::write(&gateway)
     );
 }
 
@@ -282,7 +283,7 @@
     }
 }
 
-/// Reads both tables from the store until dropped.
+/// Reads both tables and the suspects from the store until dropped.
 ///
 /// The routing table is read once the target table's first response arrives or the longest pause has passed,
 /// so that a failing store gets calls for one table only at first.
@@ -292,7 +293,7 @@
         let _answered_or_timeout = timeout(backoff(gateway).max_interval(), answered.notified()).await;
         read_table(gateway, Table::Routing, &Notify::new()).await;
     };
-    tokio::join!(read_table(gateway, Table::Targets, &answered), routing);
+    tokio::join!(read_table(gateway, Table::Targets, &answered), routing, suspect_store::read(gateway));
 }
 
 fn backoff(gateway: &Gateway) -> Backoff {
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -2,13 +2,14 @@
 
 use std::{hash::Hasher, net::IpAddr};
 
+use derive_more::{From, Into};
 use hyper::{
     header::{self, HeaderValue},
     http::request::Parts,
 };
 use siphasher::sip128::{Hasher128, SipHasher13};
 
-use crate::units::RequestDigest;
+use crate::decide::suspects::RequestIdentity;
 
 /// Bytes of a body that identify it. Longer bodies that begin alike count as the same.
 const IDENTIFYING_BODY_BYTES: usize = 64 << 10;
@@ -16,8 +17,8 @@
 /// Secret key of the hashes, the same at all instances that exchange them.
 ///
 /// Without it, nobody can tell from a hash what a request contained, or make two requests with the same one.
-#[derive(Clone, Copy, PartialEq, Eq, Default)]
-pub struct IdentityKey([u8; 16]);
+#[derive(Clone, Copy, PartialEq, Eq, From, Into)]
+pub struct IdentityKey([u8; IdentityKey::BYTES]);
 
 impl std::fmt::Debug for IdentityKey {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -25,20 +26,19 @@
     }
 }
 
-/// Identity of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RequestIdentity {
-    /// Hash of caller, host, path, body, method and query.
-    pub exact: RequestDigest,
-    /// Hash of caller, host, path and body. A caller may vary the others from one attempt to the next.
-    pub path: RequestDigest,
-}
+impl IdentityKey {
+    /// Length of a key.
+    pub const BYTES: usize = 16;
+
+    /// Creates a random key.
+    pub fn random() -> Self {
+        Self(rand::random())
+    }
 
-impl RequestIdentity {
     /// Returns the identity of a request of the caller at an address. `body` is the whole body, or at least its
     /// first [`IDENTIFYING_BODY_BYTES`].
-    pub fn new(key: IdentityKey, caller: IpAddr, head: &Parts, body: &[u8]) -> Self {
-        let mut hasher = SipHasher13::new_with_key(&key.0);
+    pub fn identify(self, caller: IpAddr, head: &Parts, body: &[u8]) -> RequestIdentity {
+        let mut hasher = SipHasher13::new_with_key(&self.0);
         let mut add = |part: &[u8]| {
             // The length keeps neighbouring parts apart.
             hasher.write_u64(part.len() as u64);
@@ -57,6 +57,6 @@
         };
         add(head.method.as_str().as_bytes());
         add(head.uri.query().unwrap_or_default().as_bytes());
-        Self { exact: hasher.finish128().as_u128().into(), path: path.into() }
+        RequestIdentity { exact: hasher.finish128().as_u128().into(), path: path.into() }
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -23,11 +23,11 @@
     request_log::{RepeatCause, SendOutcome},
 };
 use crate::{
+    decide::unconfirmed_ends::ProcessState,
     error::{Error, ErrorKind, Result},
     logging,
     observe::snapshot::resident_bytes,
     plan::RequestKind,
-    proxy::connection::ProcessState,
     units::ServiceName,
 };
 
@@ -86,6 +86,8 @@
     routing_version: Gauge,
     targets: Gauge,
     targets_limited: Gauge,
+    suspects: Gauge,
+    quarantined: Gauge,
     instances: Gauge,
     ready: Gauge,
     in_progress: Gauge,
@@ -111,6 +113,8 @@
             routing_version: Gauge::default(),
             targets: Gauge::default(),
             targets_limited: Gauge::default(),
+            suspects: Gauge::default(),
+            quarantined: Gauge::default(),
             instances: Gauge::default(),
             ready: Gauge::default(),
             in_progress: Gauge::default(),
@@ -138,6 +142,8 @@
         r.register("routing_version", "Version of the routing table", self.routing_version.clone());
         r.register("targets", "Targets listed", self.targets.clone());
         r.register("targets_limited", "Targets with a rate limit", self.targets_limited.clone());
+        r.register("suspects", "Request digests under which targets have ended", self.suspects.clone());
+        r.register("quarantined", "Request digests in quarantine", self.quarantined.clone());
         r.register("instances", "Instances that share the budgets", self.instances.clone());
         r.register("ready", "1 while callers should be sent here", self.ready.clone());
         r.register("requests_in_progress", "Requests in progress", self.in_progress.clone());
@@ -211,6 +217,12 @@
         };
         self.targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
         self.targets_limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
+        let (suspects, quarantined) = {
+            let table = gateway.suspects();
+            (table.len(), table.quarantined_count(gateway.now()))
+        };
+        self.suspects.set(i64::try_from(suspects).unwrap_or(i64::MAX));
+        self.quarantined.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
         self.instances.set(gateway.instance_count().map_or(0, |n| i64::try_from(n).unwrap_or(i64::MAX)));
         self.ready.set(i64::from(gateway.check_ready().is_ok()));
         self.in_progress.set(i64::try_from(gateway.in_progress().request_count()).unwrap_or(i64::MAX));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,8 @@
 pub mod response;
 pub mod seeds;
 pub mod serve;
+pub mod suspect_store;
+pub mod suspects;
 
 use std::{
     sync::{
@@ -43,11 +45,12 @@
 use tokio::sync::{Notify, watch};
 
 use self::{
-    config::Config, follower_places::FollowerPlaces, known_instances::KnownInstances, metrics::Metrics,
-    platform_adapter::PlatformAdapter, replica::StoreReplica, request_log::RequestLogLimiter,
+    config::Config, follower_places::FollowerPlaces, identity::IdentityKey, known_instances::KnownInstances,
+    metrics::Metrics, platform_adapter::PlatformAdapter, replica::StoreReplica,
+    request_log::RequestLogLimiter,
 };
 use crate::{
-    decide::service_pools::ServicePools,
+    decide::{service_pools::ServicePools, suspects::SuspectTable, unconfirmed_ends::UnconfirmedEnds},
     error::{Error, ErrorKind, Result},
     kernel::{
         Phase,
@@ -65,8 +68,8 @@
 
 /// State that all tasks of one gateway instance share.
 ///
-/// A task holds at most one of the locks of `service_pools`, `replica` and `known_instances` at a time, and
-/// none across an await.
+/// A task holds at most one of the locks of `service_pools`, `replica`, `known_instances`, `suspects` and
+/// `unconfirmed_ends` at a time, and none across an await.
 #[derive(Debug)]
 pub struct Gateway {
     /// Clock of this process.
@@ -97,6 +100,14 @@
     pub follower_places: Arc<FollowerPlaces>,
     /// Incremented when a target's rate limit changes, so that other instances may need to hear of it.
     rate_limits_changed: watch::Sender<u64>,
+    suspects: Mutex<SuspectTable>,
+    unconfirmed_ends: Mutex<UnconfirmedEnds>,
+    /// Incremented when what is known of suspects changes, so that other instances may need to hear of it.
+    suspects_changed: watch::Sender<u64>,
+    /// Notified when a request is quarantined from now on.
+    quarantine_started: Notify,
+    /// Key of the hashes that identify requests; `None` until it has been read or received.
+    identity_key: ArcSwapOption<IdentityKey>,
     targets_known: watch::Sender<bool>,
     /// Whether the routing tables of the seeds have been received or are no longer waited for.
     seed_routing_known: watch::Sender<bool>,
@@ -135,6 +146,11 @@
             replica_changed: watch::Sender::new(0),
             follower_places: Arc::default(),
             rate_limits_changed: watch::Sender::new(0),
+            suspects: Mutex::default(),
+            unconfirmed_ends: Mutex::default(),
+            suspects_changed: watch::Sender::new(0),
+            quarantine_started: Notify::new(),
+            identity_key: ArcSwapOption::empty(),
             targets_known: watch::Sender::new(false),
             seed_routing_known: watch::Sender::new(false),
             instance_count: AtomicU64::new(0),
@@ -224,6 +240,54 @@
         self.rate_limits_changed.subscribe()
     }
 
+    /// Locks the table of requests under which targets have ended.
+    pub fn suspects(&self) -> MutexGuard<'_, SuspectTable> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the lost sends whose targets may have ended.
+    pub fn unconfirmed_ends(&self) -> MutexGuard<'_, UnconfirmedEnds> {
+        self.unconfirmed_ends.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Makes the links to other instances check whether they have to send changed suspects, and the calls in
+    /// progress whether they are quarantined now.
+    pub fn notify_suspect_change(&self, starts_quarantine: bool) {
+        self.suspects_changed.send_modify(|n| *n += 1);
+        if starts_quarantine {
+            self.quarantine_started.notify_waiters();
+        }
+    }
+
+    /// Returns a receiver that changes when other instances may need to hear of changed suspects.
+    pub fn watch_suspects(&self) -> watch::Receiver<u64> {
+        self.suspects_changed.subscribe()
+    }
+
+    /// Returns the handle that is notified when a request is quarantined from now on.
+    pub fn quarantine_started(&self) -> &Notify {
+        &self.quarantine_started
+    }
+
+    /// Returns the key of the hashes that identify requests, if it is known.
+    pub fn identity_key(&self) -> Option<IdentityKey> {
+        self.identity_key.load().as_deref().copied()
+    }
+
+    /// Sets the key of the hashes that identify requests. What is known under another key can't be compared any
+    /// more and is forgotten.
+    pub fn set_identity_key(&self, key: IdentityKey) {
+        let previous = self.identity_key.swap(Some(Arc::new(key)));
+        if previous.as_deref() == Some(&key) {
+            return;
+        }
+        if previous.is_some() {
+            log::warn!("event=identity-key-changed");
+            self.suspects().clear();
+        }
+        self.notify_suspect_change(false);
+    }
+
     /// Returns whether other instances may follow this one.
     pub fn is_seed(&self) -> bool {
         let config = self.config();
--- a/src/gateway/platform_adapter.rs
+++ b/src/gateway/platform_adapter.rs
@@ -84,6 +84,17 @@
     }
 }
 
+/// Changes of rows that instances write; all of them or none take effect.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct RowChanges {
+    /// Rows to write, by key.
+    pub put: Vec<(String, Bytes)>,
+    /// Keys of rows to remove.
+    pub remove: Vec<String>,
+    /// Key of a row that must not exist before.
+    pub if_absent: Option<String>,
+}
+
 /// A request for the changes of a table (long poll).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ChangesRequest {
@@ -132,6 +143,12 @@
     pub read_table: DriverFn<Table, Result<TableRows, StoreError>>,
     /// Waits for changes of a table; returns no rows if nothing changes within the requested wait.
     pub wait_for_changes: DriverFn<ChangesRequest, Result<TableRows, StoreError>>,
+    /// Reads all rows of the table in which the instances keep requests that end targets.
+    pub read_suspects: DriverFn<(), Result<TableRows, StoreError>>,
+    /// Waits for changes of that table since a position, for at most a time.
+    pub wait_for_suspects: DriverFn<(StorePosition, Duration), Result<TableRows, StoreError>>,
+    /// Changes rows of that table.
+    pub change_suspects: DriverFn<RowChanges, Result<(), StoreError>>,
     /// Key of the row in [`Table::Routing`] that holds the routing table.
     pub routing_key: &'static str,
     /// Decodes the routing table. The error says why the table is unusable as a whole.
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -18,6 +18,7 @@
     platform_adapter::{Table, TableRow, TableRows},
     rate_limits::{self, SentRateLimits},
     replica::{ReplicaStatus, TableUpdate, UpdateResult},
+    suspects::{self, SentSuspects},
 };
 use crate::{
     peer::{
@@ -132,7 +133,9 @@
             Frame::StoreState(_)
             | Frame::StoreRows(_)
             | Frame::StoreAnsweredFor(_)
-            | Frame::RateLimits(_) => {}
+            | Frame::RateLimits(_)
+            | Frame::IdentityKey(_)
+            | Frame::Suspects(_) => {}
             _ => return Err("unexpected frame type".into()),
         }
     }
@@ -277,6 +280,8 @@
                 Frame::StoreRows(rows) if rows.must_read => self.read_table(rows.of_targets).await?,
                 Frame::StoreRows(rows) => self.apply_rows(rows)?,
                 Frame::RateLimits(entries) => rate_limits::receive(self.gateway, entries),
+                Frame::IdentityKey(key) => suspects::receive_key(self.gateway, key.into(), true),
+                Frame::Suspects(entries) => suspects::receive(self.gateway, entries),
                 _ => return Err("unexpected frame type".into()),
             }
         }
@@ -348,7 +353,7 @@
 }
 
 /// Sends to the followed instance the known instance names whenever there are new ones, and at least every
-/// [`NAMES_RESEND_PERIOD`], and changes of targets' rate limits at once.
+/// [`NAMES_RESEND_PERIOD`], and changes of targets' rate limits and of suspects at once.
 async fn send_updates(
     gateway: &Gateway,
     sent_revision: u64,
@@ -357,8 +362,11 @@
     let mut last_sent = (sent_revision, gateway.now());
     let mut sent_limits = SentRateLimits::default();
     let mut limit_changes = gateway.watch_rate_limits();
+    let mut sent_suspects = SentSuspects::default();
+    let mut suspect_changes = gateway.watch_suspects();
     loop {
         let mut frames = sent_limits.next_frames(gateway, None);
+        frames.extend(sent_suspects.next_frames(gateway));
         let (revision, instances) = revision_and_names(gateway);
         if revision != last_sent.0 || gateway.now().since(last_sent.1) > NAMES_RESEND_PERIOD {
             frames.push(Frame::KnownInstances(instances));
@@ -367,7 +375,10 @@
         for frame in frames {
             timeout(OPEN_TIMEOUT, send_all(&mut send_stream, encode(&frame))).await??;
         }
-        // After a timeout, the names are checked.
-        let _change_or_timeout = timeout(NAMES_CHECK_PERIOD, limit_changes.changed()).await;
+        tokio::select! {
+            changed = limit_changes.changed() => changed?,
+            changed = suspects::wait_for_change(&mut suspect_changes) => changed?,
+            () = sleep(NAMES_CHECK_PERIOD) => {}
+        }
     }
 }
--- a/src/gateway/replication_server.rs
+++ b/src/gateway/replication_server.rs
@@ -18,6 +18,7 @@
     platform_adapter::{Table, TableRow, TableRows},
     rate_limits::{self, SentRateLimits},
     replica::TableUpdate,
+    suspects::{self, SentSuspects},
 };
 use crate::{
     peer::{
@@ -112,6 +113,7 @@
             sent_era: StoreEra::default(),
             place: subscription.wants_rows.then(|| gateway.follower_places.take()),
             sent_limits: SentRateLimits::default(),
+            sent_suspects: SentSuspects::default(),
             stream,
         };
         tokio::select! {
@@ -146,7 +148,7 @@
         }
     }
 
-    /// Receives the instance names and rate limits that the follower knows, until it closes the link.
+    /// Receives the instance names, rate limits and suspects that the follower knows, until it closes the link.
     async fn read_updates(&mut self, gateway: &Gateway) -> Result<(), LinkError> {
         while let Some(frame) = self.next_frame().await? {
             match frame {
@@ -154,6 +156,8 @@
                     gateway.known_instances().add(gateway.now(), instances);
                 }
                 Frame::RateLimits(entries) => rate_limits::receive(gateway, entries),
+                Frame::IdentityKey(key) => suspects::receive_key(gateway, key.into(), false),
+                Frame::Suspects(entries) => suspects::receive(gateway, entries),
                 _ => return Err("unexpected frame type".into()),
             }
         }
@@ -192,6 +196,7 @@
     /// Place of the follower, if it wants rows.
     place: Option<FollowerPlace>,
     sent_limits: SentRateLimits,
+    sent_suspects: SentSuspects,
     stream: SendStream<Bytes>,
 }
 
@@ -199,6 +204,7 @@
     async fn run(&mut self) -> Result<(), LinkError> {
         let mut replica_changes: watch::Receiver<u64> = self.gateway.watch_replica();
         let mut limit_changes = self.gateway.watch_rate_limits();
+        let mut suspect_changes = self.gateway.watch_suspects();
         let mut period = interval(HEARTBEAT_PERIOD);
         period.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut sent_store_lost = false;
@@ -215,6 +221,10 @@
                     changed?;
                     false
                 }
+                changed = suspects::wait_for_change(&mut suspect_changes) => {
+                    changed?;
+                    false
+                }
             };
             if self.gateway.is_leaving() {
                 return Ok(());
@@ -236,6 +246,8 @@
             frames.push(Frame::StoreState(state));
             let frames_without_rows = frames.len();
             if self.wants_rows {
+                // Before the rows, so that the follower knows the suspects when it becomes ready.
+                frames.extend(self.sent_suspects.next_frames(self.gateway));
                 self.add_update(Table::Routing, is_heartbeat, &mut frames);
                 self.add_update(Table::Targets, is_heartbeat, &mut frames);
                 let place = self.place.as_ref().map(FollowerPlace::phase);
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -8,14 +8,13 @@
 
 use derive_more::Display;
 
-use super::{identity::RequestIdentity, rate_limits};
+use super::rate_limits;
 use crate::{
-    decide::probed_target::LoadReading,
+    decide::{probed_target::LoadReading, suspects::RequestIdentity, unconfirmed_ends::ProcessState},
     error::ErrorKind,
     logging::{Quoted, SELF_LIMITED_MODULE},
-    proxy::connection::ProcessState,
     routing::{Route, RoutingVersion},
-    units::{MonoTime, PerSecond, ServiceName, TargetId},
+    units::{MonoTime, PerSecond, RequestDigest, ServiceName, TargetId},
 };
 
 /// Notable requests that are logged per second in the long run. A request is notable unless it got a response
@@ -152,7 +151,7 @@
 pub struct RequestLog {
     /// Identifier that the caller gave the request.
     request: String,
-    identity: RequestIdentity,
+    identity: Option<RequestIdentity>,
     route: Arc<Route>,
     service: ServiceName,
     routing: RoutingVersion,
@@ -165,7 +164,7 @@
     /// Creates the log of an admitted request, from the identifier that the caller gave it and its identity.
     /// `times` are its arrival and its deadline.
     pub fn new(
-        (request, identity): (&[u8], RequestIdentity),
+        (request, identity): (&[u8], Option<RequestIdentity>),
         route: &Arc<Route>,
         service: &ServiceName,
         routing: RoutingVersion,
@@ -222,8 +221,8 @@
             self.routing,
             spec.objective.as_millis(),
             self.deadline.since(self.arrived).as_millis(),
-            self.identity.exact,
-            self.identity.path
+            DisplayDigest(self.identity.map(|identity| identity.exact)),
+            DisplayDigest(self.identity.map(|identity| identity.path))
         )];
         for (at, event) in events {
             let after_ms = at.since(self.arrived).as_millis();
@@ -269,6 +268,18 @@
     }
 }
 
+/// A digest in the format of log lines.
+struct DisplayDigest(Option<RequestDigest>);
+
+impl std::fmt::Display for DisplayDigest {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self.0 {
+            Some(digest) => digest.fmt(f),
+            None => f.write_str("none"),
+        }
+    }
+}
+
 /// A load reading in the format of log lines.
 struct DisplayReading(Option<(LoadReading, Duration)>);
 
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -66,6 +66,11 @@
     }
 }
 
+/// Ends a send whose response broke off; what this shows of the request is found out without its caller.
+fn end_lost(guard: SendGuard) {
+    tokio::spawn(guard.lost());
+}
+
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -79,7 +84,7 @@
         }
         let Some(mut remainder) = self.remainder.take() else { return Poll::Ready(None) };
         if remainder.is_overdue(cx) {
-            remainder.guard.truncated();
+            end_lost(remainder.guard);
             return Poll::Ready(Some(Err(BodyError::Truncated)));
         }
         match Pin::new(&mut remainder.body).poll_frame(cx) {
@@ -92,7 +97,7 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(_))) => {
-                remainder.guard.truncated();
+                end_lost(remainder.guard);
                 Poll::Ready(Some(Err(BodyError::Truncated)))
             }
             Poll::Ready(None) => {
--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -21,6 +21,7 @@
 };
 use crate::{
     error::{Error, ErrorKind, Result},
+    kernel::clock::unix_ms,
     units::MonoTime,
 };
 
@@ -110,7 +111,7 @@
 }
 
 /// Formats a log line; whatever the message contains, the result is one line.
-pub fn format_line(at_ms: u128, level: LevelFilter, module: &str, message: &str) -> String {
+pub fn format_line(at_ms: u64, level: LevelFilter, module: &str, message: &str) -> String {
     format!("at_ms={at_ms} level={level} module={} {}\n", OneLine(module), OneLine(message))
 }
 
@@ -137,9 +138,3 @@
 pub fn take_dropped() -> u64 {
     OUTPUT.get().map_or(0, |shared| shared.with_limiter(|limiter, _| limiter.take_dropped_total()))
 }
-
-/// Returns the wall clock in milliseconds since the Unix epoch.
-pub fn unix_ms() -> u128 {
-    let now = std::time::SystemTime::now();
-    now.duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_millis())
-}
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -45,7 +45,7 @@
 };
 use crate::{
     error::{Error, ErrorKind, Result},
-    kernel::Kernel,
+    kernel::{Kernel, clock::unix_ms},
     logging,
     plan::{IntendedAction, Plan},
     store::{ObjectCondition, WriteResult, rate_limit::Purpose},
@@ -298,5 +298,5 @@
 
 /// Returns the wall clock in seconds since the Unix epoch.
 pub fn unix_s() -> u64 {
-    u64::try_from(logging::unix_ms() / 1_000).unwrap_or(u64::MAX)
+    unix_ms() / 1_000
 }
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     store_position::StoreEra,
-    units::{DataCentre, InstanceId, PlanVersion, RunId, TargetId},
+    units::{DataCentre, InstanceId, PlanVersion, RequestDigest, RunId, TargetId},
 };
 
 /// Version of the peer protocol; an instance closes links whose hello states another one.
@@ -150,6 +150,19 @@
     pub phase_micros: Option<u32>,
 }
 
+/// What the sender knows of one request under which targets have ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectEntry {
+    /// Keyed hash that identifies the request.
+    pub digest: RequestDigest,
+    /// Number of answers that have cleared the count of ends.
+    pub generation: u32,
+    /// Targets that have ended under it in succession since then.
+    pub ends: u8,
+    /// Milliseconds since the count has changed.
+    pub age_ms: u32,
+}
+
 /// Message between two instances.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Frame {
@@ -181,6 +194,10 @@
     StoreAnsweredFor(u32),
     /// Rate limits that targets stated. Instances that don't know it skip it.
     RateLimits(Vec<RateLimitEntry>),
+    /// Key of the hashes that identify requests. Instances that don't know it skip it.
+    IdentityKey([u8; 16]),
+    /// Requests under which targets have ended. Instances that don't know it skip it.
+    Suspects(Vec<SuspectEntry>),
 }
 
 const TAG_HELLO: u8 = 1;
@@ -196,6 +213,8 @@
 const TAG_STORE_ERA: u8 = 11;
 const TAG_STORE_ANSWERED_FOR: u8 = 12;
 const TAG_RATE_LIMITS: u8 = 13;
+const TAG_IDENTITY_KEY: u8 = 14;
+const TAG_SUSPECTS: u8 = 15;
 
 /// Largest frame accepted from a peer, tag and body, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
@@ -248,6 +267,8 @@
         Frame::StoreEra(era) => (TAG_STORE_ERA, to_bytes(era)),
         Frame::StoreAnsweredFor(ms) => (TAG_STORE_ANSWERED_FOR, to_bytes(ms)),
         Frame::RateLimits(entries) => (TAG_RATE_LIMITS, to_bytes(entries)),
+        Frame::IdentityKey(key) => (TAG_IDENTITY_KEY, to_bytes(key)),
+        Frame::Suspects(entries) => (TAG_SUSPECTS, to_bytes(entries)),
     };
     encode_raw(tag, &body)
 }
@@ -343,6 +364,8 @@
         TAG_STORE_ERA => Frame::StoreEra(from_bytes(tag, &body)?),
         TAG_STORE_ANSWERED_FOR => Frame::StoreAnsweredFor(from_bytes(tag, &body)?),
         TAG_RATE_LIMITS => Frame::RateLimits(from_bytes(tag, &body)?),
+        TAG_IDENTITY_KEY => Frame::IdentityKey(from_bytes(tag, &body)?),
+        TAG_SUSPECTS => Frame::Suspects(from_bytes(tag, &body)?),
         _ => return Ok(None),
     }))
 }
--- a/src/peer/receive.rs
+++ b/src/peer/receive.rs
@@ -136,7 +136,9 @@
             | Frame::StoreRows(_)
             | Frame::StoreEra(_)
             | Frame::StoreAnsweredFor(_)
-            | Frame::RateLimits(_) => {}
+            | Frame::RateLimits(_)
+            | Frame::IdentityKey(_)
+            | Frame::Suspects(_) => {}
         }
         Ok(())
     }
--- a/src/proxy/connection.rs
+++ b/src/proxy/connection.rs
@@ -12,7 +12,6 @@
     time::Duration,
 };
 
-use derive_more::Display;
 use hyper::{
     HeaderMap, Request, Response,
     body::Incoming,
@@ -32,7 +31,7 @@
     head_limit::{LimitedStream, ReadAllowance},
     upload::RequestBody,
 };
-use crate::collections::HashMap;
+use crate::{collections::HashMap, decide::unconfirmed_ends::ProcessState};
 
 /// Time since the last response after which an idle connection is no longer reused.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -112,18 +111,6 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
-/// What new and open connections show of the process at an address.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-#[display(rename_all = "kebab-case")]
-pub enum ProcessState {
-    /// It accepts connections.
-    Listening,
-    /// Nothing listens there, and no connection to it is left.
-    Ended,
-    /// It gave no sign in time, or contradictory ones.
-    Unknown,
-}
-
 /// Number of open connections to one target.
 #[derive(Debug, Default)]
 struct OpenConnections {
--- a/tests/gateway_env/mod.rs
+++ b/tests/gateway_env/mod.rs
@@ -207,6 +207,18 @@
         deadline_ms: u64,
     ) -> Result<CompleteResponse, IncompleteResponse> {
         let body = if method == Method::POST { Bytes::from(format!("booking {id}")) } else { Bytes::new() };
+        self.send_body(to, method, path, (id, deadline_ms), body).await
+    }
+
+    /// Sends a request with an identifier, a deadline and a body.
+    pub async fn send_body(
+        &self,
+        to: SocketAddr,
+        method: Method,
+        path: &str,
+        (id, deadline_ms): (&str, u64),
+        body: Bytes,
+    ) -> Result<CompleteResponse, IncompleteResponse> {
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{to}{path}"))
--- a/tests/gateway_poison.rs
+++ b/tests/gateway_poison.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use arbutusshelf_bench::worker::{WorkerMode, WorkerStandIn};
+use bytes::Bytes;
 use futures::future::join_all;
 use gateway_env::{GatewayProcess, TestDeployment};
 use hyper::Method;
@@ -98,20 +99,33 @@
     }
 }
 
+/// A request that ends its targets.
+struct FatalRequest {
+    method: Method,
+    path: &'static str,
+    body_bytes: usize,
+    /// Whether each attempt has another query.
+    has_varying_query: bool,
+}
+
 /// One caller sends the same request again and again, at one instance after another, whatever the answer.
 async fn send_again_and_again(
     deployment: &TestDeployment,
     instances: &[GatewayProcess],
     workers: &mut Workers<'_>,
-    (method, path): (Method, &str),
+    request: &FatalRequest,
     length: Duration,
 ) -> Vec<u16> {
+    let body = Bytes::from(vec![b'x'; request.body_bytes]);
     let started = Instant::now();
     let mut statuses = Vec::new();
     while started.elapsed() < length {
         let to = &instances[statuses.len() % instances.len()];
         let id = format!("p{}", statuses.len());
-        let answer = deployment.send(to.callers, method.clone(), path, &id).await.expect("an answer");
+        let query = if request.has_varying_query { format!("?page={id}") } else { String::new() };
+        let (method, path) = (request.method.clone(), format!("{}{query}", request.path));
+        let answer = deployment.send_body(to.callers, method, &path, (&id, 2_000), body.clone()).await;
+        let answer = answer.expect("an answer");
         statuses.push(answer.status);
         workers.replace_ended().await;
         tokio::time::sleep(Duration::from_millis(30)).await;
@@ -158,20 +172,48 @@
     }
 }
 
-/// Guards against a request that ends target after target for as long as it comes, at all instances together.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_request_that_ends_its_targets_is_not_sent_on_for_ever() {
+/// Sends the same request for a while, and checks that hardly any of it reaches a target any more, from
+/// [`SETTLE_TIME`] after the third target has ended.
+async fn check_that_it_is_not_sent_on(request: &FatalRequest) {
     let deployment = TestDeployment::start().await;
     let mut workers = Workers::start(&deployment, 8).await;
     let instances = start_instances(&deployment, 4).await;
     let length = SETTLE_TIME * 3;
-    for (method, path) in [(Method::GET, "/read/fatal-a"), (Method::POST, "/charge/fatal-b")] {
-        let statuses =
-            send_again_and_again(&deployment, &instances, &mut workers, (method, path), length).await;
-        let starts = workers.starts(path);
-        let settled = starts.get(2).map(|third| *third + SERVICE_TIME + SETTLE_TIME);
-        let late = starts.iter().filter(|at| settled.is_some_and(|settled| **at > settled)).count();
-        let count = starts.len();
-        assert!(late <= ALLOWED_SENDS, "{path}: {late} of {count} sends came late, answers {statuses:?}");
-    }
+    let statuses = send_again_and_again(&deployment, &instances, &mut workers, request, length).await;
+    let starts = workers.starts(request.path);
+    let settled = starts.get(2).map(|third| *third + SERVICE_TIME + SETTLE_TIME);
+    let late = starts.iter().filter(|at| settled.is_some_and(|settled| **at > settled)).count();
+    let count = starts.len();
+    assert!(late <= ALLOWED_SENDS, "{late} of {count} sends came late, answers {statuses:?}");
+    assert!(count >= 3, "{count} sends, answers {statuses:?}");
+}
+
+const READ: FatalRequest =
+    FatalRequest { method: Method::GET, path: "/read/fatal", body_bytes: 0, has_varying_query: false };
+
+const CHARGE: FatalRequest =
+    FatalRequest { method: Method::POST, path: "/charge/fatal", body_bytes: 900, has_varying_query: false };
+
+/// Guards against a request that ends target after target for as long as it comes, at all instances together.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_ends_its_targets_is_not_sent_on_for_ever() {
+    check_that_it_is_not_sent_on(&READ).await;
+}
+
+/// The same for a request that is not repeated, but comes again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_charge_that_ends_its_targets_is_not_sent_on_for_ever() {
+    check_that_it_is_not_sent_on(&CHARGE).await;
+}
+
+/// The same for a body that is passed on as it arrives.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upload_that_ends_its_targets_is_not_sent_on_for_ever() {
+    check_that_it_is_not_sent_on(&FatalRequest { body_bytes: 400_000, ..CHARGE }).await;
+}
+
+/// The same if each attempt has another query.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_path_whose_requests_end_their_targets_gets_no_more_of_them() {
+    check_that_it_is_not_sent_on(&FatalRequest { has_varying_query: true, ..READ }).await;
 }
--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -3,8 +3,8 @@
 use arbutusshelf::{
     peer::frame::{
         Decoder, DrainNotice, Frame, FrameError, Heartbeat, Hello, LoadCount, Loads, MAX_SMALL_FRAME_BYTES,
-        PROTOCOL_VERSION, RateLimitEntry, StoreRow, StoreRows, StoreState, StoreSubscription, encode,
-        encode_raw,
+        PROTOCOL_VERSION, RateLimitEntry, StoreRow, StoreRows, StoreState, StoreSubscription, SuspectEntry,
+        encode, encode_raw,
     },
     store_position::StoreEra,
     units::RunId,
@@ -65,6 +65,13 @@
             version: 3,
             phase_micros: None,
         }]),
+        Frame::IdentityKey([7; 16]),
+        Frame::Suspects(vec![SuspectEntry {
+            digest: (u128::MAX - 1).into(),
+            generation: 1,
+            ends: 2,
+            age_ms: 40,
+        }]),
     ]
 }
 
@@ -106,10 +113,12 @@
         Frame::StoreEra(_) => 10,
         Frame::StoreAnsweredFor(_) => 11,
         Frame::RateLimits(_) => 12,
+        Frame::IdentityKey(_) => 13,
+        Frame::Suspects(_) => 14,
     };
     let mut numbers = sample_frames().iter().map(number).collect::<Vec<_>>();
     numbers.dedup();
-    assert_eq!(numbers, (0..=12).collect::<Vec<_>>());
+    assert_eq!(numbers, (0..=14).collect::<Vec<_>>());
 }
 
 #[test]
