Recognise requests that end targets from any address, and targets that end a little later

Suspected, since no log shows it: the attempts come from several addresses of the caller; or the connection of the request that ends its target is closed before the others and before the listener, so that the one check right after it finds the target alive, while those of the requests beside it, at other instances, don't. Only from two ends on is a request sent one at a time, so that a path that many callers use is not slowed by the end of one target. Result: the tests for other addresses and for a target that ends 60 ms after the connection pass.

--- a/bench/src/client.rs
+++ b/bench/src/client.rs
@@ -1,7 +1,10 @@
 //! HTTP client that plays a caller: sends requests and returns the responses with the load balancer's outcome
 //! headers.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use arbutusshelf::proxy::headers::{CAUSE, IDEMPOTENCY_KEY, OUTCOME};
 use bytes::Bytes;
@@ -86,6 +89,16 @@
         Self { client, timeout: Duration::from_secs(30) }
     }
 
+    /// Creates a caller that connects from an address.
+    pub fn from_address(address: IpAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_local_address(Some(address));
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            timeout: Duration::from_secs(30),
+        }
+    }
+
     /// Sends a request unchanged and reads the complete response.
     ///
     /// # Errors
--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -76,6 +76,8 @@
     rate_limit_per_s: Option<f64>,
     /// Part of the request line by which requests end the process.
     fatal_marker: Option<String>,
+    /// Time between the end of the connection of such a request and that of the process.
+    end_delay: Duration,
     running: u32,
     executed: Vec<WorkerRequest>,
     refused: Vec<WorkerRequest>,
@@ -156,6 +158,11 @@
         lock(&self.state).fatal_marker = Some(marker.to_owned());
     }
 
+    /// Sets the time between the end of the connection of a fatal request and that of the process.
+    pub fn set_end_delay(&self, end_delay: Duration) {
+        lock(&self.state).end_delay = end_delay;
+    }
+
     /// Ends the process as a crash does.
     pub fn end(&self) {
         self.ended.send_replace(true);
@@ -266,7 +273,11 @@
             return Ok(());
         }
         if is_fatal {
+            drop(stream);
+            let end_delay = lock(state).end_delay;
+            tokio::time::sleep(end_delay).await;
             ended.send_replace(true);
+            return Ok(());
         }
     }
     Ok(())
--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -42,15 +42,27 @@
 /// Longest time that may lie before the start of this process's clock: more than anything is remembered.
 const CLOCK_SHIFT: Duration = Duration::from_hours(48);
 
-/// Identity of a request.
+/// Identity of a request: digests of more and more requests that may be like it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestIdentity {
     /// Hash of caller, host, path, body, method and query.
     pub exact: RequestDigest,
     /// Hash of caller, host, path and body. A caller may vary the others from one attempt to the next.
     pub path: RequestDigest,
+    /// Hash of host, path and body. A caller may have several addresses.
+    pub content: RequestDigest,
 }
 
+impl RequestIdentity {
+    /// Returns the digests, the one of the fewest requests first.
+    fn digests(&self) -> [RequestDigest; DIGEST_COUNT] {
+        [self.exact, self.path, self.content]
+    }
+}
+
+/// Number of digests of an identity.
+const DIGEST_COUNT: usize = 3;
+
 /// Targets that have ended under a request. Of two counts of one request, the greater one is the later one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct EndCount {
@@ -60,19 +72,12 @@
     pub ends: u8,
 }
 
-/// The counts of a request that are known when a send of it begins.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct KnownEnds {
-    exact: EndCount,
-    path: EndCount,
-}
-
 /// Whether a request may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
     /// It may.
     Send,
-    /// A target has ended under it, and another send of it is in progress at this instance. It may be sent when
+    /// Targets have ended under it, and another send of it is in progress at this instance. It may be sent when
     /// that one has ended.
     Wait,
     /// It is quarantined for this time.
@@ -155,9 +160,10 @@
 #[derive(Debug, Clone, Copy)]
 pub struct SuspectSend {
     identity: RequestIdentity,
-    known: KnownEnds,
-    /// Whether it is counted as in progress, for the exact digest and for that of the path.
-    is_counted: [bool; 2],
+    /// Counts of the digests when the send began.
+    known: [EndCount; DIGEST_COUNT],
+    /// Whether it is counted as in progress, for each digest.
+    is_counted: [bool; DIGEST_COUNT],
 }
 
 /// Requests under which targets have ended, as this instance knows them.
@@ -170,13 +176,13 @@
 impl SuspectTable {
     /// Returns whether a request may be sent now.
     pub fn admission(&self, now: MonoTime, identity: RequestIdentity) -> Admission {
-        let known = [identity.exact, identity.path].map(|digest| self.suspects.get(&digest));
+        let known = identity.digests().map(|digest| self.suspects.get(&digest));
         let known = || known.into_iter().flatten();
         let quarantine_left = known().map(|s| s.quarantine_left(now)).max().unwrap_or_default();
         if !quarantine_left.is_zero() {
             return Admission::Quarantined(quarantine_left);
         }
-        let is_other_in_progress = known().any(|s| s.count.ends > 0 && s.in_progress > 0);
+        let is_other_in_progress = known().any(|s| s.count.ends > MAX_REPEATED_ENDS && s.in_progress > 0);
         if is_other_in_progress { Admission::Wait } else { Admission::Send }
     }
 
@@ -187,13 +193,13 @@
 
     /// Returns how many targets have ended under a request in succession.
     pub fn ends(&self, identity: RequestIdentity) -> u8 {
-        self.count(identity.exact).ends.max(self.count(identity.path).ends)
+        identity.digests().map(|digest| self.count(digest).ends).into_iter().max().unwrap_or_default()
     }
 
     /// Starts a send of a request.
     pub fn start_send(&mut self, identity: RequestIdentity) -> SuspectSend {
-        let known = KnownEnds { exact: self.count(identity.exact), path: self.count(identity.path) };
-        let is_counted = [identity.exact, identity.path].map(|digest| {
+        let known = identity.digests().map(|digest| self.count(digest));
+        let is_counted = identity.digests().map(|digest| {
             let suspect = self.suspects.get_mut(&digest);
             suspect.map(|s| s.in_progress += 1).is_some()
         });
@@ -202,8 +208,7 @@
 
     /// Ends a send. Returns whether other calls may wait for this.
     pub fn finish_send(&mut self, send: SuspectSend) -> bool {
-        for (digest, is_counted) in [send.identity.exact, send.identity.path].into_iter().zip(send.is_counted)
-        {
+        for (digest, is_counted) in send.identity.digests().into_iter().zip(send.is_counted) {
             if let Some(suspect) = self.suspects.get_mut(&digest).filter(|_| is_counted) {
                 suspect.in_progress = suspect.in_progress.saturating_sub(1);
             }
@@ -213,22 +218,20 @@
 
     /// Records that the target of a send has ended without an answer.
     pub fn record_end(&mut self, now: MonoTime, send: &SuspectSend) -> Vec<SuspectChange> {
-        let SuspectSend { identity, known, .. } = send;
         let mut changes = Vec::new();
-        changes.extend(self.add_end(now, identity.exact, known.exact));
-        // Further ends under the same request don't show that others of the same path are like it.
-        if known.exact.ends == 0 {
-            changes.extend(self.add_end(now, identity.path, known.path));
+        for (digest, known) in send.identity.digests().into_iter().zip(send.known) {
+            changes.extend(self.add_end(now, digest, known));
+            // Further ends under this digest don't show that more requests are like it.
+            if known.ends > 0 {
+                break;
+            }
         }
         changes
     }
 
     /// Records that a target has executed and answered a request.
     pub fn record_answer(&mut self, now: MonoTime, identity: RequestIdentity) -> Vec<SuspectChange> {
-        [identity.exact, identity.path]
-            .into_iter()
-            .filter_map(|digest| self.clear_count(now, digest))
-            .collect()
+        identity.digests().into_iter().filter_map(|digest| self.clear_count(now, digest)).collect()
     }
 
     /// Records what another instance, or the store, knows.
--- a/src/decide/unconfirmed_ends.rs
+++ b/src/decide/unconfirmed_ends.rs
@@ -8,7 +8,10 @@
     directory::{DirectoryChange, Listing},
     suspects::SuspectSend,
 };
-use crate::units::MonoTime;
+use crate::{
+    collections::HashSet,
+    units::{MonoTime, TargetId},
+};
 
 /// Time within which the directory shows that a target has ended: its entry lapses after three missed heartbeats.
 const CONFIRMATION_TIME: Duration = Duration::from_secs(10);
@@ -58,24 +61,52 @@
 #[derive(Debug, Default)]
 pub struct UnconfirmedEnds {
     ends: VecDeque<UnconfirmedEnd>,
+    /// Targets that are being checked.
+    checked: HashSet<TargetId>,
 }
 
 impl UnconfirmedEnds {
-    /// Adds a lost send. `process` is what was found of the target right after.
-    pub fn add(&mut self, now: MonoTime, listing: &Listing, process: ProcessState, send: SuspectSend) {
+    /// Adds a lost send. `process` is what was found of the target right after. Returns whether checks of the
+    /// target are to be started; [`UnconfirmedEnds::end_checks`] ends them.
+    pub fn add(
+        &mut self,
+        now: MonoTime,
+        listing: &Listing,
+        process: ProcessState,
+        send: SuspectSend,
+    ) -> bool {
         self.forget_old(now);
         if self.ends.len() >= MAX_UNCONFIRMED {
             self.ends.pop_front();
         }
         self.ends.push_back(UnconfirmedEnd { listing: listing.clone(), process, send, lost_at: now });
+        self.checked.insert(listing.id.clone())
+    }
+
+    /// Records that the checks of a target have ended.
+    pub fn end_checks(&mut self, target: &TargetId) {
+        self.checked.remove(target);
+    }
+
+    /// Returns the sends to a target that has ended, and forgets them.
+    pub fn confirm_target(&mut self, now: MonoTime, target: &TargetId) -> Vec<SuspectSend> {
+        self.confirm_where(now, |end| end.listing.id == *target)
     }
 
     /// Returns the sends whose target has ended as these changes show, and forgets them.
     pub fn confirm(&mut self, now: MonoTime, changes: &[DirectoryChange]) -> Vec<SuspectSend> {
+        self.confirm_where(now, |end| changes.iter().any(|change| end.is_confirmed_by(change)))
+    }
+
+    fn confirm_where(
+        &mut self,
+        now: MonoTime,
+        is_confirmed: impl Fn(&UnconfirmedEnd) -> bool,
+    ) -> Vec<SuspectSend> {
         self.forget_old(now);
         let mut confirmed = Vec::new();
         self.ends.retain(|end| {
-            let is_confirmed = changes.iter().any(|change| end.is_confirmed_by(change));
+            let is_confirmed = is_confirmed(end);
             confirmed.extend(is_confirmed.then_some(end.send));
             !is_confirmed
         });
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -14,7 +14,7 @@
 
 use super::{
     Gateway, call::CallContext, rate_limits, request_log::SendOutcome, response::ResponseBody,
-    suspects::SendWatch,
+    suspects::SendWatch, target_end,
 };
 use crate::{
     decide::{
@@ -123,7 +123,7 @@
     pub async fn lost(mut self) -> ProcessState {
         self.report(HealthSignal::Failed);
         self.connection = None;
-        let process = check_process(&self.gateway, &self.listing).await;
+        let process = target_end::check(&self.gateway, &self.listing).await;
         if let Some(watch) = self.watch.take() {
             watch.lost(&self.listing, process);
         }
@@ -193,20 +193,6 @@
     }
 }
 
-/// Finds out whether the process of a target has ended, after a response of it has not arrived.
-async fn check_process(gateway: &Gateway, listing: &Listing) -> ProcessState {
-    let process = gateway.connections.check_process(listing.address).await;
-    if process == ProcessState::Ended {
-        log::info!(
-            "event=target-ended target={} service={} address={}",
-            listing.id,
-            listing.service,
-            listing.address
-        );
-    }
-    process
-}
-
 async fn checkout(call: &CallContext, listing: &Listing) -> Option<Connection> {
     let reuse = match call.route.spec.kind {
         RequestKind::Idempotent => ReusePolicy::AnyIdle,
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -3,13 +3,10 @@
 use std::{hash::Hasher, net::IpAddr};
 
 use derive_more::{From, Into};
-use hyper::{
-    header::{self, HeaderValue},
-    http::request::Parts,
-};
+use hyper::{header, http::request::Parts};
 use siphasher::sip128::{Hasher128, SipHasher13};
 
-use crate::decide::suspects::RequestIdentity;
+use crate::{decide::suspects::RequestIdentity, routing::host_name};
 
 /// Bytes of a body that identify it. Longer bodies that begin alike count as the same.
 const IDENTIFYING_BODY_BYTES: usize = 64 << 10;
@@ -39,24 +36,22 @@
     /// first [`IDENTIFYING_BODY_BYTES`].
     pub fn identify(self, caller: IpAddr, head: &Parts, body: &[u8]) -> RequestIdentity {
         let mut hasher = SipHasher13::new_with_key(&self.0);
-        let mut add = |part: &[u8]| {
-            // The length keeps neighbouring parts apart.
-            hasher.write_u64(part.len() as u64);
-            hasher.write(part);
-        };
-        let host = head.headers.get(header::HOST).map(HeaderValue::as_bytes);
-        let host = host.or_else(|| head.uri.host().map(str::as_bytes)).unwrap_or_default();
-        add(caller.to_string().as_bytes());
-        add(&host.to_ascii_lowercase());
-        add(head.uri.path().as_bytes());
-        add(&body[..body.len().min(IDENTIFYING_BODY_BYTES)]);
-        let path = hasher.finish128().as_u128();
-        let mut add = |part: &[u8]| {
-            hasher.write_u64(part.len() as u64);
-            hasher.write(part);
-        };
-        add(head.method.as_str().as_bytes());
-        add(head.uri.query().unwrap_or_default().as_bytes());
-        RequestIdentity { exact: hasher.finish128().as_u128().into(), path: path.into() }
+        let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+        let host = host_name(host.or_else(|| head.uri.host()).unwrap_or_default());
+        add(&mut hasher, host.to_ascii_lowercase().as_bytes());
+        add(&mut hasher, head.uri.path().as_bytes());
+        add(&mut hasher, &body[..body.len().min(IDENTIFYING_BODY_BYTES)]);
+        let content = hasher.finish128().as_u128().into();
+        add(&mut hasher, caller.to_string().as_bytes());
+        let path = hasher.finish128().as_u128().into();
+        add(&mut hasher, head.method.as_str().as_bytes());
+        add(&mut hasher, head.uri.query().unwrap_or_default().as_bytes());
+        RequestIdentity { exact: hasher.finish128().as_u128().into(), path, content }
     }
 }
+
+/// Adds a part with its length, which keeps neighbouring parts apart.
+fn add(hasher: &mut SipHasher13, part: &[u8]) {
+    hasher.write_u64(part.len() as u64);
+    hasher.write(part);
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod serve;
 pub mod suspect_store;
 pub mod suspects;
+pub mod target_end;
 
 use std::{
     sync::{
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -213,7 +213,7 @@
         let spec = &self.route.spec;
         let mut lines = vec![format!(
             "event=request-admitted request={request} route={} service={} kind={} priority={} routing={} \
-             objective_ms={} deadline_ms={} identity={} path_identity={}",
+             objective_ms={} deadline_ms={} identity={} path_identity={} content_identity={}",
             Quoted(&spec.name),
             self.service,
             spec.kind,
@@ -222,7 +222,8 @@
             spec.objective.as_millis(),
             self.deadline.since(self.arrived).as_millis(),
             DisplayDigest(self.identity.map(|identity| identity.exact)),
-            DisplayDigest(self.identity.map(|identity| identity.path))
+            DisplayDigest(self.identity.map(|identity| identity.path)),
+            DisplayDigest(self.identity.map(|identity| identity.content))
         )];
         for (at, event) in events {
             let after_ms = at.since(self.arrived).as_millis();
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -4,7 +4,7 @@
 
 use tokio::{sync::watch, time::sleep};
 
-use super::{Gateway, identity::IdentityKey};
+use super::{Gateway, identity::IdentityKey, target_end};
 use crate::{
     decide::{
         directory::{DirectoryChange, Listing},
@@ -55,17 +55,18 @@
             let service_pools = self.gateway.service_pools();
             service_pools.directory.get(&listing.id).is_some_and(|known| !known.draining)
         };
-        let mut changes = Vec::new();
         if is_expected_to_run {
             match process {
-                ProcessState::Ended => changes = self.gateway.suspects().record_end(now, &self.send),
+                ProcessState::Ended => record_ends(&self.gateway, &[self.send], "send"),
                 ProcessState::Listening | ProcessState::Unknown => {
-                    self.gateway.unconfirmed_ends().add(now, listing, process, self.send);
+                    let is_first = self.gateway.unconfirmed_ends().add(now, listing, process, self.send);
+                    if is_first {
+                        target_end::start_later_checks(&self.gateway, listing.clone());
+                    }
                 }
             }
         }
         self.finish();
-        announce(&self.gateway, &changes, "send");
     }
 
     fn finish(&mut self) {
@@ -84,11 +85,16 @@
 
 /// Records the ends that a change of the directory confirms.
 pub fn confirm_ends(gateway: &Gateway, changes: &[DirectoryChange]) {
+    let confirmed = gateway.unconfirmed_ends().confirm(gateway.now(), changes);
+    record_ends(gateway, &confirmed, "directory");
+}
+
+/// Records that the targets of these sends have ended.
+pub fn record_ends(gateway: &Gateway, sends: &[SuspectSend], source: &str) {
     let now = gateway.now();
-    let confirmed = gateway.unconfirmed_ends().confirm(now, changes);
-    for send in confirmed {
-        let changes = gateway.suspects().record_end(now, &send);
-        announce(gateway, &changes, "directory");
+    for send in sends {
+        let changes = gateway.suspects().record_end(now, send);
+        announce(gateway, &changes, source);
     }
 }
 
--- a/src/proxy/connection.rs
+++ b/src/proxy/connection.rs
@@ -64,8 +64,8 @@
 /// Time limit for finding out whether a target's process has ended. A caller may wait for the result.
 const PROCESS_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Pause before a refused connection is taken as the end of a process, if another connection to it still seems to
-/// be open: the end of that one may not have been read yet.
+/// Time for which a new connection must stay open, and pause before a refused one is taken as the end of a process
+/// if another one still seems to be open: the end of that one may not have been read yet.
 const PROCESS_CHECK_PAUSE: Duration = Duration::from_millis(5);
 
 /// Most pauses of one check.
@@ -319,20 +319,20 @@
     pub async fn check_process(&self, address: SocketAddr) -> ProcessState {
         let connected = timeout(PROCESS_CHECK_TIMEOUT, TcpStream::connect(address)).await;
         match connected {
-            Ok(Ok(_stream)) => ProcessState::Listening,
-            Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => {
-                let open = Arc::clone(&self.target(address).open);
-                for _ in 0..MAX_PROCESS_CHECK_PAUSES {
-                    if open.alive.load(Ordering::Acquire) == 0 {
-                        return ProcessState::Ended;
-                    }
-                    sleep(PROCESS_CHECK_PAUSE).await;
-                }
-                let is_any_alive = open.alive.load(Ordering::Acquire) > 0;
-                if is_any_alive { ProcessState::Unknown } else { ProcessState::Ended }
+            Ok(Ok(stream)) if !is_closed_soon(&stream).await => return ProcessState::Listening,
+            Ok(Ok(_closed)) => {}
+            Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => {}
+            Ok(Err(_)) | Err(_) => return ProcessState::Unknown,
+        }
+        let open = Arc::clone(&self.target(address).open);
+        for _ in 0..MAX_PROCESS_CHECK_PAUSES {
+            if open.alive.load(Ordering::Acquire) == 0 {
+                return ProcessState::Ended;
             }
-            Ok(Err(_)) | Err(_) => ProcessState::Unknown,
+            sleep(PROCESS_CHECK_PAUSE).await;
         }
+        let is_any_alive = open.alive.load(Ordering::Acquire) > 0;
+        if is_any_alive { ProcessState::Unknown } else { ProcessState::Ended }
     }
 
     /// Closes idle connections that can no longer be reused; called about once a second.
@@ -351,6 +351,12 @@
     }
 }
 
+/// Returns whether the other end closes a new connection at once.
+async fn is_closed_soon(stream: &TcpStream) -> bool {
+    let peeked = timeout(PROCESS_CHECK_PAUSE, stream.peek(&mut [0])).await;
+    peeked.is_ok_and(|read| matches!(read, Ok(0) | Err(_)))
+}
+
 async fn connect(
     address: SocketAddr,
     target: Arc<TargetConnections>,
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -90,6 +90,11 @@
     }
 }
 
+/// Returns a host without its port.
+pub fn host_name(host: &str) -> &str {
+    host.rsplit_once(':').map_or(host, |(name, _port)| name)
+}
+
 /// Configuration of one service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceLimits {
@@ -159,7 +164,7 @@
 
     /// Returns the route with the longest matching prefix for a host (with or without port) and a path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let name = host_name(host);
         let routes = match self.by_host.get(name) {
             Some(routes) => routes,
             None => self.by_host.get(&name.to_ascii_lowercase())?,
--- a/tests/gateway_env/mod.rs
+++ b/tests/gateway_env/mod.rs
@@ -218,6 +218,18 @@
         path: &str,
         (id, deadline_ms): (&str, u64),
         body: Bytes,
+    ) -> Result<CompleteResponse, IncompleteResponse> {
+        self.send_from(&self.caller, to, (method, path), (id, deadline_ms), body).await
+    }
+
+    /// Sends a request of a caller with an identifier, a deadline and a body.
+    pub async fn send_from(
+        &self,
+        caller: &Caller,
+        to: SocketAddr,
+        (method, path): (Method, &str),
+        (id, deadline_ms): (&str, u64),
+        body: Bytes,
     ) -> Result<CompleteResponse, IncompleteResponse> {
         let request = Request::builder()
             .method(method)
@@ -227,7 +239,7 @@
             .header("X-Request-Deadline-Ms", deadline_ms)
             .body(Full::new(body))
             .expect("a valid request");
-        self.caller.send(request).await
+        caller.send(request).await
     }
 
     /// Waits until a condition holds; `what` describes it in the panic message after a timeout.
--- a/tests/gateway_poison.rs
+++ b/tests/gateway_poison.rs
@@ -4,7 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use arbutusshelf_bench::worker::{WorkerMode, WorkerStandIn};
+use arbutusshelf_bench::{
+    client::Caller,
+    worker::{WorkerMode, WorkerStandIn},
+};
 use bytes::Bytes;
 use futures::future::join_all;
 use gateway_env::{GatewayProcess, TestDeployment};
@@ -47,6 +50,7 @@
 /// Workers of which each that has ended comes back.
 struct Workers<'a> {
     deployment: &'a TestDeployment,
+    end_delay: Duration,
     all: Vec<WorkerStandIn>,
     /// When each worker was seen to have ended.
     ended: Vec<Option<Instant>>,
@@ -54,8 +58,8 @@
 }
 
 impl<'a> Workers<'a> {
-    async fn start(deployment: &'a TestDeployment, count: usize) -> Self {
-        let mut workers = Self { deployment, all: Vec::new(), ended: Vec::new(), number: 0 };
+    async fn start(deployment: &'a TestDeployment, count: usize, end_delay: Duration) -> Self {
+        let mut workers = Self { deployment, end_delay, all: Vec::new(), ended: Vec::new(), number: 0 };
         for _ in 0..count {
             workers.add().await;
         }
@@ -67,6 +71,7 @@
         let worker = self.deployment.worker(&format!("i-{}", self.number)).await;
         worker.set_service_time(SERVICE_TIME);
         worker.set_fatal_marker(FATAL_MARKER);
+        worker.set_end_delay(self.end_delay);
         self.all.push(worker);
         self.ended.push(None);
     }
@@ -106,6 +111,10 @@
     body_bytes: usize,
     /// Whether each attempt has another query.
     has_varying_query: bool,
+    /// Whether each attempt comes from another address.
+    has_varying_address: bool,
+    /// Time between the end of its connection and that of its target.
+    end_delay: Duration,
 }
 
 /// One caller sends the same request again and again, at one instance after another, whatever the answer.
@@ -124,7 +133,10 @@
         let id = format!("p{}", statuses.len());
         let query = if request.has_varying_query { format!("?page={id}") } else { String::new() };
         let (method, path) = (request.method.clone(), format!("{}{query}", request.path));
-        let answer = deployment.send_body(to.callers, method, &path, (&id, 2_000), body.clone()).await;
+        let host = if request.has_varying_address { 2 + statuses.len() % 200 } else { 1 };
+        let caller = Caller::from_address([127, 0, 0, host as u8].into());
+        let answer =
+            deployment.send_from(&caller, to.callers, (method, &path), (&id, 2_000), body.clone()).await;
         let answer = answer.expect("an answer");
         statuses.push(answer.status);
         workers.replace_ended().await;
@@ -176,7 +188,7 @@
 /// [`SETTLE_TIME`] after the third target has ended.
 async fn check_that_it_is_not_sent_on(request: &FatalRequest) {
     let deployment = TestDeployment::start().await;
-    let mut workers = Workers::start(&deployment, 8).await;
+    let mut workers = Workers::start(&deployment, 8, request.end_delay).await;
     let instances = start_instances(&deployment, 4).await;
     let length = SETTLE_TIME * 3;
     let statuses = send_again_and_again(&deployment, &instances, &mut workers, request, length).await;
@@ -188,11 +200,17 @@
     assert!(count >= 3, "{count} sends, answers {statuses:?}");
 }
 
-const READ: FatalRequest =
-    FatalRequest { method: Method::GET, path: "/read/fatal", body_bytes: 0, has_varying_query: false };
+const READ: FatalRequest = FatalRequest {
+    method: Method::GET,
+    path: "/read/fatal",
+    body_bytes: 0,
+    has_varying_query: false,
+    has_varying_address: false,
+    end_delay: Duration::ZERO,
+};
 
 const CHARGE: FatalRequest =
-    FatalRequest { method: Method::POST, path: "/charge/fatal", body_bytes: 900, has_varying_query: false };
+    FatalRequest { method: Method::POST, path: "/charge/fatal", body_bytes: 900, ..READ };
 
 /// Guards against a request that ends target after target for as long as it comes, at all instances together.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -217,3 +235,26 @@
 async fn a_path_whose_requests_end_their_targets_gets_no_more_of_them() {
     check_that_it_is_not_sent_on(&FatalRequest { has_varying_query: true, ..READ }).await;
 }
+
+/// The same if each attempt comes from another address, as those of a caller behind several gateways do.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_ends_its_targets_is_recognised_from_any_address() {
+    check_that_it_is_not_sent_on(&FatalRequest { has_varying_address: true, ..READ }).await;
+}
+
+/// The same if each attempt has another query and comes from another address.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_path_whose_requests_end_their_targets_is_recognised_from_any_address() {
+    check_that_it_is_not_sent_on(&FatalRequest {
+        has_varying_query: true,
+        has_varying_address: true,
+        ..READ
+    })
+    .await;
+}
+
+/// The same if a target closes the connection of the request some time before it ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_targets_end_a_little_later_is_not_sent_on_for_ever() {
+    check_that_it_is_not_sent_on(&FatalRequest { end_delay: Duration::from_millis(60), ..READ }).await;
+}
