Quarantine a request whose attempts look like different ones after one further end

Cause: a coarser digest counted one end for each series, and let the next series count to three by itself. Change: a quarantined digest brings the coarser ones to two ends, so that one more is enough. An end counts as a further one also if its send began after the last end that is known when it is recorded, or if it came 20 ms after that, so that neither the time that news take nor copies sent at once lose counts. News go out every 10 ms a link, 50 ms before.

--- a/bench/src/rows.rs
+++ b/bench/src/rows.rs
@@ -71,6 +71,15 @@
     restored_version: u64,
 }
 
+impl LostRows {
+    /// Returns the changes without those of a table.
+    #[must_use]
+    pub fn without_table(mut self, table: &str) -> Self {
+        self.rows.retain(|(changed, _), _| changed != table);
+        self
+    }
+}
+
 /// A running stand-in of the store; stops when dropped.
 #[derive(Debug)]
 pub struct RowStoreStandIn {
--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -2,8 +2,13 @@
 //!
 //! A request may end each target that executes it. Its caller sends it again, to any instance. The instances
 //! therefore count together how many targets have ended under a request *in succession*: each under a send that
-//! began when the end before it was known. Ends at the same time count as one, since all the targets of a rack may
-//! end at once under requests that have nothing to do with it. An answer of a target clears the count.
+//! began after the end before it, or some time after that end. Ends at the same time count as one, since all the
+//! targets of a rack may end at once under requests that have nothing to do with it. An answer of a target clears
+//! the count.
+//!
+//! A caller may vary its request. So there are digests of more and more requests that may be like it. A digest of more
+//! requests counts an end only under one that is new by the finer digest. Once the finer one is quarantined, one end
+//! under another request of the coarser one is enough to quarantine that, too.
 //!
 //! The counts of two instances are merged by taking the later one, so that they may arrive in any order and any
 //! number of times.
@@ -21,6 +26,9 @@
 /// Ends in succession up to which an instance sends the request again by itself.
 const MAX_REPEATED_ENDS: u8 = 1;
 
+/// Time between two ends from which on they don't have the same cause outside of the request.
+const SEPARATE_ENDS_GAP: Duration = Duration::from_millis(20);
+
 /// Time for which a request is quarantined after the last end that made it so.
 const FIRST_QUARANTINE: Duration = Duration::from_mins(10);
 
@@ -160,8 +168,9 @@
 #[derive(Debug, Clone, Copy)]
 pub struct SuspectSend {
     identity: RequestIdentity,
-    /// Counts of the digests when the send began.
+    /// Counts of the digests that were known when the send began.
     known: [EndCount; DIGEST_COUNT],
+    started: MonoTime,
     /// Whether it is counted as in progress, for each digest.
     is_counted: [bool; DIGEST_COUNT],
 }
@@ -197,13 +206,13 @@
     }
 
     /// Starts a send of a request.
-    pub fn start_send(&mut self, identity: RequestIdentity) -> SuspectSend {
+    pub fn start_send(&mut self, now: MonoTime, identity: RequestIdentity) -> SuspectSend {
         let known = identity.digests().map(|digest| self.count(digest));
         let is_counted = identity.digests().map(|digest| {
             let suspect = self.suspects.get_mut(&digest);
             suspect.map(|s| s.in_progress += 1).is_some()
         });
-        SuspectSend { identity, known, is_counted }
+        SuspectSend { identity, known, started: now, is_counted }
     }
 
     /// Ends a send. Returns whether other calls may wait for this.
@@ -216,14 +225,29 @@
         send.is_counted.contains(&true)
     }
 
-    /// Records that the target of a send has ended without an answer.
-    pub fn record_end(&mut self, now: MonoTime, send: &SuspectSend) -> Vec<SuspectChange> {
+    /// Records that the target of a send has ended without an answer. `ended_at` is when it did, if that is known
+    /// exactly.
+    pub fn record_end(
+        &mut self,
+        now: MonoTime,
+        send: &SuspectSend,
+        ended_at: Option<MonoTime>,
+    ) -> Vec<SuspectChange> {
         let mut changes = Vec::new();
-        for (digest, known) in send.identity.digests().into_iter().zip(send.known) {
-            changes.extend(self.add_end(now, digest, known));
-            // Further ends under this digest don't show that more requests are like it.
-            if known.ends > 0 {
-                break;
+        let digests = send.identity.digests();
+        let mut is_new = true;
+        for (level, (digest, known)) in digests.into_iter().zip(send.known).enumerate() {
+            let before = self.ends_before(digest, known, send.started, ended_at);
+            if is_new {
+                changes.extend(self.add_end(now, digest, before));
+            }
+            // Further ends under a digest don't show that more requests are like it.
+            is_new &= before == 0;
+            if self.count(digest).ends >= QUARANTINE_ENDS {
+                let coarser = &digests[level + 1..];
+                changes.extend(
+                    coarser.iter().filter_map(|coarser| self.raise(now, *coarser, QUARANTINE_ENDS - 1)),
+                );
             }
         }
         changes
@@ -343,19 +367,46 @@
         self.suspects.get(&digest).map(|suspect| suspect.count).unwrap_or_default()
     }
 
-    fn add_end(&mut self, now: MonoTime, digest: RequestDigest, known: EndCount) -> Option<SuspectChange> {
-        let current = self.count(digest);
+    /// Returns how many ends there were before that of a send which began at `started`, when `known` was known.
+    fn ends_before(
+        &self,
+        digest: RequestDigest,
+        known: EndCount,
+        started: MonoTime,
+        ended_at: Option<MonoTime>,
+    ) -> u8 {
+        let Some(current) = self.suspects.get(&digest) else { return 0 };
+        let is_separate =
+            ended_at.is_some_and(|at| at + CLOCK_SHIFT >= current.changed_at + SEPARATE_ENDS_GAP);
+        if is_separate || started + CLOCK_SHIFT >= current.changed_at {
+            return current.count.ends;
+        }
         // An answer since the send began has cleared what was known then.
-        let before = if current.generation == known.generation { known.ends } else { 0 };
+        if current.count.generation == known.generation { known.ends } else { 0 }
+    }
+
+    fn add_end(&mut self, now: MonoTime, digest: RequestDigest, before: u8) -> Option<SuspectChange> {
+        let current = self.count(digest);
         let count = EndCount { generation: current.generation, ends: before.saturating_add(1) };
         if count <= current {
             return None;
         }
+        Some(self.set_own(now, digest, count))
+    }
+
+    /// Raises a count to at least `ends`.
+    fn raise(&mut self, now: MonoTime, digest: RequestDigest, ends: u8) -> Option<SuspectChange> {
+        let current = self.count(digest);
+        (current.ends < ends).then(|| self.set_own(now, digest, EndCount { ends, ..current }))
+    }
+
+    /// Sets a count that follows from what this instance has seen.
+    fn set_own(&mut self, now: MonoTime, digest: RequestDigest, count: EndCount) -> SuspectChange {
         let change = self.set(now, digest, count, Duration::ZERO);
         if let Some(suspect) = self.suspects.get_mut(&digest) {
             suspect.must_store = true;
         }
-        Some(change)
+        change
     }
 
     fn set(&mut self, now: MonoTime, digest: RequestDigest, count: EndCount, age: Duration) -> SuspectChange {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -123,9 +123,10 @@
     pub async fn lost(mut self) -> ProcessState {
         self.report(HealthSignal::Failed);
         self.connection = None;
+        let lost_at = self.gateway.now();
         let process = target_end::check(&self.gateway, &self.listing).await;
         if let Some(watch) = self.watch.take() {
-            watch.lost(&self.listing, process);
+            watch.lost(&self.listing, process, lost_at);
         }
         process
     }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -12,6 +12,7 @@
         unconfirmed_ends::ProcessState,
     },
     peer::frame::{Frame, SuspectEntry},
+    units::MonoTime,
 };
 
 /// Most records in one frame; keeps frames below their size limit.
@@ -19,7 +20,7 @@
 
 /// Least time between two sends of changes on one link, so that the changes of a time of many ends are passed on
 /// together.
-const MIN_SEND_PERIOD: Duration = Duration::from_millis(50);
+const MIN_SEND_PERIOD: Duration = Duration::from_millis(10);
 
 /// Watches one send of a request, from its start to its end, for what it shows of the request.
 #[derive(Debug)]
@@ -34,7 +35,7 @@
     /// Starts to watch a send. `None` if the request can't be identified.
     pub fn start(gateway: &Arc<Gateway>, identity: Option<RequestIdentity>) -> Option<Self> {
         let identity = identity?;
-        let send = gateway.suspects().start_send(identity);
+        let send = gateway.suspects().start_send(gateway.now(), identity);
         Some(Self { gateway: Arc::clone(gateway), send, identity, is_finished: false })
     }
 
@@ -45,11 +46,11 @@
         announce(&self.gateway, &changes, "send");
     }
 
-    /// Ends without an answer. `process` is what was found of the target's process.
+    /// Ends without an answer at `lost_at`. `process` is what was found of the target's process.
     ///
     /// A target that is draining or no longer listed ends by itself, and one that still may be alive is no
     /// evidence until the directory says that it is gone.
-    pub fn lost(mut self, listing: &Listing, process: ProcessState) {
+    pub fn lost(mut self, listing: &Listing, process: ProcessState, lost_at: MonoTime) {
         let now = self.gateway.now();
         let is_expected_to_run = {
             let service_pools = self.gateway.service_pools();
@@ -57,7 +58,7 @@
         };
         if is_expected_to_run {
             match process {
-                ProcessState::Ended => record_ends(&self.gateway, &[self.send], "send"),
+                ProcessState::Ended => record_ends(&self.gateway, &[self.send], Some(lost_at), "send"),
                 ProcessState::Listening | ProcessState::Unknown => {
                     let is_first = self.gateway.unconfirmed_ends().add(now, listing, process, self.send);
                     if is_first {
@@ -86,14 +87,14 @@
 /// Records the ends that a change of the directory confirms.
 pub fn confirm_ends(gateway: &Gateway, changes: &[DirectoryChange]) {
     let confirmed = gateway.unconfirmed_ends().confirm(gateway.now(), changes);
-    record_ends(gateway, &confirmed, "directory");
+    record_ends(gateway, &confirmed, None, "directory");
 }
 
-/// Records that the targets of these sends have ended.
-pub fn record_ends(gateway: &Gateway, sends: &[SuspectSend], source: &str) {
+/// Records that the targets of these sends have ended, at `ended_at` if that is known exactly.
+pub fn record_ends(gateway: &Gateway, sends: &[SuspectSend], ended_at: Option<MonoTime>, source: &str) {
     let now = gateway.now();
     for send in sends {
-        let changes = gateway.suspects().record_end(now, send);
+        let changes = gateway.suspects().record_end(now, send, ended_at);
         announce(gateway, &changes, source);
     }
 }
--- a/tests/gateway_poison.rs
+++ b/tests/gateway_poison.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use arbutusshelf_bench::{
-    client::Caller,
+    client::{Caller, CompleteResponse},
     worker::{WorkerMode, WorkerStandIn},
 };
 use bytes::Bytes;
@@ -258,3 +258,108 @@
 async fn a_request_whose_targets_end_a_little_later_is_not_sent_on_for_ever() {
     check_that_it_is_not_sent_on(&FatalRequest { end_delay: Duration::from_millis(60), ..READ }).await;
 }
+
+/// Sends a fatal request to one instance until it is refused as quarantined, and returns the answer.
+async fn send_until_quarantined(
+    deployment: &TestDeployment,
+    gateway: &GatewayProcess,
+    workers: &mut Workers<'_>,
+) -> CompleteResponse {
+    for number in 0..100 {
+        let answer =
+            deployment.send(gateway.callers, Method::GET, "/read/fatal", &format!("f{number}")).await;
+        let answer = answer.expect("an answer");
+        if answer.cause() == "quarantined" {
+            return answer;
+        }
+        workers.replace_ended().await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the request was not quarantined");
+}
+
+/// Guards against refusals that come late, or that don't say that the request did not run.
+#[tokio::test]
+async fn a_quarantined_request_is_refused_at_once_and_others_are_served() {
+    let deployment = TestDeployment::start().await;
+    let mut workers = Workers::start(&deployment, 4, Duration::ZERO).await;
+    let gateway = deployment.gateway("one", &json!({})).await;
+    let refused = send_until_quarantined(&deployment, &gateway, &mut workers).await;
+    assert_eq!((refused.status, refused.outcome()), (503, "not-run"));
+    let retry_after = refused.headers.get("retry-after").and_then(|value| value.to_str().ok());
+    let retry_after_s = retry_after.and_then(|text| text.parse::<f64>().ok()).expect("a number");
+    assert!((590.0..=600.0).contains(&retry_after_s), "{retry_after_s}");
+    let starts = workers.starts("/read/fatal").len();
+    assert_eq!(starts, 3);
+    let sent_at = Instant::now();
+    let answer = deployment.send(gateway.callers, Method::GET, "/read/fatal", "late").await;
+    assert_eq!(answer.expect("an answer").cause(), "quarantined");
+    // A tenth of the route's timeout: the request was not kept waiting.
+    assert!(sent_at.elapsed() < Duration::from_millis(200));
+    assert_eq!(workers.starts("/read/fatal").len(), starts);
+    let other = deployment.send(gateway.callers, Method::GET, "/read/other", "o1").await;
+    assert_eq!(other.expect("an answer").status, 200);
+}
+
+/// Guards against a request that ends three targets again after each restart of all instances.
+#[tokio::test]
+async fn a_quarantine_outlasts_a_restart_of_all_instances() {
+    let deployment = TestDeployment::start().await;
+    let mut workers = Workers::start(&deployment, 6, Duration::ZERO).await;
+    let gateway = deployment.gateway("one", &json!({})).await;
+    send_until_quarantined(&deployment, &gateway, &mut workers).await;
+    // The count is stored a moment after it was seen.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    drop(gateway);
+    let starts = workers.starts("/read/fatal").len();
+    let gateway = deployment.gateway("one", &json!({})).await;
+    deployment
+        .wait_until("the stored counts are read", || async {
+            gateway.logged(&["event=quarantine", "source=store"])
+        })
+        .await;
+    let answer = deployment.send(gateway.callers, Method::GET, "/read/fatal", "again").await;
+    assert_eq!(answer.expect("an answer").cause(), "quarantined");
+    assert_eq!(workers.starts("/read/fatal").len(), starts);
+}
+
+/// Guards against instances that count alone while none of them reaches a seed.
+#[tokio::test]
+async fn instances_without_links_count_together() {
+    let deployment = TestDeployment::start().await;
+    let mut workers = Workers::start(&deployment, 6, Duration::ZERO).await;
+    let one = deployment.gateway("one", &json!({})).await;
+    let other = deployment.gateway("other", &json!({})).await;
+    send_until_quarantined(&deployment, &one, &mut workers).await;
+    deployment
+        .wait_until("the other one has heard of it", || async {
+            other.logged(&["event=quarantine", "source=store"])
+        })
+        .await;
+    let starts = workers.starts("/read/fatal").len();
+    let answer = deployment.send(other.callers, Method::GET, "/read/fatal", "there").await;
+    assert_eq!(answer.expect("an answer").cause(), "quarantined");
+    assert_eq!(workers.starts("/read/fatal").len(), starts);
+}
+
+/// Guards against a store that comes back from a copy without the counts, and an instance that starts after that.
+#[tokio::test]
+async fn a_quarantine_outlasts_a_store_that_comes_back_from_an_older_copy() {
+    let deployment = TestDeployment::start().await;
+    let mut workers = Workers::start(&deployment, 6, Duration::ZERO).await;
+    let one = deployment.gateway("one", &json!({})).await;
+    let copy = deployment.store.copy();
+    send_until_quarantined(&deployment, &one, &mut workers).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let lost = deployment.store.restore(copy);
+    deployment.store.write_again(&lost.without_table("suspects"));
+    // A reading of what is left, and a call that writes what is missing.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    drop(one);
+    let other = deployment.gateway("other", &json!({})).await;
+    deployment
+        .wait_until("the stored counts are read", || async {
+            other.logged(&["event=quarantine", "source=store"])
+        })
+        .await;
+}
