Let the soak's callers send requests that end workers, and check what becomes of them

Change: about every 6 s a caller begins to send a request that ends each worker which executes it, as a read, a read with another query each time, or a charge, until the end of the soak; ended workers come back 1.5 s later under another id. The finding Fatal counts as the users do. Its checker test forges histories that must be found and near misses. An instance that reads the store by itself asks for new ends every 2 s, 10 s before, so that a connection that fell silent is given up in time (found by reading).

--- a/bench/src/soak/callers.rs
+++ b/bench/src/soak/callers.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -11,7 +14,10 @@
 use hyper::{Method, Request};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use super::history::{Attempt, AttemptKind, AttemptResult};
+use super::{
+    history::{Attempt, AttemptKind, AttemptResult},
+    schedule::FatalKind,
+};
 use crate::client::Caller;
 
 /// Host of all routes.
@@ -29,6 +35,12 @@
 /// Share of requests whose caller closes the connection early.
 const EARLY_LEAVE_SHARE: f64 = 0.06;
 
+/// Part of the paths of requests that end workers.
+pub const FATAL_MARKER: &str = "/fatal-";
+
+/// Range of the pause between two attempts of such a request, in milliseconds.
+const FATAL_PAUSE_MS: std::ops::Range<u64> = 50..900;
+
 /// Share of idempotent requests to routes that the operator adds and removes during the soak.
 const TEMPORARY_ROUTE_SHARE: f64 = 0.15;
 
@@ -44,6 +56,8 @@
     pub route_prefixes: Mutex<Vec<String>>,
     /// Attempts that have ended.
     pub attempts: Mutex<Vec<Attempt>>,
+    /// Time until which requests are sent, in milliseconds since the start.
+    pub until_ms: AtomicU64,
 }
 
 impl CallerContext {
@@ -53,14 +67,14 @@
     }
 }
 
-/// Sends requests one after the other until `until_ms`. Changes the instance at random and after a missing
+/// Sends requests one after the other until [`CallerContext::until_ms`]. Changes the instance at random and after a missing
 /// response.
-pub async fn run_caller(context: Arc<CallerContext>, number: usize, seed: u64, until_ms: u64) {
+pub async fn run_caller(context: Arc<CallerContext>, number: usize, seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed.wrapping_add(number as u64 + 1));
     let caller = Caller::default();
     let mut instance = rng.random_range(0..context.instance_addresses.len());
     let mut sent = 0;
-    while context.now_ms() < until_ms {
+    while context.now_ms() < context.until_ms.load(Ordering::Acquire) {
         if rng.random_bool(0.1) {
             instance = rng.random_range(0..context.instance_addresses.len());
         }
@@ -96,6 +110,56 @@
             (Method::GET, format!("{prefix}{id}"), Vec::new())
         }
     };
+    let leave_after =
+        rng.random_bool(EARLY_LEAVE_SHARE).then(|| Duration::from_millis(rng.random_range(5..60)));
+    send(context, caller, instance, SoakRequest { id, kind, method, path, body, leave_after }).await
+}
+
+/// Sends a request that ends workers again and again, to any instance.
+pub async fn run_fatal_caller(context: Arc<CallerContext>, kind: FatalKind, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let caller = Caller::default();
+    let mut sent = 0;
+    while context.now_ms() < context.until_ms.load(Ordering::Acquire) {
+        let id = format!("f{seed}-{sent}");
+        let (method, path, body, kind) = match kind {
+            FatalKind::Charge => {
+                let path = format!("/charge{FATAL_MARKER}{seed}");
+                (Method::POST, path, b"booking".to_vec(), AttemptKind::AtMostOnce)
+            }
+            FatalKind::Read | FatalKind::VaryingRead => {
+                let query =
+                    if kind == FatalKind::VaryingRead { format!("?page={sent}") } else { String::new() };
+                (
+                    Method::GET,
+                    format!("/read{FATAL_MARKER}{seed}{query}"),
+                    Vec::new(),
+                    AttemptKind::Idempotent,
+                )
+            }
+        };
+        let instance = rng.random_range(0..context.instance_addresses.len());
+        let request = SoakRequest { id, kind, method, path, body, leave_after: None };
+        let attempt = send(&context, &caller, instance, request).await;
+        context.attempts.lock().unwrap_or_else(PoisonError::into_inner).push(attempt);
+        sent += 1;
+        tokio::time::sleep(Duration::from_millis(rng.random_range(FATAL_PAUSE_MS))).await;
+    }
+}
+
+/// One request of a caller.
+struct SoakRequest {
+    id: String,
+    kind: AttemptKind,
+    method: Method,
+    path: String,
+    body: Vec<u8>,
+    /// Time after which the caller closes the connection.
+    leave_after: Option<Duration>,
+}
+
+async fn send(context: &CallerContext, caller: &Caller, instance: usize, request: SoakRequest) -> Attempt {
+    let SoakRequest { id, kind, method, path, body, leave_after } = request;
     let address = context.instance_addresses[instance];
     let request = Request::builder()
         .method(method.clone())
@@ -105,8 +169,6 @@
         .header("X-Request-Deadline-Ms", ROUTE_TIMEOUT_MS + 500)
         .body(Full::new(Bytes::from(body.clone())))
         .unwrap_or_default();
-    let leave_after =
-        rng.random_bool(EARLY_LEAVE_SHARE).then(|| Duration::from_millis(rng.random_range(5..60)));
     let sent_ms = context.now_ms();
     let response = caller.send(request);
     let result = match leave_after {
--- a/bench/src/soak/checker.rs
+++ b/bench/src/soak/checker.rs
@@ -1,12 +1,13 @@
 //! Checks the invariants that users rely on against the history of a soak, without I/O.
 
-use std::fmt;
+use std::{collections::BTreeMap, fmt};
 
 use arbutusshelf::collections::HashMap;
 use derive_more::Display;
 
-use super::history::{
-    Arrival, Attempt, AttemptKind, AttemptResult, History, ProcessRun, RateLimitPeriod, Scope,
+use super::{
+    callers::FATAL_MARKER,
+    history::{Arrival, Attempt, AttemptKind, AttemptResult, History, ProcessRun, RateLimitPeriod, Scope},
 };
 
 /// Limits of the invariants, which follow from the users' settings.
@@ -34,6 +35,10 @@
     pub limit_ratio: f64,
     /// Requests allowed in that window besides.
     pub limit_extra: f64,
+    /// Workers that a request may end before its sends are counted, from [`Bounds::settle_ms`] later on.
+    pub fatal_ends: usize,
+    /// Sends allowed from then on.
+    pub fatal_sends: usize,
     /// Memory that a process may use.
     pub memory_bytes: u64,
 }
@@ -85,6 +90,9 @@
     /// Workers that state a rate limit get no more than it allows from all instances that they told.
     #[display("Limit")]
     RateLimit,
+    /// A request that ends each worker which executes it is not sent on.
+    #[display("Fatal")]
+    FatalNotSentOn,
     /// Requests are cancelled at workers when their callers close the connection.
     #[display("Gone")]
     CancelledWhenCallerLeaves,
@@ -141,6 +149,7 @@
     checker.check_unanswered(&mut findings);
     checker.check_budget(&mut findings);
     checker.check_rate_limits(&mut findings);
+    checker.check_fatal_requests(&mut findings);
     checker.check_cancellation(&mut findings);
     checker.check_processes(&mut findings);
     checker.check_recovery(&mut findings);
@@ -442,6 +451,40 @@
         is_told && !is_disturbed && started_ms <= from_ms
     }
 
+    /// Checks that requests which end workers reach hardly any, some time after they have ended the third one, by
+    /// instances in touch.
+    fn check_fatal_requests(&self, findings: &mut Vec<Finding>) {
+        let mut fatal = BTreeMap::<&str, Vec<(&Arrival, usize)>>::new();
+        for attempt in self.history.attempts.iter().filter(|a| a.request_line.contains(FATAL_MARKER)) {
+            let request = attempt.request_line.split('?').next().unwrap_or_default();
+            let runs = self.arrivals(attempt).iter().filter(|a| a.was_run);
+            fatal.entry(request).or_default().extend(runs.map(|a| (*a, attempt.instance)));
+        }
+        for (request, runs) in fatal {
+            let end_of = |run: &Arrival| {
+                let end = self.history.worker_ends.iter().find(|end| end.worker == run.worker);
+                end.filter(|_| run.ended_ms.is_some()).map(|end| end.at_ms)
+            };
+            let mut ends_ms = runs.iter().filter_map(|(run, _)| end_of(run)).collect::<Vec<_>>();
+            ends_ms.sort_unstable();
+            let Some(last_ms) = self.bounds.fatal_ends.checked_sub(1).and_then(|n| ends_ms.get(n)) else {
+                continue;
+            };
+            let settled_ms = last_ms + self.bounds.settle_ms;
+            let is_late = |(run, instance): &&(&Arrival, usize)| {
+                run.at_ms > settled_ms && self.is_undisturbed(*instance, run.at_ms, run.at_ms)
+            };
+            let late = runs.iter().filter(is_late).count();
+            if late > self.bounds.fatal_sends {
+                let detail = format!(
+                    "{request} reached workers {late} times after {settled_ms} ms, {} ended in all",
+                    ends_ms.len()
+                );
+                report(findings, Invariant::FatalNotSentOn, detail);
+            }
+        }
+    }
+
     /// Checks that few requests reach workers after their callers left, and that at most a quarter of those
     /// that arrived before keep running.
     fn check_cancellation(&self, findings: &mut Vec<Finding>) {
--- a/bench/src/soak/cluster.rs
+++ b/bench/src/soak/cluster.rs
@@ -4,18 +4,21 @@
 use std::{
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU64},
     time::{Duration, Instant},
 };
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
 use rustix::process::Signal;
 use serde_json::{Value, json};
+use tokio::task::JoinSet;
 
 use super::{
-    callers::{CallerContext, ROUTE_HOST, ROUTE_TIMEOUT_MS},
+    callers::{CallerContext, FATAL_MARKER, ROUTE_HOST, ROUTE_TIMEOUT_MS, run_fatal_caller},
     checker::Bounds,
-    history::{Arrival, Disturbance, Drain, History, ProcessRun, RateLimitPeriod, RouteLifetime, Scope},
+    history::{
+        Arrival, Disturbance, Drain, History, ProcessRun, RateLimitPeriod, RouteLifetime, Scope, WorkerEnd,
+    },
     instance::{Addresses, Launch, Process},
     schedule::{Action, Step},
 };
@@ -49,6 +52,12 @@
 /// Memory of the smallest instances on the users' platform, in bytes.
 const SMALLEST_MEMORY_BYTES: u64 = 160_000_000;
 
+/// Time after which a worker that has ended is back under another id, and its entry is gone, in milliseconds.
+const WORKER_RETURN_MS: u64 = 1_500;
+
+/// Longest time that requests ran that end with their worker, in milliseconds.
+const RUNNING_REQUEST_MS: u64 = 200;
+
 /// Time between the exit of an instance and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(400);
 
@@ -81,6 +90,8 @@
         limit_window_ms: 4_000,
         limit_ratio: 1.5,
         limit_extra: 5.0,
+        fatal_ends: 3,
+        fatal_sends: 3,
         memory_bytes: SMALLEST_MEMORY_BYTES,
     }
 }
@@ -121,6 +132,8 @@
     pub callers: Arc<CallerContext>,
     store: RowStoreStandIn,
     relays: Vec<Relays>,
+    /// Callers of requests that end workers; they go on until the end of the soak.
+    fatal_callers: Mutex<JoinSet<()>>,
     state: Mutex<State>,
 }
 
@@ -174,6 +187,7 @@
             instance_addresses: relays.iter().map(|r| r.callers.address).collect(),
             route_prefixes: Mutex::default(),
             attempts: Mutex::default(),
+            until_ms: AtomicU64::new(u64::MAX),
         };
         let instances = addresses.iter().enumerate().map(|(number, addresses)| {
             let mut seeds = seed_addresses.clone();
@@ -193,7 +207,13 @@
             manifest_version: 0,
             next_number: 0,
         };
-        let cluster = Self { callers: Arc::new(context), store, relays, state: Mutex::new(state) };
+        let cluster = Self {
+            callers: Arc::new(context),
+            store,
+            relays,
+            fatal_callers: Mutex::default(),
+            state: Mutex::new(state),
+        };
         cluster.write_manifest();
         for _ in 0..workers {
             let worker = cluster.start_worker(ANY_PORT).await?;
@@ -222,6 +242,7 @@
         };
         let worker = WorkerStandIn::start_at(&id, address).await.map_err(|e| unavailable(&e))?;
         worker.set_service_time(REQUEST_TIME);
+        worker.set_fatal_marker(FATAL_MARKER);
         self.store.put_json("servers", &id, &server_row(worker.address, "ready"));
         Ok(worker)
     }
@@ -334,6 +355,10 @@
             Action::LimitWorker(number, millis_per_s) => {
                 self.limit_worker(number, f64::from(millis_per_s) / 1_000.0, length).await;
             }
+            Action::FatalRequest(kind) => {
+                let caller = run_fatal_caller(Arc::clone(&self.callers), kind, step.at_ms);
+                self.fatal_callers.lock().unwrap_or_else(PoisonError::into_inner).spawn(caller);
+            }
             Action::EndlessWorker(part) => self.add_endless_worker(part, length).await?,
             Action::Drain(number) => self.drain(number).await?,
         }
@@ -501,10 +526,44 @@
                 }
                 self.record_memory(number);
             }
+            self.replace_ended_workers().await?;
             tokio::time::sleep(POLL_PERIOD).await;
         }
     }
 
+    /// Records the workers that have ended under a request, and replaces each a while later by one with another id.
+    async fn replace_ended_workers(&self) -> Result<()> {
+        let now_ms = self.now_ms();
+        let returning = {
+            let mut state = self.lock();
+            let ended = state.workers.iter().filter(|w| w.has_ended()).map(|w| w.id.clone());
+            for worker in ended.collect::<Vec<_>>() {
+                if state.history.worker_ends.iter().all(|end| end.worker != worker) {
+                    let scope = Scope::Worker(worker.clone());
+                    let name = "worker end";
+                    let from_ms = now_ms.saturating_sub(RUNNING_REQUEST_MS);
+                    state.history.disturbances.push(Disturbance { scope, name, from_ms, to_ms: u64::MAX });
+                    state.history.worker_ends.push(WorkerEnd { worker, at_ms: now_ms });
+                }
+            }
+            let is_due = |id: &str| {
+                let end = state.history.worker_ends.iter().find(|end| end.worker == id);
+                end.is_some_and(|end| now_ms >= end.at_ms + WORKER_RETURN_MS)
+            };
+            state.workers.iter().filter(|w| is_due(&w.id)).map(|w| w.id.clone()).collect::<Vec<_>>()
+        };
+        for id in returning {
+            self.store.remove("servers", &id);
+            let new = self.start_worker(ANY_PORT).await?;
+            let mut state = self.lock();
+            if let Some(index) = state.workers.iter().position(|w| w.id == id) {
+                let old = std::mem::replace(&mut state.workers[index], new);
+                state.retired_workers.push(old);
+            }
+        }
+        Ok(())
+    }
+
     /// Records the memory that an instance uses if it is more than before.
     fn record_memory(&self, number: usize) {
         let mut state = self.lock();
@@ -598,6 +657,7 @@
     /// Kills all processes and returns the history.
     pub fn finish(self, undisturbed_from_ms: u64) -> History {
         let start = self.callers.start;
+        drop(self.fatal_callers);
         let mut state = self.state.into_inner().unwrap_or_else(PoisonError::into_inner);
         state.instances.clear();
         let mut history = state.history;
--- a/bench/src/soak/history.rs
+++ b/bench/src/soak/history.rs
@@ -115,6 +115,15 @@
     pub to_ms: u64,
 }
 
+/// A worker that ended under a request.
+#[derive(Debug, Clone)]
+pub struct WorkerEnd {
+    /// Id of the worker.
+    pub worker: String,
+    /// Time at which it was seen to have ended.
+    pub at_ms: u64,
+}
+
 /// A route that was added during the soak, and possibly removed.
 #[derive(Debug, Clone)]
 pub struct RouteLifetime {
@@ -156,6 +165,8 @@
     pub drains: Vec<Drain>,
     /// Rate limits that workers stated.
     pub rate_limits: Vec<RateLimitPeriod>,
+    /// Workers that ended under a request.
+    pub worker_ends: Vec<WorkerEnd>,
     /// Routes that were added during the soak.
     pub routes: Vec<RouteLifetime>,
     /// Processes of instances, in the order of their starts.
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -10,7 +10,12 @@
 pub mod instance;
 pub mod schedule;
 
-use std::{fs, path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    fs,
+    path::PathBuf,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
 use argh::FromArgs;
@@ -87,11 +92,12 @@
     };
     let lost = history.attempts.iter().filter(|a| matches!(a.result, AttemptResult::NoResponse(_))).count();
     let (drains, routes, limits) = (history.drains.len(), history.routes.len(), history.rate_limits.len());
+    let worker_ends = history.worker_ends.len();
     let stops = history.process_runs.iter().filter(|r| r.exited_ms.is_some()).count();
     let peak_mb = history.process_runs.iter().map(|r| r.peak_resident_bytes).max().unwrap_or(0) / 1_000_000;
     format!(
         "seed={seed} findings={} requests={} served={} refused={} unknown={} lost={lost} disturbances={} stops={stops} \
-         drains={drains} routes={routes} limits={limits} peak_mb={peak_mb}",
+         drains={drains} routes={routes} limits={limits} worker_ends={worker_ends} peak_mb={peak_mb}",
         findings.len(),
         history.attempts.len(),
         answered(|s| s == 200),
@@ -117,10 +123,9 @@
     let disturbed_ms = (args.minutes * 60_000.0) as u64;
     let size = SoakSize { instances: args.instances, workers: args.workers, disturbed_ms };
     let undisturbed_from_ms = start_ms + disturbed_ms + LONGEST_STEP_MS;
-    let callers = (0..args.callers).map(|number| {
-        let context = Arc::clone(&cluster.callers);
-        tokio::spawn(callers::run_caller(context, number, seed, undisturbed_from_ms + RECOVERY_MS))
-    });
+    cluster.callers.until_ms.store(undisturbed_from_ms + RECOVERY_MS, Ordering::Release);
+    let callers = (0..args.callers)
+        .map(|number| tokio::spawn(callers::run_caller(Arc::clone(&cluster.callers), number, seed)));
     let callers = callers.collect::<Vec<_>>();
     let steps = schedule::generate_schedule(seed, &size).into_iter().map(|step| {
         let cluster = &cluster;
--- a/bench/src/soak/schedule.rs
+++ b/bench/src/soak/schedule.rs
@@ -38,6 +38,9 @@
     LimitWorker(usize, u32),
     /// Adds a worker that sends bytes without end, and removes it.
     EndlessWorker(EndlessPart),
+    /// Makes a caller send a request that ends each worker which executes it, again and again until the end of the
+    /// soak.
+    FatalRequest(FatalKind),
     /// Drains a worker and removes it; another worker reuses its address.
     Drain(usize),
     /// Adds a route.
@@ -46,6 +49,17 @@
     RemoveRoute,
 }
 
+/// How a request that ends workers comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FatalKind {
+    /// As a request that may be repeated.
+    Read,
+    /// As such a request, with another query each time.
+    VaryingRead,
+    /// As an at-most-once request.
+    Charge,
+}
+
 /// One step of the schedule.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Step {
@@ -105,6 +119,12 @@
 /// Number that is mixed into the seed of those workers.
 const ENDLESS_SEED: u64 = 0xe4d1_e550;
 
+/// Mean time between two requests that end workers, in milliseconds.
+const FATAL_GAP_MS: u64 = 6_000;
+
+/// Number that is mixed into the seed of those requests.
+const FATAL_SEED: u64 = 0xfa7a_1000;
+
 /// Generates the schedule of a seed, sorted by start.
 pub fn generate_schedule(seed: u64, size: &SoakSize) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -137,6 +157,10 @@
     steps.extend(regular_steps(seed ^ ENDLESS_SEED, ENDLESS_GAP_MS, STEP_LENGTH_MS, size, |rng| {
         Action::EndlessWorker(EndlessPart::ALL[rng.random_range(0..EndlessPart::ALL.len())])
     }));
+    steps.extend(regular_steps(seed ^ FATAL_SEED, FATAL_GAP_MS, STEP_LENGTH_MS, size, |rng| {
+        let kinds = [FatalKind::Read, FatalKind::VaryingRead, FatalKind::Charge];
+        Action::FatalRequest(kinds[rng.random_range(0..kinds.len())])
+    }));
     steps.retain(|step| step.at_ms < size.disturbed_ms);
     steps.sort_by_key(|step| step.at_ms);
     steps
--- a/bench/tests/soak_checker.rs
+++ b/bench/tests/soak_checker.rs
@@ -6,7 +6,7 @@
     cluster::bounds,
     history::{
         Arrival, Attempt, AttemptKind, AttemptResult, Disturbance, Drain, History, ProcessRun,
-        RateLimitPeriod, RouteLifetime, Scope,
+        RateLimitPeriod, RouteLifetime, Scope, WorkerEnd,
     },
     schedule::{SoakSize, generate_schedule},
 };
@@ -24,6 +24,8 @@
     limit_window_ms: 4_000,
     limit_ratio: 1.5,
     limit_extra: 5.0,
+    fatal_ends: 3,
+    fatal_sends: 3,
     memory_bytes: 160_000_000,
 };
 
@@ -379,3 +381,32 @@
     history.process_runs[0].peak_resident_bytes += 1;
     assert_eq!(violated(&history), [Invariant::MemoryBounded]);
 }
+
+/// Returns a history in which one request ends `count` workers, the first three within a second and the others 4 s
+/// later.
+fn history_with_fatal_request(count: u64) -> History {
+    let mut history = healthy_history();
+    for number in 0..count {
+        let at_ms = 20_000 + number * 300 + if number < 3 { 0 } else { 4_000 };
+        let mut fatal = attempt(&format!("f{number}"), AttemptKind::Idempotent, at_ms, answered(502));
+        fatal.request_line = format!("GET /read/fatal-1?page={number}");
+        let worker = format!("i-{number}");
+        history.arrivals.push(arrival(&fatal, &worker, at_ms + 5));
+        history.worker_ends.push(WorkerEnd { worker, at_ms: at_ms + 40 });
+        history.attempts.push(fatal);
+    }
+    history
+}
+
+#[test]
+fn a_request_that_ends_more_and_more_workers_is_found_and_three_late_ones_are_allowed() {
+    assert_eq!(violated(&history_with_fatal_request(7)), [Invariant::FatalNotSentOn]);
+    assert_eq!(violated(&history_with_fatal_request(6)), []);
+}
+
+#[test]
+fn an_instance_that_was_cut_off_may_send_a_fatal_request() {
+    let mut history = history_with_fatal_request(7);
+    add_disturbance(&mut history, Scope::Instance(0), 24_000, 25_000);
+    assert_eq!(violated(&history), []);
+}
--- a/src/gateway/suspect_store.rs
+++ b/src/gateway/suspect_store.rs
@@ -31,8 +31,9 @@
 /// no record.
 const STORE_DELAY: Duration = Duration::from_millis(250);
 
-/// Time for which the store may delay its response while nothing changes.
-const FOLLOW_WAIT: Duration = Duration::from_secs(10);
+/// Time for which the store may delay its response while nothing changes. A connection that falls silent must be given
+/// up within the 3 s in which all instances must know of an end.
+const FOLLOW_WAIT: Duration = Duration::from_secs(2);
 
 /// Time between two checks whether a store that was lost is back.
 const STORE_CHECK_PERIOD: Duration = Duration::from_secs(1);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,7 +3,8 @@
 use arbutusshelf_bench::soak::{self, Args};
 
 /// Seeds of each run, and why each is included. Seeds that once failed are kept here.
-const SEEDS: [(u64, &str); 1] = [(7, "initial seed")];
+const SEEDS: [(u64, &str); 2] =
+    [(7, "initial seed"), (1200, "requests that end their workers were sent on as long as they came")];
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_through_seeded_disturbances() {
