Let the sends of a leaving instance end, also those of a quarantined request

Cause: found by reading: a quarantine breaks off sends in progress, also at an instance that is shutting down, whose requests end by themselves within the grace period. Change: sends in progress are broken off only while the instance is not leaving; new and waiting ones are refused as before. Result: gateway_calls, gateway_poison and load_requests_that_end_targets pass; no test of its own, since a quarantine would have to come from another instance in the time between SIGTERM and the end of one request.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -318,7 +318,8 @@
                 }
             }
             () = sleep_until(deadline) => return attempts.on_deadline(),
-            () = &mut quarantine => return attempts.on_quarantine(),
+            // An instance that leaves lets its requests end.
+            () = &mut quarantine, if !call.gateway.is_leaving() => return attempts.on_quarantine(),
             () = &mut hedge_time, if may_hedge => {
                 may_hedge = false;
                 attempts.hedge();
