Date an end by the loss of its send, not by the end of the check

Cause: found by reading: the count of an instance was dated by the moment at which the check of the target was over, up to 45 ms after the end. A send of the caller's next attempt that began in between, at another instance, did not count as a successor. Change: the time of the loss is the time of the end. Result: a_send_that_began_during_the_check_of_the_end_before_it_counts failed before (1 end instead of 2) and passes.

--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -235,18 +235,19 @@
     ) -> Vec<SuspectChange> {
         let mut changes = Vec::new();
         let digests = send.identity.digests();
+        let age = ended_at.map_or(Duration::ZERO, |at| now.since(at));
         let mut is_new = true;
         for (level, (digest, known)) in digests.into_iter().zip(send.known).enumerate() {
             let before = self.ends_before(digest, known, send.started, ended_at);
             if is_new {
-                changes.extend(self.add_end(now, digest, before));
+                changes.extend(self.add_end(now, digest, before, age));
             }
             // Further ends under a digest don't show that more requests are like it.
             is_new &= before == 0;
             if self.count(digest).ends >= QUARANTINE_ENDS {
                 let coarser = &digests[level + 1..];
                 changes.extend(
-                    coarser.iter().filter_map(|coarser| self.raise(now, *coarser, QUARANTINE_ENDS - 1)),
+                    coarser.iter().filter_map(|coarser| self.raise(now, *coarser, QUARANTINE_ENDS - 1, age)),
                 );
             }
         }
@@ -385,24 +386,43 @@
         if current.count.generation == known.generation { known.ends } else { 0 }
     }
 
-    fn add_end(&mut self, now: MonoTime, digest: RequestDigest, before: u8) -> Option<SuspectChange> {
+    /// Counts an end that came `age` ago, after `before` others.
+    fn add_end(
+        &mut self,
+        now: MonoTime,
+        digest: RequestDigest,
+        before: u8,
+        age: Duration,
+    ) -> Option<SuspectChange> {
         let current = self.count(digest);
         let count = EndCount { generation: current.generation, ends: before.saturating_add(1) };
         if count <= current {
             return None;
         }
-        Some(self.set_own(now, digest, count))
+        Some(self.set_own(now, digest, count, age))
     }
 
-    /// Raises a count to at least `ends`.
-    fn raise(&mut self, now: MonoTime, digest: RequestDigest, ends: u8) -> Option<SuspectChange> {
+    /// Raises a count to at least `ends`, the last of which came `age` ago.
+    fn raise(
+        &mut self,
+        now: MonoTime,
+        digest: RequestDigest,
+        ends: u8,
+        age: Duration,
+    ) -> Option<SuspectChange> {
         let current = self.count(digest);
-        (current.ends < ends).then(|| self.set_own(now, digest, EndCount { ends, ..current }))
+        (current.ends < ends).then(|| self.set_own(now, digest, EndCount { ends, ..current }, age))
     }
 
     /// Sets a count that follows from what this instance has seen.
-    fn set_own(&mut self, now: MonoTime, digest: RequestDigest, count: EndCount) -> SuspectChange {
-        let change = self.set(now, digest, count, Duration::ZERO);
+    fn set_own(
+        &mut self,
+        now: MonoTime,
+        digest: RequestDigest,
+        count: EndCount,
+        age: Duration,
+    ) -> SuspectChange {
+        let change = self.set(now, digest, count, age);
         if let Some(suspect) = self.suspects.get_mut(&digest) {
             suspect.must_store = true;
         }
--- a/tests/load_requests_that_end_targets.rs
+++ b/tests/load_requests_that_end_targets.rs
@@ -139,10 +139,11 @@
                 }
                 let watched = table.start_send(now, identity);
                 starts.push(now);
-                now = now + ms(rng.random_range(RUN_TIME)) + pattern.check_time;
+                let ended_at = now + ms(rng.random_range(RUN_TIME));
+                now = ended_at + pattern.check_time;
                 instances.exchange(now);
                 let table = &mut instances.tables[at];
-                table.record_end(now, &watched, Some(now));
+                table.record_end(now, &watched, Some(ended_at));
                 table.finish_send(watched);
                 instances.exchange(now);
             }
@@ -188,6 +189,21 @@
     }
 }
 
+/// Guards against an end that is lost because the next send, at another instance, began while the first one was still
+/// checking its target.
+#[test]
+fn a_send_that_began_during_the_check_of_the_end_before_it_counts() {
+    let (mut first, mut second) = (SuspectTable::default(), SuspectTable::default());
+    let send = first.start_send(at(0), request(1));
+    first.record_end(at(130), &send, Some(at(100)));
+    let next = second.start_send(at(124), request(1));
+    for record in first.records_since(at(131), 0) {
+        second.merge(at(132), &record);
+    }
+    second.record_end(at(135), &next, None);
+    assert_eq!(second.ends(request(1)), 2);
+}
+
 fn request(number: u128) -> RequestIdentity {
     let digest = |kind: u128| (number * 10 + kind).into();
     RequestIdentity { exact: digest(1), path: digest(2), content: digest(3) }
