Date an end that is confirmed later by the loss of its send, too

Change: the time of the loss goes along with the send; only ends that were found at once count as separate by their distance.

--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -175,6 +175,15 @@
     is_counted: [bool; DIGEST_COUNT],
 }
 
+/// The end of the target of a send.
+#[derive(Debug, Clone, Copy)]
+pub struct TargetEnd {
+    /// When the send was lost.
+    pub lost_at: MonoTime,
+    /// Whether the target ended at that time, rather than at some time after.
+    pub is_exact: bool,
+}
+
 /// Requests under which targets have ended, as this instance knows them.
 #[derive(Debug, Default)]
 pub struct SuspectTable {
@@ -225,20 +234,14 @@
         send.is_counted.contains(&true)
     }
 
-    /// Records that the target of a send has ended without an answer. `ended_at` is when it did, if that is known
-    /// exactly.
-    pub fn record_end(
-        &mut self,
-        now: MonoTime,
-        send: &SuspectSend,
-        ended_at: Option<MonoTime>,
-    ) -> Vec<SuspectChange> {
+    /// Records that the target of a send has ended without an answer.
+    pub fn record_end(&mut self, now: MonoTime, send: &SuspectSend, end: TargetEnd) -> Vec<SuspectChange> {
         let mut changes = Vec::new();
         let digests = send.identity.digests();
-        let age = ended_at.map_or(Duration::ZERO, |at| now.since(at));
+        let age = now.since(end.lost_at);
         let mut is_new = true;
         for (level, (digest, known)) in digests.into_iter().zip(send.known).enumerate() {
-            let before = self.ends_before(digest, known, send.started, ended_at);
+            let before = self.ends_before(digest, known, send.started, end);
             if is_new {
                 changes.extend(self.add_end(now, digest, before, age));
             }
@@ -369,16 +372,9 @@
     }
 
     /// Returns how many ends there were before that of a send which began at `started`, when `known` was known.
-    fn ends_before(
-        &self,
-        digest: RequestDigest,
-        known: EndCount,
-        started: MonoTime,
-        ended_at: Option<MonoTime>,
-    ) -> u8 {
+    fn ends_before(&self, digest: RequestDigest, known: EndCount, started: MonoTime, end: TargetEnd) -> u8 {
         let Some(current) = self.suspects.get(&digest) else { return 0 };
-        let is_separate =
-            ended_at.is_some_and(|at| at + CLOCK_SHIFT >= current.changed_at + SEPARATE_ENDS_GAP);
+        let is_separate = end.is_exact && end.lost_at + CLOCK_SHIFT >= current.changed_at + SEPARATE_ENDS_GAP;
         if is_separate || started + CLOCK_SHIFT >= current.changed_at {
             return current.count.ends;
         }
--- a/src/decide/unconfirmed_ends.rs
+++ b/src/decide/unconfirmed_ends.rs
@@ -66,20 +66,20 @@
 }
 
 impl UnconfirmedEnds {
-    /// Adds a lost send. `process` is what was found of the target right after. Returns whether checks of the
-    /// target are to be started; [`UnconfirmedEnds::end_checks`] ends them.
+    /// Adds a send that was lost at `lost_at`. `process` is what was found of the target right after. Returns
+    /// whether checks of the target are to be started; [`UnconfirmedEnds::end_checks`] ends them.
     pub fn add(
         &mut self,
-        now: MonoTime,
+        lost_at: MonoTime,
         listing: &Listing,
         process: ProcessState,
         send: SuspectSend,
     ) -> bool {
-        self.forget_old(now);
+        self.forget_old(lost_at);
         if self.ends.len() >= MAX_UNCONFIRMED {
             self.ends.pop_front();
         }
-        self.ends.push_back(UnconfirmedEnd { listing: listing.clone(), process, send, lost_at: now });
+        self.ends.push_back(UnconfirmedEnd { listing: listing.clone(), process, send, lost_at });
         self.checked.insert(listing.id.clone())
     }
 
@@ -88,13 +88,14 @@
         self.checked.remove(target);
     }
 
-    /// Returns the sends to a target that has ended, and forgets them.
-    pub fn confirm_target(&mut self, now: MonoTime, target: &TargetId) -> Vec<SuspectSend> {
+    /// Returns the sends to a target that has ended, with the times at which they were lost, and forgets them.
+    pub fn confirm_target(&mut self, now: MonoTime, target: &TargetId) -> Vec<(SuspectSend, MonoTime)> {
         self.confirm_where(now, |end| end.listing.id == *target)
     }
 
-    /// Returns the sends whose target has ended as these changes show, and forgets them.
-    pub fn confirm(&mut self, now: MonoTime, changes: &[DirectoryChange]) -> Vec<SuspectSend> {
+    /// Returns the sends whose target has ended as these changes show, with the times at which they were lost, and
+    /// forgets them.
+    pub fn confirm(&mut self, now: MonoTime, changes: &[DirectoryChange]) -> Vec<(SuspectSend, MonoTime)> {
         self.confirm_where(now, |end| changes.iter().any(|change| end.is_confirmed_by(change)))
     }
 
@@ -102,12 +103,12 @@
         &mut self,
         now: MonoTime,
         is_confirmed: impl Fn(&UnconfirmedEnd) -> bool,
-    ) -> Vec<SuspectSend> {
+    ) -> Vec<(SuspectSend, MonoTime)> {
         self.forget_old(now);
         let mut confirmed = Vec::new();
         self.ends.retain(|end| {
             let is_confirmed = is_confirmed(end);
-            confirmed.extend(is_confirmed.then_some(end.send));
+            confirmed.extend(is_confirmed.then_some((end.send, end.lost_at)));
             !is_confirmed
         });
         confirmed
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -8,7 +8,7 @@
 use crate::{
     decide::{
         directory::{DirectoryChange, Listing},
-        suspects::{EndCount, RequestIdentity, SuspectChange, SuspectRecord, SuspectSend},
+        suspects::{EndCount, RequestIdentity, SuspectChange, SuspectRecord, SuspectSend, TargetEnd},
         unconfirmed_ends::ProcessState,
     },
     peer::frame::{Frame, SuspectEntry},
@@ -51,16 +51,18 @@
     /// A target that is draining or no longer listed ends by itself, and one that still may be alive is no
     /// evidence until the directory says that it is gone.
     pub fn lost(mut self, listing: &Listing, process: ProcessState, lost_at: MonoTime) {
-        let now = self.gateway.now();
         let is_expected_to_run = {
             let service_pools = self.gateway.service_pools();
             service_pools.directory.get(&listing.id).is_some_and(|known| !known.draining)
         };
         if is_expected_to_run {
             match process {
-                ProcessState::Ended => record_ends(&self.gateway, &[self.send], Some(lost_at), "send"),
+                ProcessState::Ended => {
+                    let end = TargetEnd { lost_at, is_exact: true };
+                    record_end(&self.gateway, &self.send, end, "send");
+                }
                 ProcessState::Listening | ProcessState::Unknown => {
-                    let is_first = self.gateway.unconfirmed_ends().add(now, listing, process, self.send);
+                    let is_first = self.gateway.unconfirmed_ends().add(lost_at, listing, process, self.send);
                     if is_first {
                         target_end::start_later_checks(&self.gateway, listing.clone());
                     }
@@ -87,18 +89,21 @@
 /// Records the ends that a change of the directory confirms.
 pub fn confirm_ends(gateway: &Gateway, changes: &[DirectoryChange]) {
     let confirmed = gateway.unconfirmed_ends().confirm(gateway.now(), changes);
-    record_ends(gateway, &confirmed, None, "directory");
+    record_confirmed_ends(gateway, &confirmed, "directory");
 }
 
-/// Records that the targets of these sends have ended, at `ended_at` if that is known exactly.
-pub fn record_ends(gateway: &Gateway, sends: &[SuspectSend], ended_at: Option<MonoTime>, source: &str) {
-    let now = gateway.now();
-    for send in sends {
-        let changes = gateway.suspects().record_end(now, send, ended_at);
-        announce(gateway, &changes, source);
+/// Records that the targets of sends have ended some time after these were lost.
+pub fn record_confirmed_ends(gateway: &Gateway, confirmed: &[(SuspectSend, MonoTime)], source: &str) {
+    for (send, lost_at) in confirmed {
+        record_end(gateway, send, TargetEnd { lost_at: *lost_at, is_exact: false }, source);
     }
 }
 
+fn record_end(gateway: &Gateway, send: &SuspectSend, end: TargetEnd, source: &str) {
+    let changes = gateway.suspects().record_end(gateway.now(), send, end);
+    announce(gateway, &changes, source);
+}
+
 /// Records what another instance knows.
 pub fn receive(gateway: &Gateway, entries: Vec<SuspectEntry>) {
     let records = entries.into_iter().map(from_entry).collect::<Vec<_>>();
--- a/src/gateway/target_end.rs
+++ b/src/gateway/target_end.rs
@@ -33,7 +33,7 @@
             sleep(pause).await;
             if check_once(&gateway, &listing).await == ProcessState::Ended {
                 let ended = gateway.unconfirmed_ends().confirm_target(gateway.now(), &listing.id);
-                suspects::record_ends(&gateway, &ended, None, "later-check");
+                suspects::record_confirmed_ends(&gateway, &ended, "later-check");
                 break;
             }
         }
--- a/tests/load_requests_that_end_targets.rs
+++ b/tests/load_requests_that_end_targets.rs
@@ -3,8 +3,12 @@
 use std::time::Duration;
 
 use arbutusshelf::{
-    decide::suspects::{
-        Admission, MAX_SUSPECTS, QUARANTINE_ENDS, RequestIdentity, SuspectRecord, SuspectTable,
+    decide::{
+        directory::{DirectoryChange, Listing},
+        suspects::{
+            Admission, MAX_SUSPECTS, QUARANTINE_ENDS, RequestIdentity, SuspectRecord, SuspectTable, TargetEnd,
+        },
+        unconfirmed_ends::{ProcessState, UnconfirmedEnds},
     },
     units::MonoTime,
 };
@@ -143,7 +147,7 @@
                 now = ended_at + pattern.check_time;
                 instances.exchange(now);
                 let table = &mut instances.tables[at];
-                table.record_end(now, &watched, Some(ended_at));
+                table.record_end(now, &watched, exactly(ended_at));
                 table.finish_send(watched);
                 instances.exchange(now);
             }
@@ -195,15 +199,19 @@
 fn a_send_that_began_during_the_check_of_the_end_before_it_counts() {
     let (mut first, mut second) = (SuspectTable::default(), SuspectTable::default());
     let send = first.start_send(at(0), request(1));
-    first.record_end(at(130), &send, Some(at(100)));
+    first.record_end(at(130), &send, exactly(at(100)));
     let next = second.start_send(at(124), request(1));
     for record in first.records_since(at(131), 0) {
         second.merge(at(132), &record);
     }
-    second.record_end(at(135), &next, None);
+    second.record_end(at(135), &next, TargetEnd { lost_at: at(135), is_exact: false });
     assert_eq!(second.ends(request(1)), 2);
 }
 
+fn exactly(lost_at: MonoTime) -> TargetEnd {
+    TargetEnd { lost_at, is_exact: true }
+}
+
 fn request(number: u128) -> RequestIdentity {
     let digest = |kind: u128| (number * 10 + kind).into();
     RequestIdentity { exact: digest(1), path: digest(2), content: digest(3) }
@@ -217,7 +225,7 @@
 fn send_to_ending_target(table: &mut SuspectTable, from: MonoTime, identity: RequestIdentity) {
     let send = table.start_send(from, identity);
     let ended_at = from + ms(50);
-    table.record_end(ended_at, &send, Some(ended_at));
+    table.record_end(ended_at, &send, exactly(ended_at));
     table.finish_send(send);
 }
 
@@ -237,7 +245,7 @@
     let sends = (0..20).map(|number| table.start_send(at(number), request(1))).collect::<Vec<_>>();
     for (number, send) in sends.into_iter().enumerate() {
         let ended_at = at(100 + number as u64 / 2);
-        table.record_end(ended_at, &send, Some(ended_at));
+        table.record_end(ended_at, &send, exactly(ended_at));
         table.finish_send(send);
     }
     assert_eq!(table.ends(request(1)), 1);
@@ -250,7 +258,8 @@
     let mut table = SuspectTable::default();
     let sends = (0..20).map(|number| table.start_send(at(number), request(1))).collect::<Vec<_>>();
     for (number, send) in sends.into_iter().enumerate() {
-        table.record_end(at(4_000 + 100 * number as u64), &send, None);
+        let end = TargetEnd { lost_at: at(100 + 150 * number as u64), is_exact: false };
+        table.record_end(at(4_000 + 100 * number as u64), &send, end);
     }
     assert_eq!(table.ends(request(1)), 1);
 }
@@ -262,7 +271,7 @@
     let sends = (0..4).map(|_| table.start_send(at(0), request(1))).collect::<Vec<_>>();
     for (number, send) in sends.into_iter().enumerate() {
         let ended_at = at(60 + 30 * number as u64);
-        table.record_end(ended_at, &send, Some(ended_at));
+        table.record_end(ended_at, &send, exactly(ended_at));
     }
     assert!(matches!(table.admission(at(200), request(1)), Admission::Quarantined(_)));
 }
@@ -326,7 +335,7 @@
         assert!(!table.may_repeat(request(1)));
         let send = table.start_send(now, request(1));
         assert_eq!(table.admission(now, request(1)), Admission::Wait);
-        table.record_end(now, &send, Some(now));
+        table.record_end(now, &send, exactly(now));
         table.finish_send(send);
     }
     now = now + Duration::from_mins(640);
@@ -349,3 +358,45 @@
     table.expire(at(0) + Duration::from_hours(48));
     assert!(table.is_empty());
 }
+
+fn listing(id: &str, port: u16, started_unix_ms: u64) -> Listing {
+    Listing {
+        id: id.parse().expect("a name"),
+        service: "plan".parse().expect("a name"),
+        address: ([10, 0, 0, 1], port).into(),
+        data_centre: "ost-a".parse().expect("a name"),
+        slots: 3,
+        draining: false,
+        warm_up: Duration::ZERO,
+        started_unix_ms: Some(started_unix_ms),
+        sequence: 1,
+    }
+}
+
+/// Guards against lost answers that count as ends, and against ends that only the directory shows.
+#[test]
+fn the_directory_confirms_an_end_by_another_process_or_by_the_lapse_of_a_silent_target() {
+    let lost_at_target = listing("i-1", 1, 100);
+    let removed = DirectoryChange::Removed(lost_at_target.id.clone());
+    let restarted = DirectoryChange::Added(listing("i-1", 1, 200));
+    let replaced = DirectoryChange::Added(listing("i-2", 1, 200));
+    let elsewhere = DirectoryChange::Added(listing("i-2", 2, 200));
+    let updated = DirectoryChange::Updated(lost_at_target.clone());
+    let cases = [
+        (ProcessState::Listening, &removed, false),
+        (ProcessState::Unknown, &removed, true),
+        (ProcessState::Listening, &restarted, true),
+        (ProcessState::Listening, &replaced, true),
+        (ProcessState::Unknown, &elsewhere, false),
+        (ProcessState::Unknown, &updated, false),
+    ];
+    for (process, change, is_end) in cases {
+        for (after_ms, is_in_time) in [(500, true), (11_000, false)] {
+            let send = SuspectTable::default().start_send(at(0), request(1));
+            let mut unconfirmed = UnconfirmedEnds::default();
+            assert!(unconfirmed.add(at(50), &lost_at_target, process, send));
+            let confirmed = unconfirmed.confirm(at(50 + after_ms), std::slice::from_ref(change));
+            assert_eq!(confirmed.len(), usize::from(is_end && is_in_time), "{process} {change:?}");
+        }
+    }
+}
