--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -49,7 +49,7 @@
     /// Ends without an answer at `lost_at`. `process` is what was found of the target's process.
     ///
     /// A target that is draining or no longer listed ends by itself, and one that still may be alive is no
-    /// evidence until the directory says that it is gone.
+    /// evidence until a later check or the directory shows that it has ended.
     pub fn lost(mut self, listing: &Listing, process: ProcessState, lost_at: MonoTime) {
         let is_expected_to_run = {
             let service_pools = self.gateway.service_pools();
