--- a/tests/gateway_env/mod.rs
+++ b/tests/gateway_env/mod.rs
@@ -19,6 +19,7 @@
     worker::WorkerStandIn,
 };
 use bytes::Bytes;
+use futures::future::join_all;
 use http_body_util::Full;
 use hyper::{Method, Request};
 use serde_json::{Value, json};
@@ -186,6 +187,23 @@
         GatewayProcess { child, log, callers, ready, metrics, peers }
     }
 
+    /// Starts one instance that the others follow, and waits until all know how many they are.
+    pub async fn start_instances(&self, count: usize) -> Vec<GatewayProcess> {
+        let reader = self.gateway("reader", &json!({"peer_seeds": []})).await;
+        let seeds = json!({"peer_seeds": [reader.peers]});
+        let names = (1..count).map(|number| format!("follower-{number}")).collect::<Vec<_>>();
+        let followers = names.iter().map(|name| self.gateway(name, &seeds));
+        let mut instances = vec![reader];
+        instances.extend(join_all(followers).await);
+        for instance in &instances {
+            self.wait_until("all instances are counted", || async {
+                instance.logged(&["event=instances-counted", &format!("instances={count}")])
+            })
+            .await;
+        }
+        instances
+    }
+
     /// Sends a request with a deadline of two seconds.
     pub async fn send(
         &self,
--- a/tests/gateway_poison.rs
+++ b/tests/gateway_poison.rs
@@ -9,7 +9,6 @@
     worker::{WorkerMode, WorkerStandIn},
 };
 use bytes::Bytes;
-use futures::future::join_all;
 use gateway_env::{GatewayProcess, TestDeployment};
 use hyper::Method;
 use serde_json::json;
@@ -29,24 +28,6 @@
 /// Time after which a target that has ended is back under another name.
 const RETURN_TIME: Duration = Duration::from_millis(600);
 
-/// Starts one instance that the others follow, and waits until all know how many they are.
-async fn start_instances(deployment: &TestDeployment, count: usize) -> Vec<GatewayProcess> {
-    let reader = deployment.gateway("reader", &json!({"peer_seeds": []})).await;
-    let seeds = json!({"peer_seeds": [reader.peers]});
-    let names = (1..count).map(|number| format!("follower-{number}")).collect::<Vec<_>>();
-    let followers = names.iter().map(|name| deployment.gateway(name, &seeds));
-    let mut instances = vec![reader];
-    instances.extend(join_all(followers).await);
-    for instance in &instances {
-        deployment
-            .wait_until("all instances are counted", || async {
-                instance.logged(&["event=instances-counted", &format!("instances={count}")])
-            })
-            .await;
-    }
-    instances
-}
-
 /// Workers of which each that has ended comes back.
 struct Workers<'a> {
     deployment: &'a TestDeployment,
@@ -189,7 +170,7 @@
 async fn check_that_it_is_not_sent_on(request: &FatalRequest) {
     let deployment = TestDeployment::start().await;
     let mut workers = Workers::start(&deployment, 8, request.end_delay).await;
-    let instances = start_instances(&deployment, 4).await;
+    let instances = deployment.start_instances(4).await;
     let length = SETTLE_TIME * 3;
     let statuses = send_again_and_again(&deployment, &instances, &mut workers, request, length).await;
     let starts = workers.starts(request.path);
--- a/tests/gateway_rate_limit.rs
+++ b/tests/gateway_rate_limit.rs
@@ -9,7 +9,7 @@
 
 use arbutusshelf_bench::worker::WorkerStandIn;
 use futures::future::join_all;
-use gateway_env::{GatewayProcess, TestDeployment};
+use gateway_env::TestDeployment;
 use hyper::Method;
 use serde_json::json;
 
@@ -22,24 +22,6 @@
 /// Pause between two requests to one instance.
 const REQUEST_PAUSE: Duration = Duration::from_millis(50);
 
-/// Starts one instance that the others follow, and waits until all know how many they are.
-async fn start_instances(deployment: &TestDeployment, count: usize) -> Vec<GatewayProcess> {
-    let reader = deployment.gateway("reader", &json!({"peer_seeds": []})).await;
-    let seeds = json!({"peer_seeds": [reader.peers]});
-    let names = (1..count).map(|number| format!("follower-{number}")).collect::<Vec<_>>();
-    let followers = names.iter().map(|name| deployment.gateway(name, &seeds));
-    let mut instances = vec![reader];
-    instances.extend(join_all(followers).await);
-    for instance in &instances {
-        deployment
-            .wait_until("all instances are counted", || async {
-                instance.logged(&["event=instances-counted", &format!("instances={count}")])
-            })
-            .await;
-    }
-    instances
-}
-
 /// Sends requests to one instance, one after the other, for a time.
 async fn send_steadily(deployment: &TestDeployment, to: SocketAddr, number: usize, length: Duration) {
     let until = Instant::now() + length;
@@ -67,7 +49,7 @@
 async fn a_limit_and_its_end_that_one_instance_hears_are_known_to_all() {
     let deployment = TestDeployment::start().await;
     let worker = deployment.worker("i-1").await;
-    let instances = start_instances(&deployment, 4).await;
+    let instances = deployment.start_instances(4).await;
     for (limit, words) in [(Some(40.0), "limit_per_s=40"), (None, "limit_per_s=none")] {
         worker.set_rate_limit_per_s(limit);
         let to = instances[1].callers;
@@ -97,7 +79,7 @@
 async fn a_request_that_no_limit_has_room_for_is_refused_at_once() {
     let deployment = TestDeployment::start().await;
     let worker = deployment.worker("i-1").await;
-    let instances = start_instances(&deployment, 1).await;
+    let instances = deployment.start_instances(1).await;
     worker.set_rate_limit_per_s(Some(0.2));
     for number in 0..20 {
         let id = format!("a{number}");
@@ -125,7 +107,7 @@
         // Eight callers need more than the three slots of one target.
         worker.set_service_time(Duration::from_millis(100));
     }
-    let instances = start_instances(&deployment, 8).await;
+    let instances = deployment.start_instances(8).await;
     let limit_per_s = 1.0;
     limited.set_rate_limit_per_s(Some(limit_per_s));
     let stated_at = Instant::now();
