--- a/bench/src/soak/cluster.rs
+++ b/bench/src/soak/cluster.rs
@@ -152,6 +152,20 @@
     (Ipv4Addr::new(127, 100 + high % 100, low, u8::try_from(host + 1).unwrap_or(u8::MAX)), port).into()
 }
 
+/// Starts a relay at an address that an earlier soak of this process may not have released yet: the task of its relay
+/// ends some time after it was dropped.
+async fn start_relay(address: SocketAddr, target: SocketAddr) -> std::io::Result<Relay> {
+    let until = Instant::now() + START_TIMEOUT;
+    loop {
+        match Relay::start_at(address, target).await {
+            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && Instant::now() < until => {
+                tokio::time::sleep(POLL_PERIOD).await;
+            }
+            started => return started,
+        }
+    }
+}
+
 impl Cluster {
     /// Starts all parts and waits until all instances are ready.
     ///
@@ -176,7 +190,7 @@
             let [callers, ready, metrics, peers] = PORTS.map(|port| address(instance_host, port));
             relays.push(Relays {
                 callers: Relay::start(callers).await.map_err(io)?,
-                peers: Relay::start_at(address(relay_host, peers.port()), peers).await.map_err(io)?,
+                peers: start_relay(address(relay_host, peers.port()), peers).await.map_err(io)?,
                 store: Relay::start(store.server.address).await.map_err(io)?,
             });
             addresses.push(Addresses { callers, ready, metrics, peers });
