--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -33,7 +33,7 @@
     }
 
     /// Returns the identity of a request of the caller at an address. `body` is the whole body, or at least its
-    /// first [`IDENTIFYING_BODY_BYTES`].
+    /// first `IDENTIFYING_BODY_BYTES`.
     pub fn identify(self, caller: IpAddr, head: &Parts, body: &[u8]) -> RequestIdentity {
         let mut hasher = SipHasher13::new_with_key(&self.0);
         let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
