Count ends from the first request of an instance on

Cause: a request was identified only once the shared key of the hashes had been read. An instance at its first start was ready some milliseconds earlier, sent the first request without an identity (identity=none in its log), and didn't count the end of its target. While the store said nothing of suspects, it counted nothing at all.

Change: an instance has a key of its own from its start, which it stores if there is none. Until its key is shared it passes on no counts. The test prints the log if it fails.

--- a/bench/src/rows.rs
+++ b/bench/src/rows.rs
@@ -50,6 +50,8 @@
     /// Version up to which the history of changes is lost; a feed from an older version gets 410.
     compacted_version: u64,
     fault: RowStoreFault,
+    /// Time by which responses about each of these tables are delayed.
+    delays: BTreeMap<String, Duration>,
     request_count: u64,
     /// Number of restores from a copy.
     era: u64,
@@ -169,6 +171,11 @@
         lock(&self.state).fault = fault;
     }
 
+    /// Delays the responses about one table from now on.
+    pub fn set_delay(&self, table: &str, delay: Duration) {
+        lock(&self.state).delays.insert(table.to_owned(), delay);
+    }
+
     /// Returns the number of requests received since the start.
     pub fn request_count(&self) -> u64 {
         lock(&self.state).request_count
@@ -217,6 +224,7 @@
     }
     let mut updates = changed.subscribe();
     let table = query_parameter(&request, "table").unwrap_or_default();
+    delay_response(state, [table.as_str()]).await;
     if request.uri().path() == "/rows-get" {
         let from = query_parameter(&request, "from").unwrap_or_default();
         return Ok(json_response(
@@ -244,6 +252,15 @@
     Ok(json_response(StatusCode::OK, &rows_json(&state, &table, |_, row| row.version > after)))
 }
 
+/// Waits for the longest delay that is set for one of `tables`.
+async fn delay_response(state: &Mutex<State>, tables: impl IntoIterator<Item = &str>) {
+    let delay = {
+        let state = lock(state);
+        tables.into_iter().filter_map(|table| state.delays.get(table).copied()).max()
+    };
+    tokio::time::sleep(delay.unwrap_or_default()).await;
+}
+
 /// Rows that a transaction names.
 #[derive(Deserialize)]
 struct Transaction {
@@ -279,6 +296,7 @@
     if rows.clone().any(|row| ["op", "servers"].contains(&row.table.as_str())) {
         return Ok(full_response(StatusCode::FORBIDDEN, ""));
     }
+    delay_response(state, rows.map(|row| row.table.as_str())).await;
     let mut state = lock(state);
     let version_of = |row: &TransactionRow| {
         let stored = state.rows.get(&(row.table.clone(), row.key.clone()));
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -84,9 +84,8 @@
     pub deadline: MonoTime,
     /// Head and body of the request.
     pub parts: RequestParts,
-    /// Identity of the request, the same for all attempts of its caller; `None` while the key of the hashes is not
-    /// known.
-    pub identity: Option<RequestIdentity>,
+    /// Identity of the request, the same for all attempts of its caller.
+    pub identity: RequestIdentity,
     /// Targets to which the request was sent, or for which a connection was tried.
     tried: Mutex<Vec<TargetId>>,
     /// Target and time of the latest send; `None` until the first one.
@@ -157,19 +156,17 @@
 
     /// Returns whether the request may be sent now, as far as targets have ended under it.
     fn admission(&self) -> Admission {
-        let admission =
-            self.identity.map(|identity| self.gateway.suspects().admission(self.gateway.now(), identity));
-        admission.unwrap_or(Admission::Send)
+        self.gateway.suspects().admission(self.gateway.now(), self.identity)
     }
 
     /// Returns whether a target has ended under the request.
     fn is_suspect(&self) -> bool {
-        self.identity.is_some_and(|identity| self.gateway.suspects().ends(identity) > 0)
+        self.gateway.suspects().ends(self.identity) > 0
     }
 
     /// Returns whether too many targets have ended under the request for this instance to send it again by itself.
     fn is_repeat_harmful(&self) -> bool {
-        self.identity.is_some_and(|identity| !self.gateway.suspects().may_repeat(identity))
+        !self.gateway.suspects().may_repeat(self.identity)
     }
 
     /// Returns whether the request may be executed more than once and its whole body is buffered.
@@ -232,7 +229,7 @@
     let deadline = arrived + requested_timeout.map_or(timeout, |requested| requested.min(timeout));
     let limit = routing.limits.max_body_bytes;
     let start = read_body_start(&mut body, limit, MAX_RETRYABLE_BODY_BYTES, BODY_PROGRESS_TIMEOUT).await?;
-    let identity = gateway.identity_key().map(|key| key.identify(caller, &head, &start.bytes));
+    let identity = gateway.identity_key().key.identify(caller, &head, &start.bytes);
     let (body, upload) = if start.is_complete {
         (start.bytes, None)
     } else {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -90,14 +90,14 @@
     connection: Option<Connection>,
     started: MonoTime,
     is_reported: bool,
-    /// Watches what the send shows of the request; `None` if the request can't be identified.
+    /// Watches what the send shows of the request; `None` once its result is known.
     watch: Option<SendWatch>,
     _in_progress: RequestGuard,
 }
 
 impl SendGuard {
     /// Starts a send of a request to the target that was chosen.
-    pub fn new(gateway: &Arc<Gateway>, identity: Option<RequestIdentity>, listing: Listing) -> Self {
+    pub fn new(gateway: &Arc<Gateway>, identity: RequestIdentity, listing: Listing) -> Self {
         let in_progress = gateway.track_request();
         Self {
             gateway: Arc::clone(gateway),
@@ -105,7 +105,7 @@
             connection: None,
             started: gateway.now(),
             is_reported: false,
-            watch: SendWatch::start(gateway, identity),
+            watch: Some(SendWatch::start(gateway, identity)),
             _in_progress: in_progress,
         }
     }
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -11,6 +11,15 @@
 /// Bytes of a body that identify it. Longer bodies that begin alike count as the same.
 const IDENTIFYING_BODY_BYTES: usize = 64 << 10;
 
+/// Key that an instance uses for its hashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeyInUse {
+    /// The key.
+    pub key: IdentityKey,
+    /// Whether the store or another instance has it, too. Until then, the instance counts by itself.
+    pub is_shared: bool,
+}
+
 /// Secret key of the hashes, the same at all instances that exchange them.
 ///
 /// Without it, nobody can tell from a hash what a request contained, or make two requests with the same one.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,8 +46,13 @@
 use tokio::sync::{Notify, watch};
 
 use self::{
-    config::Config, follower_places::FollowerPlaces, identity::IdentityKey, known_instances::KnownInstances,
-    metrics::Metrics, platform_adapter::PlatformAdapter, replica::StoreReplica,
+    config::Config,
+    follower_places::FollowerPlaces,
+    identity::{IdentityKey, KeyInUse},
+    known_instances::KnownInstances,
+    metrics::Metrics,
+    platform_adapter::PlatformAdapter,
+    replica::StoreReplica,
     request_log::RequestLogLimiter,
 };
 use crate::{
@@ -107,8 +112,8 @@
     suspects_changed: watch::Sender<u64>,
     /// Notified when a request is quarantined from now on.
     quarantine_started: Notify,
-    /// Key of the hashes that identify requests; `None` until it has been read or received.
-    identity_key: ArcSwapOption<IdentityKey>,
+    /// Key of the hashes that identify requests; one of this instance's own until the shared one is known.
+    identity_key: ArcSwap<KeyInUse>,
     targets_known: watch::Sender<bool>,
     /// Whether the routing tables of the seeds have been received or are no longer waited for.
     seed_routing_known: watch::Sender<bool>,
@@ -151,7 +156,7 @@
             unconfirmed_ends: Mutex::default(),
             suspects_changed: watch::Sender::new(0),
             quarantine_started: Notify::new(),
-            identity_key: ArcSwapOption::empty(),
+            identity_key: ArcSwap::from_pointee(KeyInUse { key: IdentityKey::random(), is_shared: false }),
             targets_known: watch::Sender::new(false),
             seed_routing_known: watch::Sender::new(false),
             instance_count: AtomicU64::new(0),
@@ -270,21 +275,28 @@
         &self.quarantine_started
     }
 
-    /// Returns the key of the hashes that identify requests, if it is known.
-    pub fn identity_key(&self) -> Option<IdentityKey> {
-        self.identity_key.load().as_deref().copied()
+    /// Returns the key of the hashes that identify requests.
+    pub fn identity_key(&self) -> KeyInUse {
+        **self.identity_key.load()
     }
 
-    /// Sets the key of the hashes that identify requests. What is known under another key can't be compared any
-    /// more and is forgotten.
-    pub fn set_identity_key(&self, key: IdentityKey) {
-        let previous = self.identity_key.swap(Some(Arc::new(key)));
-        if previous.as_deref() == Some(&key) {
+    /// Sets the key of the hashes that identify requests to one that others have, too. What is known under another
+    /// key can't be compared any more and is forgotten.
+    pub fn share_identity_key(&self, key: IdentityKey) {
+        let previous = self.identity_key.swap(Arc::new(KeyInUse { key, is_shared: true }));
+        if previous.key == key && previous.is_shared {
             return;
         }
-        if previous.is_some() {
-            log::warn!("event=identity-key-changed");
-            self.suspects().clear();
+        if previous.key != key {
+            let was_shared = previous.is_shared;
+            let mut suspects = self.suspects();
+            let level = if was_shared { log::Level::Warn } else { log::Level::Info };
+            log::log!(
+                level,
+                "event=identity-key-changed was_shared={was_shared} forgotten={}",
+                suspects.len()
+            );
+            suspects.clear();
         }
         self.notify_suspect_change(false);
     }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -14,7 +14,7 @@
     error::ErrorKind,
     logging::{Quoted, SELF_LIMITED_MODULE},
     routing::{Route, RoutingVersion},
-    units::{MonoTime, PerSecond, RequestDigest, ServiceName, TargetId},
+    units::{MonoTime, PerSecond, ServiceName, TargetId},
 };
 
 /// Notable requests that are logged per second in the long run. A request is notable unless it got a response
@@ -151,7 +151,7 @@
 pub struct RequestLog {
     /// Identifier that the caller gave the request.
     request: String,
-    identity: Option<RequestIdentity>,
+    identity: RequestIdentity,
     route: Arc<Route>,
     service: ServiceName,
     routing: RoutingVersion,
@@ -164,7 +164,7 @@
     /// Creates the log of an admitted request, from the identifier that the caller gave it and its identity.
     /// `times` are its arrival and its deadline.
     pub fn new(
-        (request, identity): (&[u8], Option<RequestIdentity>),
+        (request, identity): (&[u8], RequestIdentity),
         route: &Arc<Route>,
         service: &ServiceName,
         routing: RoutingVersion,
@@ -221,9 +221,9 @@
             self.routing,
             spec.objective.as_millis(),
             self.deadline.since(self.arrived).as_millis(),
-            DisplayDigest(self.identity.map(|identity| identity.exact)),
-            DisplayDigest(self.identity.map(|identity| identity.path)),
-            DisplayDigest(self.identity.map(|identity| identity.content))
+            self.identity.exact,
+            self.identity.path,
+            self.identity.content
         )];
         for (at, event) in events {
             let after_ms = at.since(self.arrived).as_millis();
@@ -269,18 +269,6 @@
     }
 }
 
-/// A digest in the format of log lines.
-struct DisplayDigest(Option<RequestDigest>);
-
-impl std::fmt::Display for DisplayDigest {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self.0 {
-            Some(digest) => digest.fmt(f),
-            None => f.write_str("none"),
-        }
-    }
-}
-
 /// A load reading in the format of log lines.
 struct DisplayReading(Option<(LoadReading, Duration)>);
 
--- a/src/gateway/suspect_store.rs
+++ b/src/gateway/suspect_store.rs
@@ -65,6 +65,10 @@
         }
         sleep(STORE_DELAY).await;
         changes.mark_unchanged();
+        if !gateway.identity_key().is_shared {
+            // Nobody else could compare the hashes. Sharing the key is a change, too.
+            continue;
+        }
         let mut pauses = Backoff::for_follower(gateway.estimate_instance_count());
         while let Err(e) = write_unstored(gateway).await {
             log::info!("event=suspects-not-stored error={:?}", e.to_string());
@@ -166,7 +170,7 @@
 fn apply(gateway: &Gateway, rows: &TableRows) -> Vec<RequestDigest> {
     if let Some(row) = rows.latest(IDENTITY_KEY_ROW) {
         match row.value.as_deref().map(<[u8; IdentityKey::BYTES]>::try_from) {
-            Some(Ok(key)) => gateway.set_identity_key(key.into()),
+            Some(Ok(key)) => gateway.share_identity_key(key.into()),
             Some(Err(_)) => log::warn!("event=identity-key-unreadable position={}", row.position),
             None => {}
         }
@@ -182,14 +186,14 @@
     obsolete.iter().map(|record| record.digest).collect()
 }
 
-/// Stores the key of the hashes, or a new one if there is none yet. Fails if another instance was first; its key is read
+/// Stores the key of the hashes that this instance uses. Fails if another instance was first; its key is read
 /// with the next reading then.
 async fn store_key(gateway: &Gateway) -> Result<(), StoreError> {
-    let key = gateway.identity_key().unwrap_or_else(IdentityKey::random);
+    let key = gateway.identity_key().key;
     let put = vec![(IDENTITY_KEY_ROW.to_owned(), Bytes::copy_from_slice(&<[u8; _]>::from(key)))];
     let if_absent = Some(IDENTITY_KEY_ROW.to_owned());
     change_rows(gateway, RowChanges { put, if_absent, ..RowChanges::default() }).await?;
-    gateway.set_identity_key(key);
+    gateway.share_identity_key(key);
     Ok(())
 }
 
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -4,7 +4,11 @@
 
 use tokio::{sync::watch, time::sleep};
 
-use super::{Gateway, identity::IdentityKey, target_end};
+use super::{
+    Gateway,
+    identity::{IdentityKey, KeyInUse},
+    target_end,
+};
 use crate::{
     decide::{
         directory::{DirectoryChange, Listing},
@@ -32,11 +36,10 @@
 }
 
 impl SendWatch {
-    /// Starts to watch a send. `None` if the request can't be identified.
-    pub fn start(gateway: &Arc<Gateway>, identity: Option<RequestIdentity>) -> Option<Self> {
-        let identity = identity?;
+    /// Starts to watch a send.
+    pub fn start(gateway: &Arc<Gateway>, identity: RequestIdentity) -> Self {
         let send = gateway.suspects().start_send(gateway.now(), identity);
-        Some(Self { gateway: Arc::clone(gateway), send, identity, is_finished: false })
+        Self { gateway: Arc::clone(gateway), send, identity, is_finished: false }
     }
 
     /// Ends with an answer of the target, which has executed the request and lives.
@@ -112,8 +115,8 @@
 
 /// Records the key that another instance uses. The key of the followed instance goes before the one that is known.
 pub fn receive_key(gateway: &Gateway, key: IdentityKey, is_from_followed: bool) {
-    if is_from_followed || gateway.identity_key().is_none() {
-        gateway.set_identity_key(key);
+    if is_from_followed || !gateway.identity_key().is_shared {
+        gateway.share_identity_key(key);
     }
 }
 
@@ -167,8 +170,12 @@
     pub fn next_frames(&mut self, gateway: &Gateway) -> Vec<Frame> {
         let now = gateway.now();
         let mut frames = Vec::new();
-        let key = gateway.identity_key();
-        if let Some(key) = key.filter(|_| key != self.key) {
+        let KeyInUse { key, is_shared } = gateway.identity_key();
+        if !is_shared {
+            // Nobody else could compare its hashes.
+            return frames;
+        }
+        if self.key != Some(key) {
             frames.push(Frame::IdentityKey(key.into()));
             self.key = Some(key);
         }
--- a/tests/gateway_poison.rs
+++ b/tests/gateway_poison.rs
@@ -271,7 +271,7 @@
     let retry_after_s = retry_after.and_then(|text| text.parse::<f64>().ok()).expect("a number");
     assert!((590.0..=600.0).contains(&retry_after_s), "{retry_after_s}");
     let starts = workers.starts("/read/fatal").len();
-    assert_eq!(starts, 3);
+    assert_eq!(starts, 3, "{:#?}", gateway.log());
     let sent_at = Instant::now();
     let answer = deployment.send(gateway.callers, Method::GET, "/read/fatal", "late").await;
     assert_eq!(answer.expect("an answer").cause(), "quarantined");
@@ -282,6 +282,18 @@
     assert_eq!(other.expect("an answer").status, 200);
 }
 
+/// Guards against an instance that counts nothing until it has read the key of the hashes: the first requests after
+/// a start, and all of them while the store says nothing of suspects.
+#[tokio::test]
+async fn ends_count_from_the_first_request_of_an_instance_on() {
+    let deployment = TestDeployment::start().await;
+    deployment.store.set_delay("suspects", Duration::from_mins(10));
+    let mut workers = Workers::start(&deployment, 4, Duration::ZERO).await;
+    let gateway = deployment.gateway("one", &json!({})).await;
+    send_until_quarantined(&deployment, &gateway, &mut workers).await;
+    assert_eq!(workers.starts("/read/fatal").len(), 3, "{:#?}", gateway.log());
+}
+
 /// Guards against a request that ends three targets again after each restart of all instances.
 #[tokio::test]
 async fn a_quarantine_outlasts_a_restart_of_all_instances() {
