Wait for the quarantined requests at a start

Cause: an instance was ready, and sent requests on, as soon as it knew routes and targets. It read the suspects after that, or got them with the first link to a seed. Until then each instance sent quarantined requests on once more: after a restart of all instances, and with a slow store, for as long as the reading took.

Change: an instance is ready once it also knows the suspects, from the store or another instance, or 0.5 s after it has routes and targets. Connections wait for it like for the routes; requests that come earlier wait, too. An instance that reaches no seed at its start reads the suspects along with the tables, and those that a seed sends before its routes are no longer dropped.

--- a/src/gateway/apply.rs
+++ b/src/gateway/apply.rs
@@ -26,7 +26,7 @@
     let mut replica = gateway.replica();
     let (known_era, era) = (replica.era(), update.rows().position.era);
     let result = replica.apply(table, update);
-    let is_restored = era > known_era && gateway.check_ready().is_ok();
+    let is_restored = era > known_era && gateway.are_routes_and_targets_known();
     if is_restored {
         replica.status.answered_since = Some(gateway.now());
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -31,6 +31,7 @@
     probe,
     request_log::{RepeatCause, RequestEnd, RequestEvent, RequestLog},
     response::{ResponseBody, error_response},
+    suspect_store::START_WAIT,
 };
 use crate::{
     decide::{
@@ -225,10 +226,15 @@
     let names = &gateway.platform.headers;
     let request_id = head.headers.get(&names.request_id).cloned().unwrap_or(HeaderValue::from_static(""));
     let requested_timeout = headers::number(&head.headers, &names.deadline_ms)?.map(Duration::from_millis);
-    let timeout = route.spec.timeout;
-    let deadline = arrived + requested_timeout.map_or(timeout, |requested| requested.min(timeout));
+    let route_timeout = route.spec.timeout;
+    let deadline =
+        arrived + requested_timeout.map_or(route_timeout, |requested| requested.min(route_timeout));
     let limit = routing.limits.max_body_bytes;
     let start = read_body_start(&mut body, limit, MAX_RETRYABLE_BODY_BYTES, BODY_PROGRESS_TIMEOUT).await?;
+    if !gateway.are_suspects_known() {
+        // After a timeout, the request is served as one under which no target has ended.
+        let _known_or_timeout = timeout(START_WAIT, gateway.wait_for_suspects()).await;
+    }
     let identity = gateway.identity_key().key.identify(caller, &head, &start.bytes);
     let (body, upload) = if start.is_complete {
         (start.bytes, None)
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -81,7 +81,8 @@
         ask_seeds_for_routing(&gateway),
         expire_targets(&gateway),
         count_instances(&gateway),
-        suspect_store::write(&gateway)
+        suspect_store::write(&gateway),
+        suspect_store::limit_start_wait(&gateway)
     );
 }
 
@@ -185,7 +186,7 @@
     seeds::follow_order(&config.peer_seeds, config.peers_address, &config.instance)
 }
 
-/// Reads from the store the tables that no seed has delivered within the start-up wait: when all instances
+/// Reads from the store the tables and the suspects that no seed has delivered within the start-up wait: when all instances
 /// restart, the seeds may be down, too.
 async fn read_at_start(gateway: &Gateway) {
     sleep(start_seed_wait(gateway)).await;
@@ -196,7 +197,12 @@
             log::info!("event=read-at-start table={table} error={:?}", e.to_string());
         }
     };
-    tokio::join!(read(Table::Routing), read(Table::Targets));
+    let suspects = async {
+        if !gateway.are_suspects_known() {
+            suspect_store::read_at_start(gateway).await;
+        }
+    };
+    tokio::join!(read(Table::Routing), read(Table::Targets), suspects);
 }
 
 /// Reads all rows of a table from the store and applies them.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -115,6 +115,8 @@
     /// Key of the hashes that identify requests; one of this instance's own until the shared one is known.
     identity_key: ArcSwap<KeyInUse>,
     targets_known: watch::Sender<bool>,
+    /// Whether the suspects have been read or received, or are no longer waited for.
+    suspects_known: watch::Sender<bool>,
     /// Whether the routing tables of the seeds have been received or are no longer waited for.
     seed_routing_known: watch::Sender<bool>,
     /// Number of instances that share the budgets; 0 until it is known.
@@ -158,6 +160,7 @@
             quarantine_started: Notify::new(),
             identity_key: ArcSwap::from_pointee(KeyInUse { key: IdentityKey::random(), is_shared: false }),
             targets_known: watch::Sender::new(false),
+            suspects_known: watch::Sender::new(false),
             seed_routing_known: watch::Sender::new(false),
             instance_count: AtomicU64::new(0),
             phase: watch::Sender::new(Phase::Serving),
@@ -324,6 +327,25 @@
         self.targets_known.send_replace(true);
     }
 
+    /// Returns whether the suspects are known, or no longer waited for.
+    pub fn are_suspects_known(&self) -> bool {
+        *self.suspects_known.borrow()
+    }
+
+    /// Records that the suspects have been read or received, or are no longer waited for.
+    pub fn mark_suspects_known(&self) {
+        if !self.suspects_known.send_replace(true) {
+            self.state_changed.notify_waiters();
+        }
+    }
+
+    /// Waits until the suspects are known.
+    pub async fn wait_for_suspects(&self) {
+        let mut known = self.suspects_known.subscribe();
+        // The sender lives as long as the gateway, so waiting can't fail.
+        let _closed = known.wait_for(|known| *known).await;
+    }
+
     /// Waits until the seeds have been asked for their routing tables.
     pub async fn wait_for_seed_routing(&self) {
         let mut known = self.seed_routing_known.subscribe();
@@ -357,24 +379,34 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::Leaving`] during shutdown, [`ErrorKind::NoPlan`] until routes and targets are known.
+    /// [`ErrorKind::Leaving`] during shutdown, [`ErrorKind::NoPlan`] until routes, targets and suspects are known.
     pub fn check_ready(&self) -> Result<(), ErrorKind> {
         if self.is_leaving() {
             return Err(ErrorKind::Leaving);
         }
-        if self.routing.load().is_none() || !*self.targets_known.borrow() {
+        if !self.are_routes_and_targets_known() || !self.are_suspects_known() {
             return Err(ErrorKind::NoPlan);
         }
         Ok(())
     }
 
-    /// Waits until routes and targets are known.
+    /// Returns whether this instance could serve requests, as far as routes and targets go.
+    pub fn are_routes_and_targets_known(&self) -> bool {
+        self.routing.load().is_some() && *self.targets_known.borrow()
+    }
+
+    /// Waits until routes, targets and suspects are known.
     pub async fn wait_ready(&self) {
+        self.wait_until(|| self.check_ready().is_ok()).await;
+    }
+
+    /// Waits until `is_reached`, which depends on the state that `state_changed` announces.
+    pub async fn wait_until(&self, is_reached: impl Fn() -> bool) {
         loop {
             let mut changed = Box::pin(self.state_changed.notified());
             // Registered before the check, so that no change is missed.
             changed.as_mut().enable();
-            if self.check_ready().is_ok() {
+            if is_reached() {
                 return;
             }
             changed.await;
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -113,7 +113,8 @@
     }
 }
 
-/// Returns the routing table of the instance at `address`, current or not, or `None` if it has none.
+/// Returns the routing table of the instance at `address`, current or not, or `None` if it has none. Records the
+/// suspects that it sends before that.
 ///
 /// # Errors
 ///
@@ -133,9 +134,9 @@
             Frame::StoreState(_)
             | Frame::StoreRows(_)
             | Frame::StoreAnsweredFor(_)
-            | Frame::RateLimits(_)
-            | Frame::IdentityKey(_)
-            | Frame::Suspects(_) => {}
+            | Frame::RateLimits(_) => {}
+            Frame::IdentityKey(key) => suspects::receive_key(gateway, key.into(), false),
+            Frame::Suspects(entries) => suspects::receive(gateway, entries),
             _ => return Err("unexpected frame type".into()),
         }
     }
--- a/src/gateway/suspect_store.rs
+++ b/src/gateway/suspect_store.rs
@@ -35,6 +35,10 @@
 /// up within the 3 s in which all instances must know of an end.
 const FOLLOW_WAIT: Duration = Duration::from_secs(2);
 
+/// Longest time for which an instance that has just started waits for the suspects once it could serve requests. Far
+/// more than a reading takes; requests wait meanwhile.
+pub const START_WAIT: Duration = Duration::from_millis(500);
+
 /// Time between two checks whether a store that was lost is back.
 const STORE_CHECK_PERIOD: Duration = Duration::from_secs(1);
 
@@ -98,6 +102,24 @@
     result
 }
 
+/// Reads what is stored once, for an instance that has just started and reaches no seed yet.
+pub async fn read_at_start(gateway: &Gateway) {
+    let read = read_once(gateway, None).await;
+    gateway.metrics.record_store_call(read.as_ref().map_or_else(StoreError::label, |_| "answered"));
+    if let Err(e) = read {
+        log::info!("event=suspects-not-read error={:?}", e.to_string());
+    }
+}
+
+/// Ends the wait for the suspects a while after routes and targets are known.
+pub async fn limit_start_wait(gateway: &Gateway) {
+    gateway.wait_until(|| gateway.are_routes_and_targets_known()).await;
+    if timeout(START_WAIT, gateway.wait_for_suspects()).await.is_err() {
+        log::warn!("event=suspects-unknown waited_ms={}", START_WAIT.as_millis());
+        gateway.mark_suspects_known();
+    }
+}
+
 /// Reads what is stored, and each change of it, until dropped.
 pub async fn read(gateway: &Gateway) {
     let mut position = None;
@@ -146,6 +168,7 @@
         let rows = (gateway.platform.read_suspects)(()).await?;
         let position = rows.position;
         let obsolete = apply(gateway, &rows);
+        gateway.mark_suspects_known();
         remove(gateway, &obsolete).await?;
         let stored = rows.rows.iter().filter(|row| row.value.is_some());
         let stored = stored.filter_map(|row| row.key.parse().ok()).collect::<BTreeSet<RequestDigest>>();
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -111,6 +111,7 @@
 pub fn receive(gateway: &Gateway, entries: Vec<SuspectEntry>) {
     let records = entries.into_iter().map(from_entry).collect::<Vec<_>>();
     merge(gateway, &records, "instance");
+    gateway.mark_suspects_known();
 }
 
 /// Records the key that another instance uses. The key of the followed instance goes before the one that is known.
@@ -175,7 +176,8 @@
             // Nobody else could compare its hashes.
             return frames;
         }
-        if self.key != Some(key) {
+        let is_start = self.key != Some(key);
+        if is_start {
             frames.push(Frame::IdentityKey(key.into()));
             self.key = Some(key);
         }
@@ -184,6 +186,10 @@
             (suspects.revision(), suspects.records_since(now, self.revision))
         };
         self.revision = revision;
+        if is_start && records.is_empty() {
+            // The other end may wait for this.
+            frames.push(Frame::Suspects(Vec::new()));
+        }
         let entries = records.iter().map(to_entry).collect::<Vec<_>>();
         frames.extend(entries.chunks(MAX_ENTRIES_PER_FRAME).map(|chunk| Frame::Suspects(chunk.to_vec())));
         frames
--- a/tests/gateway_poison.rs
+++ b/tests/gateway_poison.rs
@@ -294,9 +294,9 @@
     assert_eq!(workers.starts("/read/fatal").len(), 3, "{:#?}", gateway.log());
 }
 
-/// Guards against a request that ends three targets again after each restart of all instances.
+/// Guards against an instance that is ready, or sends requests on, before it knows which of them are quarantined.
 #[tokio::test]
-async fn a_quarantine_outlasts_a_restart_of_all_instances() {
+async fn an_instance_knows_the_quarantined_requests_before_it_sends_any() {
     let deployment = TestDeployment::start().await;
     let mut workers = Workers::start(&deployment, 6, Duration::ZERO).await;
     let gateway = deployment.gateway("one", &json!({})).await;
@@ -304,13 +304,49 @@
     // The count is stored a moment after it was seen.
     tokio::time::sleep(Duration::from_secs(1)).await;
     drop(gateway);
+    deployment.store.set_delay("suspects", Duration::from_millis(200));
     let starts = workers.starts("/read/fatal").len();
-    let gateway = deployment.gateway("one", &json!({})).await;
+    let gateway = deployment.start_gateway("one", &json!({}));
+    // A caller that finds it before it is ready is refused or waits.
     deployment
-        .wait_until("the stored counts are read", || async {
-            gateway.logged(&["event=quarantine", "source=store"])
+        .wait_until("the request is refused as quarantined", || async {
+            let answer = deployment.send(gateway.callers, Method::GET, "/read/fatal", "early").await;
+            answer.expect("an answer").cause() == "quarantined"
         })
         .await;
+    assert_eq!(workers.starts("/read/fatal").len(), starts, "{:#?}", gateway.log());
+}
+
+/// The same for an instance that gets them from another one, while the store is slow.
+#[tokio::test]
+async fn an_instance_gets_the_quarantined_requests_from_another_before_it_sends_any() {
+    let deployment = TestDeployment::start().await;
+    let mut workers = Workers::start(&deployment, 6, Duration::ZERO).await;
+    let instances = deployment.start_instances(2).await;
+    send_until_quarantined(&deployment, &instances[0], &mut workers).await;
+    deployment.store.set_delay("suspects", Duration::from_mins(10));
+    let starts = workers.starts("/read/fatal").len();
+    let started_at = Instant::now();
+    let late = deployment.gateway("late", &json!({"peer_seeds": [instances[0].peers]})).await;
+    let answer = deployment.send(late.callers, Method::GET, "/read/fatal", "late").await;
+    assert_eq!(answer.expect("an answer").cause(), "quarantined", "{:#?}", late.log());
+    assert!(started_at.elapsed() < SETTLE_TIME);
+    assert_eq!(workers.starts("/read/fatal").len(), starts);
+    assert!(!late.logged(&["event=suspects-unknown"]));
+}
+
+/// Guards against a request that ends three targets again after each restart of all instances.
+#[tokio::test]
+async fn a_quarantine_outlasts_a_restart_of_all_instances() {
+    let deployment = TestDeployment::start().await;
+    let mut workers = Workers::start(&deployment, 6, Duration::ZERO).await;
+    let gateway = deployment.gateway("one", &json!({})).await;
+    send_until_quarantined(&deployment, &gateway, &mut workers).await;
+    // The count is stored a moment after it was seen.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    drop(gateway);
+    let starts = workers.starts("/read/fatal").len();
+    let gateway = deployment.gateway("one", &json!({})).await;
     let answer = deployment.send(gateway.callers, Method::GET, "/read/fatal", "again").await;
     assert_eq!(answer.expect("an answer").cause(), "quarantined");
     assert_eq!(workers.starts("/read/fatal").len(), starts);
