Draw each candidate of a call once

Cause: candidates were drawn with a random stride through the list. A stride that shares a factor with the length comes back to the same targets early: of 5 candidates out of 6 targets, stride 3 gives 2.

Change: the sampling of the rand library, which draws without repetition.

The cost of a call was not measured again.

--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use rand::{Rng, rngs::SmallRng};
+use rand::{rngs::SmallRng, seq::index};
 
 use super::{
     TargetIndex,
@@ -139,15 +139,8 @@
         is_preferred: bool,
         rng: &mut SmallRng,
     ) -> Option<(f64, TargetIndex)> {
-        if list.is_empty() {
-            return None;
-        }
-        let start = rng.random_range(0..list.len());
-        // A random stride through the list usually yields different candidates, without a set of those
-        // already drawn.
-        let stride = if list.len() <= count { 1 } else { rng.random_range(1..list.len()) };
-        let drawn = (0..count.min(list.len())).map(|i| list[(start + i * stride) % list.len()]);
-        let loads = drawn.filter_map(|index| Some((self.load(index, criteria, is_preferred)?, index)));
+        let loads = draw(list, count, rng)
+            .filter_map(|index| Some((self.load(index, criteria, is_preferred)?, index)));
         loads.min_by(|a, b| a.0.total_cmp(&b.0))
     }
 
@@ -200,6 +193,15 @@
     }
 }
 
+/// Draws up to `count` different candidates, in random order.
+pub fn draw<'a>(
+    list: &'a [TargetIndex],
+    count: usize,
+    rng: &mut SmallRng,
+) -> impl Iterator<Item = TargetIndex> + use<'a> {
+    index::sample(rng, list.len(), count.min(list.len())).into_iter().map(|i| list[i])
+}
+
 /// Returns how many candidates are compared. Fewer are compared as peers' counts get older: by old counts
 /// the same target is least loaded for every instance, and all of them would choose it.
 pub fn candidate_count(age: Option<Duration>) -> usize {
