Watch sends that are given up before their target ends

Cause: the watch of a send ended without a trace when the caller left, the deadline passed or the request was quarantined, and also while the instance was still checking the target of a lost send. A request that takes longer than its caller waits ended target after target, and no end was counted. With an overloaded service this is what an attempt meets that has waited in the queue for long.

Change: such a send is remembered, and its target checked 0.1, 0.5 and 2 s later, like that of a lost answer, unless another attempt was answered. The checks open a connection only if no other one to the target is left. Lost sends go before given-up ones when there is no room.

--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -347,7 +347,8 @@
     let mut byte = [0];
     let is_abandoned = tokio::select! {
         () = tokio::time::sleep(service_time) => false,
-        read = stream.read(&mut byte) => matches!(read, Ok(0) | Err(_)),
+        // Closing the connection doesn't stop what ends the process.
+        read = stream.read(&mut byte), if !is_fatal => matches!(read, Ok(0) | Err(_)),
     };
     {
         let mut state = lock(state);
--- a/src/decide/unconfirmed_ends.rs
+++ b/src/decide/unconfirmed_ends.rs
@@ -1,4 +1,4 @@
-//! Lost sends of which it is not known yet whether their target has ended.
+//! Sends that were lost or given up, and of which it is not known yet whether their target has ended.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -75,14 +75,19 @@
         process: ProcessState,
         send: SuspectSend,
     ) -> bool {
-        self.forget_old(lost_at);
-        if self.ends.len() >= MAX_UNCONFIRMED {
+        if self.is_full(lost_at) {
             self.ends.pop_front();
         }
         self.ends.push_back(UnconfirmedEnd { listing: listing.clone(), process, send, lost_at });
         self.checked.insert(listing.id.clone())
     }
 
+    /// Returns whether the next send displaces the oldest one.
+    pub fn is_full(&mut self, now: MonoTime) -> bool {
+        self.forget_old(now);
+        self.ends.len() >= MAX_UNCONFIRMED
+    }
+
     /// Records that the checks of a target have ended.
     pub fn end_checks(&mut self, target: &TargetId) {
         self.checked.remove(target);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -95,6 +95,8 @@
     open_sends: AtomicU32,
     /// Decisions on the call, for the log.
     log: RequestLog,
+    /// Whether a response of a target goes to the caller.
+    pub is_answered: Arc<AtomicBool>,
     /// Whether the end of the call has been logged and counted.
     is_ended: AtomicBool,
 }
@@ -247,6 +249,7 @@
     Ok(CallContext {
         gateway: Arc::clone(gateway),
         log: RequestLog::new((request_id.as_bytes(), identity), &route, &service, routing.version, times),
+        is_answered: Arc::default(),
         is_ended: AtomicBool::new(false),
         request_id,
         route,
@@ -444,6 +447,7 @@
     }
 
     fn forward(&self, response: TargetResponse) -> Response<ResponseBody> {
+        self.call.is_answered.store(true, Ordering::Release);
         self.call.end(RequestEnd::Answered(response.head.status.as_u16()));
         Response::from_parts(response.head, response.body)
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,6 +1,13 @@
 //! One send of a call to a target, and the checks that the response was made by that target for this request.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -17,10 +24,7 @@
     suspects::SendWatch, target_end,
 };
 use crate::{
-    decide::{
-        directory::Listing, probed_target::HealthSignal, suspects::RequestIdentity,
-        unconfirmed_ends::ProcessState,
-    },
+    decide::{directory::Listing, probed_target::HealthSignal, unconfirmed_ends::ProcessState},
     kernel::in_progress::RequestGuard,
     plan::RequestKind,
     proxy::{
@@ -90,14 +94,19 @@
     connection: Option<Connection>,
     started: MonoTime,
     is_reported: bool,
+    /// Whether the target may be executing the request, as far as is known.
+    is_unanswered: bool,
+    /// Whether a response goes to the caller, which other attempts of the call don't wait for.
+    is_call_answered: Arc<AtomicBool>,
     /// Watches what the send shows of the request; `None` once its result is known.
     watch: Option<SendWatch>,
     _in_progress: RequestGuard,
 }
 
 impl SendGuard {
-    /// Starts a send of a request to the target that was chosen.
-    pub fn new(gateway: &Arc<Gateway>, identity: RequestIdentity, listing: Listing) -> Self {
+    /// Starts a send of a call to the target that was chosen.
+    pub fn new(call: &CallContext, listing: Listing) -> Self {
+        let gateway = &call.gateway;
         let in_progress = gateway.track_request();
         Self {
             gateway: Arc::clone(gateway),
@@ -105,7 +114,9 @@
             connection: None,
             started: gateway.now(),
             is_reported: false,
-            watch: Some(SendWatch::start(gateway, identity)),
+            is_unanswered: false,
+            is_call_answered: Arc::clone(&call.is_answered),
+            watch: Some(SendWatch::start(gateway, call.identity)),
             _in_progress: in_progress,
         }
     }
@@ -123,6 +134,7 @@
     pub async fn lost(mut self) -> ProcessState {
         self.report(HealthSignal::Failed);
         self.connection = None;
+        self.is_unanswered = true;
         let lost_at = self.gateway.now();
         let process = target_end::check(&self.gateway, &self.listing).await;
         if let Some(watch) = self.watch.take() {
@@ -153,12 +165,16 @@
 impl Drop for SendGuard {
     fn drop(&mut self) {
         self.report(HealthSignal::Neutral);
+        let is_given_up = self.is_unanswered && !self.is_call_answered.load(Ordering::Acquire);
+        if let Some(watch) = self.watch.take().filter(|_| is_given_up) {
+            watch.given_up(&self.listing);
+        }
     }
 }
 
 /// Sends a call to a target and waits for the response and for up to `MAX_BUFFERED_BYTES` of its body.
 pub async fn send(call: &CallContext, listing: Listing) -> SendResult {
-    let mut guard = SendGuard::new(&call.gateway, call.identity, listing);
+    let mut guard = SendGuard::new(call, listing);
     let Some(mut connection) = checkout(call, &guard.listing).await else {
         guard.report(HealthSignal::Failed);
         return SendResult::Unsent;
@@ -177,13 +193,16 @@
     headers.insert(&names.deadline_ms, HeaderValue::from(remaining_ms));
     headers.insert(&names.expected_target, expected);
     call.record_send_start();
+    guard.is_unanswered = true;
     match connection.send(request).await {
         ExchangeResult::Answered(response) => {
+            guard.is_unanswered = false;
             guard.connection = Some(connection);
             read_response(call, guard, response).await
         }
         ExchangeResult::Unsent(request) => {
             call.record_not_executed();
+            guard.is_unanswered = false;
             call.parts.restore_body(request.into_body());
             SendResult::Unsent
         }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -54,27 +54,42 @@
     /// A target that is draining or no longer listed ends by itself, and one that still may be alive is no
     /// evidence until a later check or the directory shows that it has ended.
     pub fn lost(mut self, listing: &Listing, process: ProcessState, lost_at: MonoTime) {
-        let is_expected_to_run = {
-            let service_pools = self.gateway.service_pools();
-            service_pools.directory.get(&listing.id).is_some_and(|known| !known.draining)
-        };
-        if is_expected_to_run {
+        if self.is_expected_to_run(listing) {
             match process {
                 ProcessState::Ended => {
                     let end = TargetEnd { lost_at, is_exact: true };
                     record_end(&self.gateway, &self.send, end, "send");
                 }
                 ProcessState::Listening | ProcessState::Unknown => {
-                    let is_first = self.gateway.unconfirmed_ends().add(lost_at, listing, process, self.send);
-                    if is_first {
-                        target_end::start_later_checks(&self.gateway, listing.clone());
-                    }
+                    self.check_later(listing, process, lost_at);
                 }
             }
         }
         self.finish();
     }
 
+    /// Ends because nobody waits for the answer any longer, while the target may be executing the request.
+    pub fn given_up(mut self, listing: &Listing) {
+        let now = self.gateway.now();
+        // Lost sends say more, so these must not displace them.
+        if self.is_expected_to_run(listing) && !self.gateway.unconfirmed_ends().is_full(now) {
+            self.check_later(listing, ProcessState::Listening, now);
+        }
+        self.finish();
+    }
+
+    fn is_expected_to_run(&self, listing: &Listing) -> bool {
+        let service_pools = self.gateway.service_pools();
+        service_pools.directory.get(&listing.id).is_some_and(|known| !known.draining)
+    }
+
+    fn check_later(&self, listing: &Listing, process: ProcessState, lost_at: MonoTime) {
+        let is_first = self.gateway.unconfirmed_ends().add(lost_at, listing, process, self.send);
+        if is_first {
+            target_end::start_later_checks(&self.gateway, listing.clone());
+        }
+    }
+
     fn finish(&mut self) {
         if !std::mem::replace(&mut self.is_finished, true) && self.gateway.suspects().finish_send(self.send) {
             // Another send of the same request may wait for this one.
--- a/src/gateway/target_end.rs
+++ b/src/gateway/target_end.rs
@@ -31,6 +31,10 @@
     tokio::spawn(async move {
         for pause in LATER_CHECK_PAUSES {
             sleep(pause).await;
+            if gateway.connections.has_alive(listing.address) {
+                // Not worth a new connection.
+                continue;
+            }
             if check_once(&gateway, &listing).await == ProcessState::Ended {
                 let ended = gateway.unconfirmed_ends().confirm_target(gateway.now(), &listing.id);
                 suspects::record_confirmed_ends(&gateway, &ended, "later-check");
--- a/src/proxy/connection.rs
+++ b/src/proxy/connection.rs
@@ -313,6 +313,11 @@
         self.target(address).open.count.load(Ordering::Acquire)
     }
 
+    /// Returns whether a connection to a target is open at both ends, as far as is known.
+    pub fn has_alive(&self, address: SocketAddr) -> bool {
+        self.target(address).open.alive.load(Ordering::Acquire) > 0
+    }
+
     /// Finds out whether the process at an address has ended, by a new connection and by those that are open.
     ///
     /// A target at its limit may reset or refuse a new connection, too, but it keeps the open ones.
--- a/tests/gateway_poison.rs
+++ b/tests/gateway_poison.rs
@@ -31,7 +31,8 @@
 /// Workers of which each that has ended comes back.
 struct Workers<'a> {
     deployment: &'a TestDeployment,
-    end_delay: Duration,
+    /// Times that a fatal request takes to end a worker: its execution, and what follows the end of its connection.
+    end_times: (Duration, Duration),
     all: Vec<WorkerStandIn>,
     /// When each worker was seen to have ended.
     ended: Vec<Option<Instant>>,
@@ -39,8 +40,9 @@
 }
 
 impl<'a> Workers<'a> {
-    async fn start(deployment: &'a TestDeployment, count: usize, end_delay: Duration) -> Self {
-        let mut workers = Self { deployment, end_delay, all: Vec::new(), ended: Vec::new(), number: 0 };
+    async fn start(deployment: &'a TestDeployment, count: usize, request: &FatalRequest) -> Self {
+        let end_times = (request.service_time, request.end_delay);
+        let mut workers = Self { deployment, end_times, all: Vec::new(), ended: Vec::new(), number: 0 };
         for _ in 0..count {
             workers.add().await;
         }
@@ -50,9 +52,10 @@
     async fn add(&mut self) {
         self.number += 1;
         let worker = self.deployment.worker(&format!("i-{}", self.number)).await;
-        worker.set_service_time(SERVICE_TIME);
+        let (service_time, end_delay) = self.end_times;
+        worker.set_service_time(service_time);
         worker.set_fatal_marker(FATAL_MARKER);
-        worker.set_end_delay(self.end_delay);
+        worker.set_end_delay(end_delay);
         self.all.push(worker);
         self.ended.push(None);
     }
@@ -96,9 +99,18 @@
     has_varying_address: bool,
     /// Time between the end of its connection and that of its target.
     end_delay: Duration,
+    /// Time that a target executes it.
+    service_time: Duration,
+    /// Deadline of each attempt in milliseconds.
+    deadline_ms: u64,
+    /// Time after which its caller leaves.
+    patience: Duration,
+    /// Time between two attempts.
+    gap: Duration,
 }
 
-/// One caller sends the same request again and again, at one instance after another, whatever the answer.
+/// One caller sends the same request again and again, at one instance after another, whatever the answer. Returns the
+/// statuses, 0 where it left before the answer.
 async fn send_again_and_again(
     deployment: &TestDeployment,
     instances: &[GatewayProcess],
@@ -116,12 +128,14 @@
         let (method, path) = (request.method.clone(), format!("{}{query}", request.path));
         let host = if request.has_varying_address { 2 + statuses.len() % 200 } else { 1 };
         let caller = Caller::from_address([127, 0, 0, host as u8].into());
-        let answer =
-            deployment.send_from(&caller, to.callers, (method, &path), (&id, 2_000), body.clone()).await;
-        let answer = answer.expect("an answer");
-        statuses.push(answer.status);
+        let times = (id.as_str(), request.deadline_ms);
+        let answer = deployment.send_from(&caller, to.callers, (method, &path), times, body.clone());
+        match tokio::time::timeout(request.patience, answer).await {
+            Ok(answer) => statuses.push(answer.expect("an answer").status),
+            Err(_left) => statuses.push(0),
+        }
         workers.replace_ended().await;
-        tokio::time::sleep(Duration::from_millis(30)).await;
+        tokio::time::sleep(request.gap).await;
     }
     statuses
 }
@@ -169,12 +183,12 @@
 /// [`SETTLE_TIME`] after the third target has ended.
 async fn check_that_it_is_not_sent_on(request: &FatalRequest) {
     let deployment = TestDeployment::start().await;
-    let mut workers = Workers::start(&deployment, 8, request.end_delay).await;
+    let mut workers = Workers::start(&deployment, 8, request).await;
     let instances = deployment.start_instances(4).await;
     let length = SETTLE_TIME * 3;
     let statuses = send_again_and_again(&deployment, &instances, &mut workers, request, length).await;
     let starts = workers.starts(request.path);
-    let settled = starts.get(2).map(|third| *third + SERVICE_TIME + SETTLE_TIME);
+    let settled = starts.get(2).map(|third| *third + request.service_time + SETTLE_TIME);
     let late = starts.iter().filter(|at| settled.is_some_and(|settled| **at > settled)).count();
     let count = starts.len();
     assert!(late <= ALLOWED_SENDS, "{late} of {count} sends came late, answers {statuses:?}");
@@ -188,8 +202,16 @@
     has_varying_query: false,
     has_varying_address: false,
     end_delay: Duration::ZERO,
+    service_time: SERVICE_TIME,
+    deadline_ms: 2_000,
+    patience: Duration::MAX,
+    gap: Duration::from_millis(30),
 };
 
+/// A read whose targets work on it for a while, and that comes with pauses.
+const SLOW_READ: FatalRequest =
+    FatalRequest { service_time: Duration::from_millis(150), gap: Duration::from_millis(500), ..READ };
+
 const CHARGE: FatalRequest =
     FatalRequest { method: Method::POST, path: "/charge/fatal", body_bytes: 900, ..READ };
 
@@ -240,6 +262,38 @@
     check_that_it_is_not_sent_on(&FatalRequest { end_delay: Duration::from_millis(60), ..READ }).await;
 }
 
+/// The same if the deadline of each attempt passes before its target ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_targets_end_after_its_deadline_is_not_sent_on_for_ever() {
+    check_that_it_is_not_sent_on(&FatalRequest { deadline_ms: 100, ..SLOW_READ }).await;
+}
+
+/// The same if the caller leaves before that.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_caller_leaves_before_its_targets_end_is_not_sent_on_for_ever() {
+    check_that_it_is_not_sent_on(&FatalRequest { patience: Duration::from_millis(60), ..SLOW_READ }).await;
+}
+
+/// Guards against a request that is refused because callers or deadlines did not wait for its answers, while its
+/// targets live.
+#[tokio::test]
+async fn a_request_whose_callers_leave_is_served_while_its_targets_live() {
+    let deployment = TestDeployment::start().await;
+    let _workers = Workers::start(&deployment, 2, &SLOW_READ).await;
+    let gateway = deployment.gateway("one", &json!({})).await;
+    for number in 0..6 {
+        let id = format!("left{number}");
+        let left = deployment.send(gateway.callers, Method::GET, "/read/slow", &id);
+        let left = tokio::time::timeout(Duration::from_millis(60), left).await;
+        assert!(left.is_err(), "the caller leaves before the answer");
+    }
+    // The last of the checks that nobody waits for has been made.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let answer = deployment.send(gateway.callers, Method::GET, "/read/slow", "stays").await;
+    assert_eq!(answer.expect("an answer").status, 200);
+    assert!(!gateway.logged(&["event=suspect"]), "{:#?}", gateway.log());
+}
+
 /// Sends a fatal request to one instance until it is refused as quarantined, and returns the answer.
 async fn send_until_quarantined(
     deployment: &TestDeployment,
@@ -263,7 +317,7 @@
 #[tokio::test]
 async fn a_quarantined_request_is_refused_at_once_and_others_are_served() {
     let deployment = TestDeployment::start().await;
-    let mut workers = Workers::start(&deployment, 4, Duration::ZERO).await;
+    let mut workers = Workers::start(&deployment, 4, &READ).await;
     let gateway = deployment.gateway("one", &json!({})).await;
     let refused = send_until_quarantined(&deployment, &gateway, &mut workers).await;
     assert_eq!((refused.status, refused.outcome()), (503, "not-run"));
@@ -288,7 +342,7 @@
 async fn ends_count_from_the_first_request_of_an_instance_on() {
     let deployment = TestDeployment::start().await;
     deployment.store.set_delay("suspects", Duration::from_mins(10));
-    let mut workers = Workers::start(&deployment, 4, Duration::ZERO).await;
+    let mut workers = Workers::start(&deployment, 4, &READ).await;
     let gateway = deployment.gateway("one", &json!({})).await;
     send_until_quarantined(&deployment, &gateway, &mut workers).await;
     assert_eq!(workers.starts("/read/fatal").len(), 3, "{:#?}", gateway.log());
@@ -298,7 +352,7 @@
 #[tokio::test]
 async fn an_instance_knows_the_quarantined_requests_before_it_sends_any() {
     let deployment = TestDeployment::start().await;
-    let mut workers = Workers::start(&deployment, 6, Duration::ZERO).await;
+    let mut workers = Workers::start(&deployment, 6, &READ).await;
     let gateway = deployment.gateway("one", &json!({})).await;
     send_until_quarantined(&deployment, &gateway, &mut workers).await;
     // The count is stored a moment after it was seen.
@@ -321,7 +375,7 @@
 #[tokio::test]
 async fn an_instance_gets_the_quarantined_requests_from_another_before_it_sends_any() {
     let deployment = TestDeployment::start().await;
-    let mut workers = Workers::start(&deployment, 6, Duration::ZERO).await;
+    let mut workers = Workers::start(&deployment, 6, &READ).await;
     let instances = deployment.start_instances(2).await;
     send_until_quarantined(&deployment, &instances[0], &mut workers).await;
     deployment.store.set_delay("suspects", Duration::from_mins(10));
@@ -339,7 +393,7 @@
 #[tokio::test]
 async fn a_quarantine_outlasts_a_restart_of_all_instances() {
     let deployment = TestDeployment::start().await;
-    let mut workers = Workers::start(&deployment, 6, Duration::ZERO).await;
+    let mut workers = Workers::start(&deployment, 6, &READ).await;
     let gateway = deployment.gateway("one", &json!({})).await;
     send_until_quarantined(&deployment, &gateway, &mut workers).await;
     // The count is stored a moment after it was seen.
@@ -356,7 +410,7 @@
 #[tokio::test]
 async fn instances_without_links_count_together() {
     let deployment = TestDeployment::start().await;
-    let mut workers = Workers::start(&deployment, 6, Duration::ZERO).await;
+    let mut workers = Workers::start(&deployment, 6, &READ).await;
     let one = deployment.gateway("one", &json!({})).await;
     let other = deployment.gateway("other", &json!({})).await;
     send_until_quarantined(&deployment, &one, &mut workers).await;
@@ -375,7 +429,7 @@
 #[tokio::test]
 async fn a_quarantine_outlasts_a_store_that_comes_back_from_an_older_copy() {
     let deployment = TestDeployment::start().await;
-    let mut workers = Workers::start(&deployment, 6, Duration::ZERO).await;
+    let mut workers = Workers::start(&deployment, 6, &READ).await;
     let one = deployment.gateway("one", &json!({})).await;
     let copy = deployment.store.copy();
     send_until_quarantined(&deployment, &one, &mut workers).await;
--- a/tests/load_requests_that_end_targets.rs
+++ b/tests/load_requests_that_end_targets.rs
@@ -400,3 +400,15 @@
         }
     }
 }
+
+/// Guards against sends of ten seconds ago that leave no room for others.
+#[test]
+fn unconfirmed_ends_make_room_after_a_while() {
+    let mut unconfirmed = UnconfirmedEnds::default();
+    let send = SuspectTable::default().start_send(at(0), request(1));
+    for _ in 0..1_000 {
+        unconfirmed.add(at(50), &listing("i-1", 1, 100), ProcessState::Listening, send);
+    }
+    assert!(unconfirmed.is_full(at(60)));
+    assert!(!unconfirmed.is_full(at(11_000)));
+}
