Test that lost answers of living targets don't count

Cause: of the small faults put into a copy of the code, counting each lost answer as the end of its target was found by no test.

Change: a request whose answers six sends lose, at targets that live, is served afterwards, and nothing is logged as a suspect.

--- a/tests/gateway_poison.rs
+++ b/tests/gateway_poison.rs
@@ -294,6 +294,25 @@
     assert!(!gateway.logged(&["event=suspect"]), "{:#?}", gateway.log());
 }
 
+/// Guards against a request that is refused because its answers were lost, while its targets live.
+#[tokio::test]
+async fn a_request_whose_answers_are_lost_is_served_while_its_targets_live() {
+    let deployment = TestDeployment::start().await;
+    let workers = Workers::start(&deployment, 2, &READ).await;
+    let gateway = deployment.gateway("one", &json!({})).await;
+    workers.all.iter().for_each(|worker| worker.set_mode(WorkerMode::ResetConnection));
+    for number in 0..6 {
+        let answer = deployment.send(gateway.callers, Method::GET, "/read/lost", &format!("l{number}")).await;
+        assert_eq!(answer.expect("an answer").status, 502);
+    }
+    workers.all.iter().for_each(|worker| worker.set_mode(WorkerMode::Serve));
+    // The last of the checks that nobody waits for has been made.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let answer = deployment.send(gateway.callers, Method::GET, "/read/lost", "again").await;
+    assert_eq!(answer.expect("an answer").status, 200);
+    assert!(!gateway.logged(&["event=suspect"]), "{:#?}", gateway.log());
+}
+
 /// Sends a fatal request to one instance until it is refused as quarantined, and returns the answer.
 async fn send_until_quarantined(
     deployment: &TestDeployment,
