--- a/tests/load_requests_that_end_targets.rs
+++ b/tests/load_requests_that_end_targets.rs
@@ -237,6 +237,17 @@
     }
 }
 
+/// Guards against a retry that ends the third target: one end may be chance, two are hardly.
+#[test]
+fn a_request_is_not_repeated_after_two_ends() {
+    let mut table = SuspectTable::default();
+    send_to_ending_target(&mut table, at(0), request(1));
+    assert!(table.may_repeat(request(1)));
+    send_to_ending_target(&mut table, at(100), request(1));
+    assert!(!table.may_repeat(request(1)));
+    assert_eq!(table.admission(at(200), request(1)), Admission::Send);
+}
+
 /// Guards against a quarantine of requests that many callers behind one address send at the same time, when a rack
 /// loses power.
 #[test]
