--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -95,7 +95,7 @@
     open_sends: AtomicU32,
     /// Decisions on the call, for the log.
     log: RequestLog,
-    /// Whether a response of a target goes to the caller.
+    /// Whether a response of a target goes to the caller; sends that are dropped after that show nothing.
     pub is_answered: Arc<AtomicBool>,
     /// Whether the end of the call has been logged and counted.
     is_ended: AtomicBool,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -96,7 +96,7 @@
     is_reported: bool,
     /// Whether the target may be executing the request, as far as is known.
     is_unanswered: bool,
-    /// Whether a response goes to the caller, which other attempts of the call don't wait for.
+    /// Whether the call has been answered. What is then dropped is the send of another attempt.
     is_call_answered: Arc<AtomicBool>,
     /// Watches what the send shows of the request; `None` once its result is known.
     watch: Option<SendWatch>,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -186,8 +186,8 @@
     seeds::follow_order(&config.peer_seeds, config.peers_address, &config.instance)
 }
 
-/// Reads from the store the tables and the suspects that no seed has delivered within the start-up wait: when all instances
-/// restart, the seeds may be down, too.
+/// Reads from the store the tables and the suspects that no seed has delivered within the start-up wait: when all
+/// instances restart, the seeds may be down, too.
 async fn read_at_start(gateway: &Gateway) {
     sleep(start_seed_wait(gateway)).await;
     let read = |table: Table| async move {
--- a/tests/gateway_poison.rs
+++ b/tests/gateway_poison.rs
@@ -313,6 +313,26 @@
     assert!(!gateway.logged(&["event=suspect"]), "{:#?}", gateway.log());
 }
 
+/// Guards against an instance that fails at its exit because sends are given up then.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_instance_exits_cleanly_with_a_send_in_progress() {
+    let deployment = TestDeployment::start().await;
+    let service_time = Duration::from_secs(30);
+    let workers = Workers::start(&deployment, 1, &FatalRequest { service_time, ..READ }).await;
+    let mut gateway = deployment.gateway("one", &json!({"grace_s": 1.0})).await;
+    let answer = deployment.send_within(gateway.callers, Method::GET, "/read/slow", "s1", 30_000);
+    let is_started = deployment
+        .wait_until("the request is executed", || async { !workers.starts("/read/slow").is_empty() });
+    let exit = async {
+        is_started.await;
+        gateway.signal("TERM");
+        gateway.wait_for_exit().await
+    };
+    let (answer, is_successful) = tokio::join!(answer, exit);
+    assert!(is_successful);
+    assert!(answer.map_or(true, |answer| answer.status != 200));
+}
+
 /// Sends a fatal request to one instance until it is refused as quarantined, and returns the answer.
 async fn send_until_quarantined(
     deployment: &TestDeployment,
