Test that a charge is not repeated while there is a budget for repeats

Cause: a build that repeats what may not be repeated passed all gateway tests. a_charge_whose_answer_is_lost_runs_once_and_is_told_unknown sent its charge in the first seconds of the instance, when there is no budget for repeats yet, and so could not fail.

Change: the test waits until the instances are counted, and sends three charges.

--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -63,9 +63,17 @@
         worker.set_mode(WorkerMode::ResetConnection);
     }
     let gateway = deployment.gateway("one", &json!({})).await;
-    let answer = deployment.send(gateway.callers, Method::POST, "/charge/x", "a1").await.expect("an answer");
-    assert_eq!(answer.status, 502);
-    assert_eq!(one.executed_requests().len() + two.executed_requests().len(), 1);
+    // Until then, there is no budget for repeats, which would keep the charge from being repeated as well.
+    deployment
+        .wait_until("the instances are counted", || async { gateway.logged(&["event=instances-counted"]) })
+        .await;
+    for number in 1..=3 {
+        let id = format!("a{number}");
+        let answer = deployment.send(gateway.callers, Method::POST, "/charge/x", &id).await;
+        let answer = answer.expect("an answer");
+        assert_eq!((answer.status, answer.outcome()), (502, "unknown"));
+        assert_eq!(one.executed_requests().len() + two.executed_requests().len(), number);
+    }
 }
 
 #[tokio::test]
