Test that reads are repeated within the budget only

Cause: a build that repeats whatever the budget says passed all gateway tests; the budget was tested by itself.

Change: 12 reads whose answers are lost, with a budget of 3 repeats.

--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -76,6 +76,30 @@
     }
 }
 
+/// Guards against repeats beyond the budget, which would multiply the load of targets in trouble.
+#[tokio::test]
+async fn reads_whose_answers_are_lost_are_repeated_within_the_budget_only() {
+    const READS: usize = 12;
+    const EXTRA: usize = 3;
+    let deployment = TestDeployment::start().await;
+    let (one, two) = (deployment.worker("i-1").await, deployment.worker("i-2").await);
+    for worker in [&one, &two] {
+        worker.set_mode(WorkerMode::ResetConnection);
+    }
+    let budget = json!({"repeat_ratio": 0.0, "repeat_window_s": 600.0, "repeat_extra": EXTRA});
+    let gateway = deployment.gateway("one", &budget).await;
+    deployment
+        .wait_until("the instances are counted", || async { gateway.logged(&["event=instances-counted"]) })
+        .await;
+    for number in 0..READS {
+        let id = format!("r{number}");
+        let answer = deployment.send(gateway.callers, Method::GET, &format!("/read/{number}"), &id).await;
+        assert_eq!(answer.expect("an answer").status, 502);
+    }
+    let executed = one.executed_requests().len() + two.executed_requests().len();
+    assert!((READS + 1..=READS + EXTRA).contains(&executed), "{executed} executions of {READS} reads");
+}
+
 #[tokio::test]
 async fn a_read_whose_answer_is_lost_is_sent_to_another_target() {
     for mode in [WorkerMode::ResetConnection, WorkerMode::Truncate, WorkerMode::MissingSeal, WorkerMode::Fail]
