Test a leaving instance with a request beyond the ingress's delay

Cause: a build that ends without waiting for its requests passed all gateway tests: the request of the only test was over before the 2.3 s that the instance gives the ingress in any case.

Change: a second request, accepted while the instance leaves, that runs longer.

--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -266,11 +266,16 @@
                 deployment.caller.get(gateway.ready, "/ready").await.is_ok_and(|r| r.status == 503)
             })
             .await;
+        // The ingress may send requests for up to 2.3 s, and this one runs longer than that.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        deployment.send(callers, Method::POST, "/charge/x", "a2").await
     };
-    let (answer, ()) = tokio::join!(call, leave);
-    let answer = answer.expect("an answer");
-    assert_eq!(answer.status, 200);
-    assert_eq!(answer.headers["connection"], "close");
+    let (answer, late_answer) = tokio::join!(call, leave);
+    for answer in [answer, late_answer] {
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.headers["connection"], "close");
+    }
     assert!(gateway.wait_for_exit().await);
     assert!(sent_at.elapsed() < Duration::from_secs(6));
     assert!(gateway.logged(&["event=left", "in_progress=0"]));
