--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -250,6 +250,30 @@
     assert!(slow.probe_count() > 0);
 }
 
+/// Guards against the load of a target that has got the address of another one, taken for that of the other.
+#[tokio::test]
+async fn a_probe_that_another_target_answers_says_nothing() {
+    let deployment = TestDeployment::start().await;
+    let worker = deployment.worker("i-new").await;
+    let gateway = deployment.gateway("one", &json!({})).await;
+    deployment.store.put_json("servers", "i-old", &entry(worker.address, "plan", "ready"));
+    deployment.store.remove("servers", "i-new");
+    deployment
+        .wait_until("the directory is known", || async {
+            gateway.logged(&["event=target-added", "target=i-old"])
+                && gateway.logged(&["event=target-removed", "target=i-new"])
+        })
+        .await;
+    let answer = deployment.send(gateway.callers, Method::POST, "/charge/x", "a1").await;
+    assert_eq!(answer.expect("an answer").outcome(), "not-run");
+    assert!(worker.probe_count() > 0);
+    deployment
+        .wait_until("the probe has failed", || async {
+            gateway.logged(&["event=probe-failed", "target=i-old"])
+        })
+        .await;
+}
+
 #[tokio::test]
 async fn a_leaving_gateway_answers_what_it_has_read_and_ends_in_time() {
     let deployment = TestDeployment::start().await;
