Tell why no connection to a target could be had

Cause: the logs could not tell the hypotheses of the incident apart: probe-failed and outcome=unsent looked the same whether a target refused, did not answer, or was not tried for lack of a permit.

Change: a connection that can't be had has a reason. It is logged with probes and sends and counted by the new metric connections.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -402,7 +402,7 @@
                     return None;
                 }
             }
-            AttemptResult::Sent(SendResult::Unsent) => {
+            AttemptResult::Sent(SendResult::Unsent(_)) => {
                 self.started -= 1;
                 let may_try = !self.call.remaining().is_zero() && self.call.tried().len() < MAX_TARGETS_TRIED;
                 if self.in_flight.is_empty() && may_try {
@@ -603,9 +603,10 @@
     let outcome = result.outcome();
     call.gateway.metrics.record_send(outcome);
     let process = if let SendResult::Lost(process) = result { Some(process) } else { None };
+    let failure = if let SendResult::Unsent(failure) = result { failure } else { None };
     if let Some(process) = process {
         call.gateway.metrics.record_lost_send(process);
     }
-    call.record(RequestEvent::SendEnded { target, outcome, process });
+    call.record(RequestEvent::SendEnded { target, outcome, process, failure });
     result
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -28,7 +28,7 @@
     kernel::in_progress::RequestGuard,
     plan::RequestKind,
     proxy::{
-        connection::{Connection, ExchangeResult, ReusePolicy, connection_limit},
+        connection::{ConnectFailure, Connection, ExchangeResult, ReusePolicy, connection_limit},
         headers,
     },
     units::MonoTime,
@@ -66,8 +66,8 @@
     Failed(Box<TargetResponse>),
     /// The target states that it did not execute the request.
     NotRun,
-    /// Nothing was sent to the target.
-    Unsent,
+    /// Nothing was sent to the target. Holds why, if it is for lack of a connection.
+    Unsent(Option<ConnectFailure>),
     /// No valid response came; the target may have executed the request. Holds what is known of its process.
     Lost(ProcessState),
 }
@@ -79,7 +79,7 @@
             Self::Answered(_) => SendOutcome::Answered,
             Self::Failed(_) => SendOutcome::Failed,
             Self::NotRun => SendOutcome::NotRun,
-            Self::Unsent => SendOutcome::Unsent,
+            Self::Unsent(_) => SendOutcome::Unsent,
             Self::Lost(_) => SendOutcome::Lost,
         }
     }
@@ -175,20 +175,25 @@
 /// Sends a call to a target and waits for the response and for up to `MAX_BUFFERED_BYTES` of its body.
 pub async fn send(call: &CallContext, listing: Listing) -> SendResult {
     let mut guard = SendGuard::new(call, listing);
-    let Some(mut connection) = checkout(call, &guard.listing).await else {
-        guard.report(HealthSignal::Failed);
-        return SendResult::Unsent;
+    let mut connection = match checkout(call, &guard.listing).await {
+        Ok(connection) => connection,
+        Err(failure) => {
+            guard.report(HealthSignal::Failed);
+            return SendResult::Unsent(Some(failure));
+        }
     };
     if call.remaining().is_zero() {
-        return SendResult::Unsent;
+        return SendResult::Unsent(None);
     }
-    let Some(body) = call.parts.take_body() else { return SendResult::Unsent };
+    let Some(body) = call.parts.take_body() else { return SendResult::Unsent(None) };
     let Some(mut request) = call.parts.build_request(body, guard.listing.address) else {
-        return SendResult::Unsent;
+        return SendResult::Unsent(None);
     };
     let names = &call.gateway.platform.headers;
     let remaining_ms = u64::try_from(call.remaining().as_millis()).unwrap_or(u64::MAX);
-    let Ok(expected) = HeaderValue::from_str(guard.listing.id.as_str()) else { return SendResult::Unsent };
+    let Ok(expected) = HeaderValue::from_str(guard.listing.id.as_str()) else {
+        return SendResult::Unsent(None);
+    };
     let headers = request.headers_mut();
     headers.insert(&names.deadline_ms, HeaderValue::from(remaining_ms));
     headers.insert(&names.expected_target, expected);
@@ -204,7 +209,7 @@
             call.record_not_executed();
             guard.is_unanswered = false;
             call.parts.restore_body(request.into_body());
-            SendResult::Unsent
+            SendResult::Unsent(None)
         }
         ExchangeResult::Lost => {
             drop(connection);
@@ -213,7 +218,7 @@
     }
 }
 
-async fn checkout(call: &CallContext, listing: &Listing) -> Option<Connection> {
+async fn checkout(call: &CallContext, listing: &Listing) -> Result<Connection, ConnectFailure> {
     let reuse = match call.route.spec.kind {
         RequestKind::Idempotent => ReusePolicy::AnyIdle,
         RequestKind::AtMostOnce | RequestKind::Unstated => ReusePolicy::RecentlyUsed,
@@ -221,13 +226,24 @@
     connect(&call.gateway, listing, reuse).await
 }
 
-/// Returns a connection to a target within this instance's share of the target's connection limit, or `None`
-/// if there is none in time.
-pub async fn connect(gateway: &Gateway, listing: &Listing, reuse: ReusePolicy) -> Option<Connection> {
-    let routing = gateway.routing()?;
-    let service = routing.services.get(&listing.service)?;
-    let limit = connection_limit(service.max_connections, gateway.instance_count_or_default());
-    gateway.connections.checkout(listing.address, limit, reuse).await
+/// Returns a connection to a target within this instance's share of the target's connection limit.
+///
+/// # Errors
+///
+/// Why there is none in time.
+pub async fn connect(
+    gateway: &Gateway,
+    listing: &Listing,
+    reuse: ReusePolicy,
+) -> Result<Connection, ConnectFailure> {
+    let routing = gateway.routing();
+    let service = routing.as_ref().and_then(|routing| routing.services.get(&listing.service));
+    // Without a routing table that names the service, nothing may be sent to it.
+    let max_connections = service.ok_or(ConnectFailure::NoPermit)?.max_connections;
+    let limit = connection_limit(max_connections, gateway.instance_count_or_default());
+    let connection = gateway.connections.checkout(listing.address, limit, reuse).await;
+    gateway.metrics.record_connection(&connection);
+    connection
 }
 
 async fn read_response(call: &CallContext, mut guard: SendGuard, response: Response<Incoming>) -> SendResult {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -28,6 +28,7 @@
     logging,
     observe::snapshot::resident_bytes,
     plan::RequestKind,
+    proxy::connection::{ConnectFailure, Connection},
     units::ServiceName,
 };
 
@@ -80,6 +81,7 @@
     sends_to_limited: Counter,
     repeats: Family<RepeatLabels, Counter>,
     probes: Family<ResultLabels, Counter>,
+    connections: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
     store_restored: Counter,
     dropped_log_lines: Counter,
@@ -107,6 +109,7 @@
             sends_to_limited: Counter::default(),
             repeats: Family::default(),
             probes: Family::default(),
+            connections: Family::default(),
             store_calls: Family::default(),
             store_restored: Counter::default(),
             dropped_log_lines: Counter::default(),
@@ -136,6 +139,7 @@
         r.register("sends_to_limited", "Sends to targets with a rate limit", self.sends_to_limited.clone());
         r.register("repeats", "Sends after the first, wanted or made", self.repeats.clone());
         r.register("probes", "Ended probes", self.probes.clone());
+        r.register("connections", "Connections to targets that were wanted", self.connections.clone());
         r.register("store_calls", "Calls of the store", self.store_calls.clone());
         r.register("store_restored", "Returns of the store from an older copy", self.store_restored.clone());
         r.register("log_lines_left_out", "Log lines left out", self.dropped_log_lines.clone());
@@ -187,6 +191,17 @@
         self.probes.get_or_create(&ResultLabels { result: result.to_owned() }).inc();
     }
 
+    /// Counts a connection for a request or a probe that was opened or taken from the idle ones, or that could not
+    /// be had.
+    pub fn record_connection(&self, connection: &Result<Connection, ConnectFailure>) {
+        let result = match connection {
+            Ok(connection) if connection.is_reused() => "reused".to_owned(),
+            Ok(_) => "opened".to_owned(),
+            Err(failure) => failure.to_string(),
+        };
+        self.connections.get_or_create(&ResultLabels { result }).inc();
+    }
+
     /// Counts a call to the store; `result` is `answered` or the label of a `StoreError`.
     pub fn record_store_call(&self, result: &str) {
         self.store_calls.get_or_create(&ResultLabels { result: result.to_owned() }).inc();
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use derive_more::Display;
 use http_body_util::Full;
 use hyper::{Request, header};
 use tokio::time::timeout;
@@ -15,7 +16,7 @@
 use crate::{
     decide::{directory::Listing, probed_target::LoadReading},
     proxy::{
-        connection::{ExchangeResult, ReusePolicy},
+        connection::{ConnectFailure, ExchangeResult, ReusePolicy},
         upload::RequestBody,
     },
 };
@@ -28,27 +29,51 @@
     let Some(marker) = gateway.service_pools().start_probe(&listing.service, &listing.id) else { return };
     let gateway = Arc::clone(gateway);
     tokio::spawn(async move {
-        let reading = timeout(PROBE_TIMEOUT, probe(&gateway, &listing)).await.ok().flatten();
-        gateway.metrics.record_probe(reading.is_some());
-        if reading.is_none() {
-            log::info!("event=probe-failed target={} service={}", listing.id, listing.service);
+        let probed = timeout(PROBE_TIMEOUT, probe(&gateway, &listing)).await;
+        let probed = probed.unwrap_or(Err(ProbeFailure::TimedOut));
+        gateway.metrics.record_probe(probed.is_ok());
+        if let Err(failure) = probed {
+            let Listing { id, service, .. } = &listing;
+            log::info!("event=probe-failed target={id} service={service} cause={failure}");
         }
+        let reading = probed.ok();
         let now = gateway.now();
         gateway.service_pools().finish_probe(now, &listing.service, &listing.id, marker, reading);
         gateway.state_changed.notify_waiters();
     });
 }
 
-/// Sends one probe. Returns the target's load, or `None` if no valid response came.
-async fn probe(gateway: &Gateway, listing: &Listing) -> Option<LoadReading> {
-    let routing = gateway.routing()?;
-    let path = routing.services.get(&listing.service)?.health_path.as_str();
+/// Why a probe has shown nothing of its target's load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "kebab-case")]
+enum ProbeFailure {
+    /// There was no connection for it.
+    #[display("{_0}")]
+    Connect(ConnectFailure),
+    /// No response came in time.
+    TimedOut,
+    /// The connection broke before the response.
+    Lost,
+    /// The response is not that of the target to this probe, or states no load that can be read.
+    Invalid,
+    /// The routing table does not name the target's service, or not a path for probes that can be requested.
+    NotRouted,
+}
+
+/// Sends one probe and returns the target's load.
+async fn probe(gateway: &Gateway, listing: &Listing) -> Result<LoadReading, ProbeFailure> {
+    let routing = gateway.routing();
+    let service = routing.as_ref().and_then(|routing| routing.services.get(&listing.service));
+    let path = service.ok_or(ProbeFailure::NotRouted)?.health_path.as_str();
     let request = Request::get(path)
         .header(header::HOST, listing.address.to_string())
         .body(RequestBody::Buffered(Full::new(Bytes::new())))
-        .ok()?;
-    let mut connection = connect(gateway, listing, ReusePolicy::AnyIdle).await?;
-    let ExchangeResult::Answered(response) = connection.send(request).await else { return None };
+        .map_err(|_malformed| ProbeFailure::NotRouted)?;
+    let connection = connect(gateway, listing, ReusePolicy::AnyIdle).await;
+    let mut connection = connection.map_err(ProbeFailure::Connect)?;
+    let ExchangeResult::Answered(response) = connection.send(request).await else {
+        return Err(ProbeFailure::Lost);
+    };
     let names = &gateway.platform.headers;
     let headers = response.headers();
     let is_expected_target = headers.get(&names.target_id).is_some_and(|id| id == listing.id.as_str());
@@ -56,7 +81,7 @@
     let is_probe_response =
         !headers.contains_key(&names.request_id) && !headers.contains_key(&names.authenticity_proof);
     if !is_expected_target || !is_probe_response {
-        return None;
+        return Err(ProbeFailure::Invalid);
     }
     rate_limits::record(gateway, listing, headers);
     // Targets that do not report their load are judged only by this instance's sends to them.
@@ -66,5 +91,5 @@
     if discard(response.into_body()).await {
         connection.release();
     }
-    reading
+    reading.ok_or(ProbeFailure::Invalid)
 }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -13,6 +13,7 @@
     decide::{probed_target::LoadReading, suspects::RequestIdentity, unconfirmed_ends::ProcessState},
     error::ErrorKind,
     logging::{Quoted, SELF_LIMITED_MODULE},
+    proxy::connection::ConnectFailure,
     routing::{Route, RoutingVersion},
     units::{MonoTime, PerSecond, ServiceName, TargetId},
 };
@@ -79,6 +80,8 @@
         outcome: SendOutcome,
         /// What is known of the target's process after a lost send.
         process: Option<ProcessState>,
+        /// Why there was no connection for a send that was not made.
+        failure: Option<ConnectFailure>,
     },
     /// The request should be sent again.
     Repeat {
@@ -240,12 +243,14 @@
                         rate_limits::display(*rate_limit)
                     )
                 }
-                RequestEvent::SendEnded { target, outcome, process } => {
+                RequestEvent::SendEnded { target, outcome, process, failure } => {
                     let head = "event=send-ended";
                     let process = process.map(|process| format!(" process={process}")).unwrap_or_default();
+                    let failure = failure.map(|failure| format!(" connect={failure}")).unwrap_or_default();
                     write!(
                         line,
-                        "{head} request={request} after_ms={after_ms} target={target} outcome={outcome}{process}"
+                        "{head} request={request} after_ms={after_ms} target={target} outcome={outcome}{process}\
+                         {failure}"
                     )
                 }
                 RequestEvent::Repeat { cause, within_budget } => write!(
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -220,7 +220,7 @@
         }
         RequestKind::AtMostOnce | RequestKind::Unstated => ReusePolicy::RecentlyUsed,
     };
-    kernel.connections.checkout(target.address, limit, reuse).await
+    kernel.connections.checkout(target.address, limit, reuse).await.ok()
 }
 
 /// Time limits for the arrival of the response head.
--- a/src/proxy/connection.rs
+++ b/src/proxy/connection.rs
@@ -4,6 +4,7 @@
 //! Lock order: the table of targets, then one target's idle list. No lock is held across an await.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
@@ -12,6 +13,7 @@
     time::Duration,
 };
 
+use derive_more::Display;
 use hyper::{
     HeaderMap, Request, Response,
     body::Incoming,
@@ -184,6 +186,30 @@
     _permit: ConnectionPermit,
 }
 
+/// Why no connection to a target was available.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "kebab-case")]
+pub enum ConnectFailure {
+    /// Nothing listens at the address, or something on the way refuses connections to it.
+    Refused,
+    /// The address did not answer in time.
+    TimedOut,
+    /// This instance has as many connections to the target as it may have.
+    NoPermit,
+    /// The operating system reported another error.
+    Failed,
+}
+
+impl From<io::Error> for ConnectFailure {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => Self::Refused,
+            io::ErrorKind::TimedOut => Self::TimedOut,
+            _ => Self::Failed,
+        }
+    }
+}
+
 /// Result of sending a request on a connection.
 #[derive(Debug)]
 pub enum ExchangeResult {
@@ -281,20 +307,24 @@
 }
 
 impl Connections {
-    /// Returns a connection for one request, or `None` when none was available in time.
+    /// Returns a connection for one request.
     ///
     /// `limit` is the maximum number of connections that this instance may have open to the target.
+    ///
+    /// # Errors
+    ///
+    /// Why none was available in time.
     pub async fn checkout(
         &self,
         address: SocketAddr,
         limit: usize,
         reuse: ReusePolicy,
-    ) -> Option<Connection> {
+    ) -> Result<Connection, ConnectFailure> {
         let target = self.target(address);
         let until = Instant::now() + PERMIT_TIMEOUT;
         loop {
             if let Some(connection) = target.take_idle(reuse.idle_limit()) {
-                return Some(connection);
+                return Ok(connection);
             }
             let mut permit = target.open.try_acquire(limit);
             if permit.is_none() {
@@ -302,9 +332,11 @@
                 permit = target.open.try_acquire(limit);
             }
             if let Some(permit) = permit {
-                return timeout(CONNECT_TIMEOUT, connect(address, target, permit)).await.ok()?;
+                let connected = timeout(CONNECT_TIMEOUT, connect(address, target, permit)).await;
+                return connected.map_err(|_elapsed| ConnectFailure::TimedOut)?;
             }
-            timeout_at(until, target.open.released.notified()).await.ok()?;
+            let released = timeout_at(until, target.open.released.notified()).await;
+            released.map_err(|_elapsed| ConnectFailure::NoPermit)?;
         }
     }
 
@@ -366,18 +398,21 @@
     address: SocketAddr,
     target: Arc<TargetConnections>,
     permit: ConnectionPermit,
-) -> Option<Connection> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
+) -> Result<Connection, ConnectFailure> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)).ok()?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
-    socket.set_tcp_keepalive(&keepalive).ok()?;
+    socket.set_tcp_keepalive(&keepalive)?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(READ_BUFFER_BYTES);
     let allowance = ReadAllowance::default();
     let stream = LimitedStream::new(stream, allowance.clone());
-    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.map_err(|e| {
+        log::debug!("event=target-handshake-failed target={address} error={:?}", e.to_string());
+        ConnectFailure::Failed
+    })?;
     let alive = AliveGuard::new(&target.open);
     let task = tokio::spawn(async move {
         let _alive = alive;
@@ -386,7 +421,7 @@
         }
     });
     let driver = DriverTask(task.abort_handle());
-    Some(Connection {
+    Ok(Connection {
         sender,
         target,
         allowance,
--- a/src/proxy/probe.rs
+++ b/src/proxy/probe.rs
@@ -40,7 +40,8 @@
 /// Sends one probe; returns `None` unless the target responds with success.
 async fn probe(kernel: &Kernel, target: &TargetSpec) -> Option<LoadReport> {
     let limit = connection_limit(target.max_connections, kernel.plan.current().budgets.max_instances);
-    let mut connection = kernel.connections.checkout(target.address, limit, ReusePolicy::AnyIdle).await?;
+    let mut connection =
+        kernel.connections.checkout(target.address, limit, ReusePolicy::AnyIdle).await.ok()?;
     let request = Request::get(PROBE_PATH)
         .header(header::HOST, target.address.to_string())
         .body(RequestBody::Buffered(Full::new(Bytes::new())))
