--- a/bench/src/relay.rs
+++ b/bench/src/relay.rs
@@ -2,8 +2,9 @@
 //! refusal.
 
 use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -48,19 +49,41 @@
     BlackholeToCaller,
     /// New connections are reset at once, open ones when data arrives on them.
     Reset,
+    /// New connections are reset at once, open ones stay as they are.
+    ResetNew,
 }
 
 /// Delay of each chunk of data under [`LinkFault::Delayed`].
 const DELAY: Duration = Duration::from_millis(60);
 
-type SharedFault = Arc<Mutex<LinkFault>>;
+/// Faults of one relay.
+#[derive(Debug, Default)]
+struct Faults {
+    general: LinkFault,
+    /// Faults of the connections from single addresses, which go before the general one.
+    by_caller: HashMap<IpAddr, LinkFault>,
+}
+
+/// Faults of a relay, as they apply to the connections from one address.
+#[derive(Debug, Clone)]
+struct CallerFault {
+    faults: Arc<Mutex<Faults>>,
+    caller: IpAddr,
+}
+
+impl CallerFault {
+    fn current(&self) -> LinkFault {
+        let faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        faults.by_caller.get(&self.caller).copied().unwrap_or(faults.general)
+    }
+}
 
 /// A running relay; it and its connections are closed when it is dropped.
 #[derive(Debug)]
 pub struct Relay {
     /// Address that it listens on.
     pub address: SocketAddr,
-    fault: SharedFault,
+    faults: Arc<Mutex<Faults>>,
     task: JoinHandle<()>,
 }
 
@@ -88,56 +111,63 @@
     pub async fn start_at(address: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let fault = SharedFault::default();
-        let task = tokio::spawn(accept(listener, target, Arc::clone(&fault)));
-        Ok(Self { address, fault, task })
+        let faults = Arc::<Mutex<Faults>>::default();
+        let task = tokio::spawn(accept(listener, target, Arc::clone(&faults)));
+        Ok(Self { address, faults, task })
     }
 
     /// Replaces the injected fault, also for open connections.
     pub fn set_fault(&self, fault: LinkFault) {
-        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+        self.lock().general = fault;
     }
-}
 
-fn current_fault(fault: &SharedFault) -> LinkFault {
-    *fault.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Replaces the fault that is injected into the connections from one address, also the open ones. It goes before
+    /// that of all connections.
+    pub fn set_fault_from(&self, caller: IpAddr, fault: LinkFault) {
+        self.lock().by_caller.insert(caller, fault);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Faults> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, fault: SharedFault) {
+async fn accept(listener: TcpListener, target: SocketAddr, faults: Arc<Mutex<Faults>>) {
     let mut connections = JoinSet::new();
-    while let Ok((caller, _)) = listener.accept().await {
-        match current_fault(&fault) {
+    while let Ok((caller, address)) = listener.accept().await {
+        let fault = CallerFault { faults: Arc::clone(&faults), caller: address.ip() };
+        match fault.current() {
             LinkFault::Down => {}
-            LinkFault::Reset => {
+            LinkFault::Reset | LinkFault::ResetNew => {
                 // With a linger time of zero the connection is reset when dropped; if the system refuses
                 // that, it is closed.
                 let _best_effort = caller.set_zero_linger();
             }
             _ => {
-                connections.spawn(relay_connection(caller, target, Arc::clone(&fault)));
+                connections.spawn(relay_connection(caller, target, fault));
             }
         }
         while connections.try_join_next().is_some() {}
     }
 }
 
-async fn relay_connection(caller: TcpStream, target: SocketAddr, fault: SharedFault) {
+async fn relay_connection(caller: TcpStream, target: SocketAddr, fault: CallerFault) {
     let Ok(upstream) = TcpStream::connect(target).await else { return };
     let _best_effort = (caller.set_nodelay(true), upstream.set_nodelay(true));
     let (from_caller, to_caller) = caller.into_split();
     let (from_target, to_target) = upstream.into_split();
     // When either end closes, both directions end.
     tokio::select! {
-        () = forward_requests(from_caller, to_target, Arc::clone(&fault)) => {}
+        () = forward_requests(from_caller, to_target, fault.clone()) => {}
         () = forward_responses(from_target, to_caller, fault) => {}
     }
 }
 
-async fn forward_requests(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, fault: SharedFault) {
+async fn forward_requests(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, fault: CallerFault) {
     let mut buffer = vec![0; BUFFER_BYTES];
     let mut is_blackholed = false;
     while let Ok(read @ 1..) = from.read(&mut buffer).await {
-        match current_fault(&fault) {
+        match fault.current() {
             LinkFault::Blackhole | LinkFault::BlackholeToTarget => is_blackholed = true,
             LinkFault::Delayed => tokio::time::sleep(DELAY).await,
             LinkFault::Reset => return reset(&from, &to),
@@ -149,16 +179,16 @@
     }
 }
 
-async fn forward_responses(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, fault: SharedFault) {
+async fn forward_responses(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, fault: CallerFault) {
     let mut buffer = vec![0; BUFFER_BYTES];
     let mut is_blackholed = false;
     while let Ok(read @ 1..) = from.read(&mut buffer).await {
-        let forwarded = match current_fault(&fault) {
-            LinkFault::None | LinkFault::BlackholeToTarget => read,
+        let forwarded = match fault.current() {
+            LinkFault::None | LinkFault::BlackholeToTarget | LinkFault::ResetNew => read,
             LinkFault::Down | LinkFault::CloseBeforeResponse => return,
             LinkFault::CloseMidResponse => read / 2,
             LinkFault::HoldResponses => {
-                while current_fault(&fault) == LinkFault::HoldResponses {
+                while fault.current() == LinkFault::HoldResponses {
                     tokio::time::sleep(HOLD_CHECK_PERIOD).await;
                 }
                 return;
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -1,6 +1,11 @@
 //! Settings of a gateway instance, read from a JSON file.
 
-use std::{fs, net::SocketAddr, path::Path, time::Duration};
+use std::{
+    fs,
+    net::{IpAddr, SocketAddr},
+    path::Path,
+    time::Duration,
+};
 
 use log::LevelFilter;
 use serde::Deserialize;
@@ -32,6 +37,11 @@
     /// Address on which other instances connect.
     pub peers_address: SocketAddr,
 
+    /// Address of this host from which connections to targets are opened; the operating system chooses one by
+    /// default.
+    #[serde(default)]
+    pub targets_source: Option<IpAddr>,
+
     /// Peer addresses of the seeds. The reachable seed with the lowest address reads the store, and the other
     /// instances replicate its rows. Empty if this instance reads the store itself.
     #[serde(default)]
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -143,7 +143,7 @@
             clock: Clock::start(),
             run_id: RunId::from(seed),
             platform,
-            connections: Connections::default(),
+            connections: Connections::from_source(config.targets_source),
             metrics: Metrics::default(),
             request_log_limiter: RequestLogLimiter::default(),
             state_changed: Notify::new(),
--- a/src/proxy/connection.rs
+++ b/src/proxy/connection.rs
@@ -5,7 +5,7 @@
 
 use std::{
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
         atomic::{AtomicUsize, Ordering},
@@ -23,7 +23,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     sync::Notify,
     task::AbortHandle,
     time::{Instant, sleep, timeout, timeout_at},
@@ -304,9 +304,16 @@
 #[derive(Debug, Default)]
 pub struct Connections {
     targets: RwLock<HashMap<SocketAddr, Arc<TargetConnections>>>,
+    /// Address of this host from which they are opened; `None` leaves the choice to the operating system.
+    source: Option<IpAddr>,
 }
 
 impl Connections {
+    /// Creates a table whose connections are opened from the address `source` of this host.
+    pub fn from_source(source: Option<IpAddr>) -> Self {
+        Self { targets: RwLock::default(), source }
+    }
+
     /// Returns a connection for one request.
     ///
     /// `limit` is the maximum number of connections that this instance may have open to the target.
@@ -332,7 +339,7 @@
                 permit = target.open.try_acquire(limit);
             }
             if let Some(permit) = permit {
-                let connected = timeout(CONNECT_TIMEOUT, connect(address, target, permit)).await;
+                let connected = timeout(CONNECT_TIMEOUT, connect(address, self.source, target, permit)).await;
                 return connected.map_err(|_elapsed| ConnectFailure::TimedOut)?;
             }
             let released = timeout_at(until, target.open.released.notified()).await;
@@ -354,7 +361,7 @@
     ///
     /// A target at its limit may reset or refuse a new connection, too, but it keeps the open ones.
     pub async fn check_process(&self, address: SocketAddr) -> ProcessState {
-        let connected = timeout(PROCESS_CHECK_TIMEOUT, TcpStream::connect(address)).await;
+        let connected = timeout(PROCESS_CHECK_TIMEOUT, open_stream(address, self.source)).await;
         match connected {
             Ok(Ok(stream)) if !is_closed_soon(&stream).await => return ProcessState::Listening,
             Ok(Ok(_closed)) => {}
@@ -394,12 +401,20 @@
     peeked.is_ok_and(|read| matches!(read, Ok(0) | Err(_)))
 }
 
+async fn open_stream(address: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source else { return TcpStream::connect(address).await };
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.bind((source, 0).into())?;
+    socket.connect(address).await
+}
+
 async fn connect(
     address: SocketAddr,
+    source: Option<IpAddr>,
     target: Arc<TargetConnections>,
     permit: ConnectionPermit,
 ) -> Result<Connection, ConnectFailure> {
-    let stream = TcpStream::connect(address).await?;
+    let stream = open_stream(address, source).await?;
     stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
