--- a/src/decide/probed_pool.rs
+++ b/src/decide/probed_pool.rs
@@ -244,6 +244,11 @@
         target.record_end(now, end);
     }
 
+    /// Forgets the failures of all targets, which were not theirs.
+    pub fn forget_failures(&mut self) {
+        self.targets.values_mut().for_each(ProbedTarget::forget_failures);
+    }
+
     /// Returns the latest load reading of a target and its age.
     pub fn latest_reading(&self, now: MonoTime, id: &TargetId) -> Option<(LoadReading, Duration)> {
         self.targets.get(id)?.reading.map(|(reading, at)| (reading, now.since(at)))
--- a/src/decide/probed_target.rs
+++ b/src/decide/probed_target.rs
@@ -132,6 +132,10 @@
         self.penalty_updated_at = now;
     }
 
+    pub(super) fn forget_failures(&mut self) {
+        self.penalty = 0.0;
+    }
+
     pub(super) fn reading_age(&self, now: MonoTime) -> Option<Duration> {
         self.reading.map(|(_, at)| now.since(at))
     }
--- a/src/decide/service_pools.rs
+++ b/src/decide/service_pools.rs
@@ -244,6 +244,11 @@
         self.service(service).pool.overdue_time(now)
     }
 
+    /// Forgets the failures of all targets of a service, which were not theirs.
+    pub fn forget_failures(&mut self, service: &ServiceName) {
+        self.service(service).pool.forget_failures();
+    }
+
     /// Records the duration of an attempt that was answered.
     pub fn record_duration(&mut self, service: &ServiceName, time: Duration) {
         self.service(service).pool.record_duration(time);
--- a/src/error.rs
+++ b/src/error.rs
@@ -39,6 +39,8 @@
     /// The instance could not confirm for too long that its plan is current, because neither the store nor a
     /// majority of the known instances was reachable.
     CutOff,
+    /// The instance reaches no target of the service, and knows no other instance that does.
+    NoPath,
     /// The instance is shutting down and accepts no new requests.
     Leaving,
     /// No target of the service accepts requests.
@@ -120,6 +122,7 @@
             }
             Self::Quarantined => answer(503, NotRun, Some(600)),
             Self::Leaving
+            | Self::NoPath
             | Self::NoTarget
             | Self::DeadlineUnreachable
             | Self::Unsent
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -5,9 +5,8 @@
 
 use std::{
     net::IpAddr,
-    pin::Pin,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
@@ -23,11 +22,13 @@
     header::{self, HeaderValue},
     http::request::Parts,
 };
-use tokio::time::{sleep_until, timeout, timeout_at};
+use tokio::time::{sleep_until, timeout};
 
 use super::{
     Gateway,
-    exchange::{SendResult, TargetResponse, send},
+    attempt::{AttemptResult, attempt},
+    call_context::CallContext,
+    exchange::{SendResult, TargetResponse},
     probe,
     request_log::{RepeatCause, RequestEnd, RequestEvent, RequestLog},
     response::{ResponseBody, error_response},
@@ -35,24 +36,19 @@
 };
 use crate::{
     decide::{
-        directory::Listing,
         hedge::{self, HedgeDecision, InFlightRequest},
-        probed_pool::{Choice, ChoiceRequest},
-        probed_target::HealthSignal,
-        suspects::{Admission, RequestIdentity},
-        wait_queue::QueuePosition,
-        wait_stage::{CallTimes, WaitStage},
+        suspects::Admission,
     },
     error::ErrorKind,
     logging::Quoted,
-    plan::RequestKind,
+    peer::forward::ForwardHeader,
     proxy::{
         headers,
         inbound::{MAX_RETRYABLE_BODY_BYTES, read_body_start},
         upload::{RequestParts, Upload},
     },
     routing::{Route, RoutingTable},
-    units::{MonoTime, ServiceName, TargetId},
+    units::{MonoTime, ServiceName},
 };
 
 /// Longest wait of the hedging decision for a probe of the target that has the request; also the age up to
@@ -68,134 +64,25 @@
 /// Longest time between two parts of a request's body.
 const BODY_PROGRESS_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A call that has been checked and routed, with the state that its sends share.
-#[derive(Debug)]
-pub struct CallContext {
-    /// State that all calls share.
-    pub gateway: Arc<Gateway>,
-    /// Identifier that the caller gave the request; empty if it gave none.
-    pub request_id: HeaderValue,
-    /// Route that the request's host and path match.
-    pub route: Arc<Route>,
-    /// Service that was chosen by the weights of the route's backends.
-    pub service: ServiceName,
-    /// When the head of the request arrived.
-    pub arrived: MonoTime,
-    /// When the caller must have its response: its own deadline or the route's timeout, whichever is earlier.
-    pub deadline: MonoTime,
-    /// Head and body of the request.
-    pub parts: RequestParts,
-    /// Identity of the request, the same for all attempts of its caller.
-    pub identity: RequestIdentity,
-    /// Targets to which the request was sent, or for which a connection was tried.
-    tried: Mutex<Vec<TargetId>>,
-    /// Target and time of the latest send; `None` until the first one.
-    latest_send: Mutex<Option<(Listing, MonoTime)>>,
-    /// Sends that have reached a connection and may have been executed, as far as is known.
-    open_sends: AtomicU32,
-    /// Decisions on the call, for the log.
-    log: RequestLog,
-    /// Whether a response of a target goes to the caller; sends that are dropped after that show nothing.
-    pub is_answered: Arc<AtomicBool>,
-    /// Whether the end of the call has been logged and counted.
-    is_ended: AtomicBool,
-}
-
-impl CallContext {
-    /// Returns the time until the deadline, zero once it has passed.
-    pub fn remaining(&self) -> Duration {
-        self.deadline.since(self.gateway.now())
-    }
-
-    fn tried(&self) -> Vec<TargetId> {
-        self.tried.lock().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
-    /// Records that a target may execute the request from now on.
-    pub fn record_send_start(&self) {
-        self.open_sends.fetch_add(1, Ordering::AcqRel);
-    }
-
-    /// Records that a send was not executed and will not be.
-    pub fn record_not_executed(&self) {
-        self.open_sends.fetch_sub(1, Ordering::AcqRel);
-    }
-
-    /// Returns the target and time of the latest send.
-    fn latest_send(&self) -> Option<(Listing, MonoTime)> {
-        self.latest_send.lock().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
-    /// Returns the time after which its caller should send the request again: when the quarantine ends, or when its
-    /// service is expected to have room.
-    fn retry_after(&self) -> Duration {
-        let gateway = &self.gateway;
-        if let Admission::Quarantined(remaining) = self.admission() {
-            return remaining;
-        }
-        let (now, instances) = (gateway.now(), gateway.instance_count_or_default());
-        gateway.service_pools().retry_after(now, &self.service, instances)
-    }
-
-    fn record(&self, event: RequestEvent) {
-        self.log.record(self.gateway.now(), event);
-    }
-
-    /// Logs and counts the end of the call; later invocations do nothing.
-    fn end(&self, end: RequestEnd) {
-        if self.is_ended.swap(true, Ordering::AcqRel) {
-            return;
-        }
-        let now = self.gateway.now();
-        self.log.end(now, end, &self.gateway.request_log_limiter);
-        let result = match end {
-            RequestEnd::Answered(status) => format!("status-{}xx", status / 100),
-            RequestEnd::Refused(kind) => kind.to_string(),
-            RequestEnd::CallerLeft => "caller-left".to_owned(),
-        };
-        let kind = self.route.spec.kind;
-        self.gateway.metrics.record_request(&self.service, kind, result, now.since(self.arrived));
-    }
-
-    /// Returns whether the request may be sent now, as far as targets have ended under it.
-    fn admission(&self) -> Admission {
-        self.gateway.suspects().admission(self.gateway.now(), self.identity)
-    }
-
-    /// Returns whether a target has ended under the request.
-    fn is_suspect(&self) -> bool {
-        self.gateway.suspects().ends(self.identity) > 0
-    }
-
-    /// Returns whether too many targets have ended under the request for this instance to send it again by itself.
-    fn is_repeat_harmful(&self) -> bool {
-        !self.gateway.suspects().may_repeat(self.identity)
-    }
-
-    /// Returns whether the request may be executed more than once and its whole body is buffered.
-    fn may_repeat(&self) -> bool {
-        self.route.spec.kind == RequestKind::Idempotent && self.parts.upload.is_none()
-    }
-}
-
-impl Drop for CallContext {
-    fn drop(&mut self) {
-        self.end(RequestEnd::CallerLeft);
-    }
+/// Who has sent a request to this instance.
+#[derive(Debug, Clone)]
+pub enum RequestSource {
+    /// A caller, from this address.
+    Caller(IpAddr),
+    /// Another instance, to which a caller has sent it.
+    Instance(Box<ForwardHeader>),
 }
 
 /// Handles one request and returns the response to its caller.
-///
-/// `caller` is the address from which the caller has connected.
 pub async fn handle(
     gateway: Arc<Gateway>,
-    caller: IpAddr,
+    source: RequestSource,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let _in_progress = gateway.track_request();
     let arrived = gateway.now();
     let request_id = request.headers().get(&gateway.platform.headers.request_id).cloned();
-    let mut response = match prepare(&gateway, caller, arrived, request).await {
+    let mut response = match prepare(&gateway, source, arrived, request).await {
         Ok(call) => run(&call).await,
         Err(kind) => {
             let id = request_id.as_ref().map_or(&[][..], HeaderValue::as_bytes);
@@ -217,10 +104,16 @@
 /// to a target when this fails.
 async fn prepare(
     gateway: &Arc<Gateway>,
-    caller: IpAddr,
-    arrived: MonoTime,
+    source: RequestSource,
+    received: MonoTime,
     request: Request<Incoming>,
 ) -> Result<CallContext, ErrorKind> {
+    let (caller, forwarded) = match source {
+        RequestSource::Caller(address) => (address, None),
+        RequestSource::Instance(header) => (header.caller, Some(header)),
+    };
+    let elapsed_ms = forwarded.as_ref().map_or(0, |header| header.elapsed_ms);
+    let arrived = received.checked_sub(Duration::from_millis(u64::from(elapsed_ms))).unwrap_or_default();
     let (head, mut body) = request.into_parts();
     headers::check_unambiguous(&head)?;
     let routing = gateway.routing().ok_or(ErrorKind::NoPlan)?;
@@ -229,8 +122,10 @@
     let request_id = head.headers.get(&names.request_id).cloned().unwrap_or(HeaderValue::from_static(""));
     let requested_timeout = headers::number(&head.headers, &names.deadline_ms)?.map(Duration::from_millis);
     let route_timeout = route.spec.timeout;
+    // A caller states the time that is left when its request arrives; so does an instance that forwards one.
+    let stated_deadline = requested_timeout.map(|requested| received + requested);
     let deadline =
-        arrived + requested_timeout.map_or(route_timeout, |requested| requested.min(route_timeout));
+        stated_deadline.map_or(arrived + route_timeout, |stated| stated.min(arrived + route_timeout));
     let limit = routing.limits.max_body_bytes;
     let start = read_body_start(&mut body, limit, MAX_RETRYABLE_BODY_BYTES, BODY_PROGRESS_TIMEOUT).await?;
     if !gateway.are_suspects_known() {
@@ -244,7 +139,11 @@
         let upload = Upload::new(start.bytes, body, limit, BODY_PROGRESS_TIMEOUT);
         (bytes::Bytes::new(), Some(Mutex::new(Some(Box::new(upload)))))
     };
-    let service = route.next_service().clone();
+    let chosen = forwarded.as_ref().map(|header| &header.service);
+    let is_of_route = |name: &&ServiceName| route.spec.backends.iter().any(|b| b.service == **name);
+    // The routing table may have changed since the other instance has chosen.
+    let service = chosen.filter(is_of_route).unwrap_or_else(|| route.next_service()).clone();
+    let is_counted = AtomicBool::new(forwarded.as_ref().is_some_and(|header| header.is_counted));
     let times = (arrived, deadline);
     Ok(CallContext {
         gateway: Arc::clone(gateway),
@@ -257,6 +156,10 @@
         arrived,
         deadline,
         parts: RequestParts { head, body, upload },
+        caller,
+        forwarded,
+        is_counted,
+        is_forwarding: AtomicBool::new(false),
         identity,
         tried: Mutex::default(),
         latest_send: Mutex::default(),
@@ -270,44 +173,13 @@
     routing.find(host, head.uri.path()).map(Arc::clone)
 }
 
-/// Result of one attempt to choose a target and send the call to it.
-enum AttemptResult {
-    Sent(SendResult),
-    NotSent(ErrorKind),
-}
-
-/// A call that waits in its service's queue for a target; it leaves the queue when this is dropped.
-struct QueuedCall<'a> {
-    call: &'a CallContext,
-    position: QueuePosition,
-}
-
-impl<'a> QueuedCall<'a> {
-    fn new(call: &'a CallContext) -> Self {
-        let mut service_pools = call.gateway.service_pools();
-        let position = service_pools.join_queue(&call.service, call.route.spec.priority, call.arrived);
-        Self { call, position }
-    }
-}
-
-impl Drop for QueuedCall<'_> {
-    fn drop(&mut self) {
-        let are_others_waiting =
-            self.call.gateway.service_pools().leave_queue(&self.call.service, self.position);
-        if are_others_waiting {
-            self.call.gateway.state_changed.notify_waiters();
-        }
-    }
-}
-
 /// Sends a call, with retries and at most one hedge, until it has a response.
 async fn run(call: &CallContext) -> Response<ResponseBody> {
-    call.gateway.service_pools().record_request(call.arrived, &call.service);
     let deadline = call.gateway.clock.instant(call.deadline);
     let mut attempts = CallAttempts {
         call,
         in_flight: FuturesUnordered::new(),
-        started: 0,
+        started: call.forwarded.as_ref().map_or(0, |header| header.sends),
         executed_error: None,
         failed_response: None,
     };
@@ -315,6 +187,8 @@
     let mut hedge_time = Box::pin(wait_for_hedge_time(call));
     let mut may_hedge = call.may_repeat();
     let mut quarantine = Box::pin(wait_for_quarantine(call));
+    let mut path_closed = Box::pin(wait_for_closed_path(call));
+    let mut may_forward_hedge = call.may_repeat() && call.forwarded.is_none();
     loop {
         tokio::select! {
             biased;
@@ -326,6 +200,10 @@
             () = sleep_until(deadline) => return attempts.on_deadline(),
             // An instance that leaves lets its requests end.
             () = &mut quarantine, if !call.gateway.is_leaving() => return attempts.on_quarantine(),
+            () = &mut path_closed, if may_forward_hedge => {
+                may_forward_hedge = false;
+                attempts.hedge();
+            }
             () = &mut hedge_time, if may_hedge => {
                 may_hedge = false;
                 attempts.hedge();
@@ -466,6 +344,16 @@
     }
 }
 
+/// Returns once a target has the request and there is no path to targets any more, so that the response can hardly
+/// arrive.
+async fn wait_for_closed_path(call: &CallContext) {
+    let is_stuck = || {
+        let is_sent = call.open_send_count() > 0 && !call.is_forwarding.load(Ordering::Acquire);
+        is_sent && call.is_path_closed()
+    };
+    call.gateway.wait_until(is_stuck).await;
+}
+
 /// Returns once the call should be hedged, that is, sent to a second target.
 async fn wait_for_hedge_time(call: &CallContext) {
     let gateway = &call.gateway;
@@ -492,121 +380,3 @@
         let _change_or_timeout = timeout(PROBE_WAIT, gateway.state_changed.notified()).await;
     }
 }
-
-/// Chooses a target, waiting in the service's queue if necessary, and sends the call to it.
-async fn attempt(call: &CallContext, is_hedge: bool) -> AttemptResult {
-    let gateway = &call.gateway;
-    let started = gateway.now();
-    let times = CallTimes {
-        arrived: call.arrived,
-        deadline: call.deadline,
-        objective: call.route.spec.objective,
-        usual_time: gateway.service_pools().usual_time(&call.service),
-    };
-    let mut probe_rounds = 0;
-    let mut queued = None;
-    loop {
-        let mut changed = Box::pin(gateway.state_changed.notified());
-        // Registered before the state is read, so that no change is missed.
-        Pin::as_mut(&mut changed).enable();
-        let now = gateway.now();
-        let (stage, mut stage_until) = times.stage(now, started);
-        match call.admission() {
-            Admission::Send => {}
-            Admission::Wait if is_hedge || now >= times.give_up_at(started) => {
-                return AttemptResult::NotSent(ErrorKind::Overloaded);
-            }
-            Admission::Wait => {
-                // It holds up no other calls meanwhile.
-                queued = None;
-                let recheck_at = gateway.clock.instant(times.give_up_at(started));
-                // After a timeout, the next iteration gives up.
-                let _change_or_timeout = timeout_at(recheck_at, changed).await;
-                continue;
-            }
-            Admission::Quarantined(_) => return AttemptResult::NotSent(ErrorKind::Quarantined),
-        }
-        if is_hedge {
-            stage_until = stage_until.min(times.hedge_until(started));
-            if stage != WaitStage::FastSlot || now >= stage_until {
-                return AttemptResult::NotSent(ErrorKind::Overloaded);
-            }
-        }
-        let give_up_at = if is_hedge { stage_until } else { times.give_up_at(started) };
-        // From the stage of spare slots on, the call takes only slots that no queued call can use.
-        let is_queued = !is_hedge && !matches!(stage, WaitStage::SpareSlot | WaitStage::Expired);
-        if is_queued != queued.is_some() {
-            queued = is_queued.then(|| QueuedCall::new(call));
-        }
-        let tried = call.tried();
-        let choice = {
-            let mut service_pools = gateway.service_pools();
-            let position = queued.as_ref().map(|q| q.position);
-            let competes = is_hedge || position.is_some();
-            let calls_ahead = if competes { service_pools.ahead_of(&call.service, position) } else { 0 };
-            service_pools.choose_target(
-                now,
-                &call.service,
-                &ChoiceRequest { excluded: &tried, probe_rounds, stage, calls_ahead, give_up_at },
-            )
-        };
-        let recheck_at = match choice {
-            Choice::Send(listing) => {
-                if is_hedge && !spend_hedge(call) {
-                    let (service, target) = (&call.service, &listing.id);
-                    gateway.service_pools().record_end(now, service, target, HealthSignal::Neutral);
-                    return AttemptResult::NotSent(ErrorKind::Overloaded);
-                }
-                drop(queued);
-                return AttemptResult::Sent(send_and_record(call, listing, probe_rounds).await);
-            }
-            Choice::NoTarget if gateway.service_pools().has_target(&call.service) => {
-                return AttemptResult::NotSent(ErrorKind::Overloaded);
-            }
-            Choice::NoTarget => return AttemptResult::NotSent(ErrorKind::NoTarget),
-            Choice::Probe(listings) => {
-                probe_rounds += 1;
-                for listing in listings {
-                    probe::start(gateway, listing);
-                }
-                stage_until
-            }
-            Choice::Wait(time) => stage_until.min(now + time),
-        };
-        // After a timeout, the next iteration decides with the state at that time.
-        let _change_or_timeout = timeout_at(gateway.clock.instant(recheck_at), changed).await;
-    }
-}
-
-fn spend_hedge(call: &CallContext) -> bool {
-    let within_budget = call.gateway.service_pools().try_spend_repeat(call.gateway.now(), &call.service);
-    call.gateway.metrics.record_repeat(RepeatCause::Late, within_budget);
-    call.record(RequestEvent::Repeat { cause: RepeatCause::Late, within_budget });
-    within_budget
-}
-
-async fn send_and_record(call: &CallContext, listing: Listing, rounds: u32) -> SendResult {
-    let target = listing.id.clone();
-    call.tried.lock().unwrap_or_else(PoisonError::into_inner).push(target.clone());
-    let now = call.gateway.now();
-    *call.latest_send.lock().unwrap_or_else(PoisonError::into_inner) = Some((listing.clone(), now));
-    let (reading, rate_limit) = {
-        let service_pools = call.gateway.service_pools();
-        let reading = service_pools.latest_reading(now, &listing.service, &target);
-        (reading, service_pools.rate_limit(&listing.service, &target))
-    };
-    if rate_limit.is_some() {
-        call.gateway.metrics.record_send_to_limited();
-    }
-    call.record(RequestEvent::Sent { target: target.clone(), reading, rate_limit, rounds });
-    let result = send(call, listing).await;
-    let outcome = result.outcome();
-    call.gateway.metrics.record_send(outcome);
-    let process = if let SendResult::Lost(process) = result { Some(process) } else { None };
-    let failure = if let SendResult::Unsent(failure) = result { failure } else { None };
-    if let Some(process) = process {
-        call.gateway.metrics.record_lost_send(process);
-    }
-    call.record(RequestEvent::SendEnded { target, outcome, process, failure });
-    result
-}
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -37,6 +37,11 @@
     /// Address on which other instances connect.
     pub peers_address: SocketAddr,
 
+    /// Address on which other instances forward requests that they can't send to a target themselves. By default,
+    /// this instance takes none.
+    #[serde(default)]
+    pub forward_address: Option<SocketAddr>,
+
     /// Address of this host from which connections to targets are opened; the operating system chooses one by
     /// default.
     #[serde(default)]
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,8 +20,13 @@
 use tokio::time::timeout;
 
 use super::{
-    Gateway, call::CallContext, rate_limits, request_log::SendOutcome, response::ResponseBody,
-    suspects::SendWatch, target_end,
+    Gateway,
+    call_context::CallContext,
+    path_check, rate_limits,
+    request_log::SendOutcome,
+    response::{BodyGuard, ResponseBody},
+    suspects::SendWatch,
+    target_end,
 };
 use crate::{
     decide::{directory::Listing, probed_target::HealthSignal, unconfirmed_ends::ProcessState},
@@ -136,6 +141,7 @@
         self.connection = None;
         self.is_unanswered = true;
         let lost_at = self.gateway.now();
+        path_check::report_failure(&self.gateway, &self.listing);
         let process = target_end::check(&self.gateway, &self.listing).await;
         if let Some(watch) = self.watch.take() {
             watch.lost(&self.listing, process, lost_at);
@@ -179,6 +185,9 @@
         Ok(connection) => connection,
         Err(failure) => {
             guard.report(HealthSignal::Failed);
+            if failure.may_be_of_path() {
+                path_check::report_failure(&call.gateway, &guard.listing);
+            }
             return SendResult::Unsent(Some(failure));
         }
     };
@@ -199,9 +208,12 @@
     headers.insert(&names.expected_target, expected);
     call.record_send_start();
     guard.is_unanswered = true;
+    let is_new_connection = !connection.is_reused();
     match connection.send(request).await {
         ExchangeResult::Answered(response) => {
             guard.is_unanswered = false;
+            let Listing { id, service, .. } = &guard.listing;
+            call.gateway.target_paths().record_response(call.gateway.now(), service, id, is_new_connection);
             guard.connection = Some(connection);
             read_response(call, guard, response).await
         }
@@ -300,7 +312,7 @@
             // deadline nobody waits for it.
             let has_length = remainder.size_hint().exact().is_some();
             let deadline = (!has_length).then(|| call.gateway.clock.instant(call.deadline));
-            let body = ResponseBody::streaming(chunks, remainder, guard, deadline);
+            let body = ResponseBody::streaming(chunks, remainder, BodyGuard::Send(Box::new(guard)), deadline);
             SendResult::Answered(Box::new(TargetResponse { head, body }))
         }
         BufferedBody::Truncated => SendResult::Lost(guard.lost().await),
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -21,6 +21,7 @@
     apply::{apply_update, log_changes},
     backoff::{Backoff, JITTER},
     budget_shares::count_instances,
+    peer_paths,
     platform_adapter::{ChangesRequest, StoreError, Table},
     replica::{TableUpdate, UpdateResult},
     replication_client, seeds, suspect_store,
@@ -81,6 +82,7 @@
         ask_seeds_for_routing(&gateway),
         expire_targets(&gateway),
         count_instances(&gateway),
+        peer_paths::run(&gateway),
         suspect_store::write(&gateway),
         suspect_store::limit_start_wait(&gateway)
     );
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -2,7 +2,9 @@
 
 use std::{convert::Infallible, net::IpAddr, pin::pin, sync::Arc, time::Duration};
 
-use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request, Response, body::Incoming, header::HeaderValue, server::conn::http1, service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -10,14 +12,23 @@
 };
 
 use super::{
-    Gateway, call,
+    Gateway,
+    call::{self, RequestSource},
     head_timeout::{GuardedBody, HeadTimeoutStream, HeadTimer},
+    response::{ResponseBody, error_response},
+};
+use crate::{
+    error::ErrorKind,
+    kernel::Phase,
+    peer::forward::{FORWARD, FORWARDED_TO, ForwardHeader},
 };
-use crate::kernel::Phase;
 
 /// Smallest buffer for a request head that the HTTP library accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
 
+/// Most bytes that an instance adds to a head when it forwards a request.
+const MAX_ADDED_HEAD_BYTES: usize = 4 << 10;
+
 /// Time for which a connection may be idle while there is no routing table, which otherwise sets it.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -31,14 +42,23 @@
 /// responses. Callers allow one second for a connection, so this must be shorter.
 const MAX_START_WAIT: Duration = Duration::from_millis(400);
 
-/// Accepts connections from callers; runs until dropped.
-pub async fn listen(gateway: Arc<Gateway>, listener: TcpListener) {
+/// Who connects to an address of this instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Audience {
+    /// Callers.
+    Callers,
+    /// Other instances, which forward requests of their callers.
+    Instances,
+}
+
+/// Accepts connections from callers or from instances; runs until dropped.
+pub async fn listen(gateway: Arc<Gateway>, listener: TcpListener, audience: Audience) {
     // After a timeout, requests get error responses until routes and targets are known.
     let _ready_or_timeout = timeout(MAX_START_WAIT, gateway.wait_ready()).await;
     loop {
         match listener.accept().await {
             Ok((stream, address)) => {
-                tokio::spawn(serve(Arc::clone(&gateway), stream, address.ip()));
+                tokio::spawn(serve(Arc::clone(&gateway), stream, address.ip(), audience));
             }
             Err(e) => {
                 log::warn!("event=accept-failed error={:?}", e.to_string());
@@ -48,18 +68,24 @@
     }
 }
 
-/// Serves a caller's connection until either side ends it.
-async fn serve(gateway: Arc<Gateway>, stream: TcpStream, caller: IpAddr) {
+/// Serves a connection until either side ends it.
+async fn serve(gateway: Arc<Gateway>, stream: TcpStream, from: IpAddr, audience: Audience) {
     let _connected = gateway.in_progress().track_connection();
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("event=nodelay-failed error={:?}", e.to_string());
     }
     let limits = gateway.routing().map(|table| table.limits);
+    let caller_head_bytes =
+        limits.map_or(MIN_HEAD_BUFFER_BYTES, |l| l.max_head_bytes.max(MIN_HEAD_BUFFER_BYTES));
+    let max_head_bytes = match audience {
+        Audience::Callers => caller_head_bytes,
+        Audience::Instances => caller_head_bytes + MAX_ADDED_HEAD_BYTES,
+    };
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout))
-        .max_buf_size(limits.map_or(MIN_HEAD_BUFFER_BYTES, |l| l.max_head_bytes.max(MIN_HEAD_BUFFER_BYTES)));
+        .max_buf_size(max_head_bytes);
     let timer = HeadTimer::default();
     let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.head_timeout);
     let stream = HeadTimeoutStream::new(stream, timer.clone(), head_timeout);
@@ -68,7 +94,10 @@
         let gateway = Arc::clone(&shared);
         let guard = timer.head_complete();
         async move {
-            let response = call::handle(gateway, caller, request).await;
+            let response = match audience {
+                Audience::Callers => call::handle(gateway, RequestSource::Caller(from), request).await,
+                Audience::Instances => handle_forwarded(gateway, request).await,
+            };
             Ok::<_, Infallible>(response.map(|body| GuardedBody { body, guard }))
         }
     });
@@ -84,3 +113,20 @@
         log::debug!("event=caller-connection-ended error={:?}", e.to_string());
     }
 }
+
+/// Handles a request that another instance has forwarded.
+async fn handle_forwarded(gateway: Arc<Gateway>, mut request: Request<Incoming>) -> Response<ResponseBody> {
+    let own = gateway.config().instance.clone();
+    let header = request.headers_mut().remove(FORWARD).and_then(|value| ForwardHeader::decode(&value));
+    let mut response = match header {
+        Some(header) if header.to == own => {
+            call::handle(gateway, RequestSource::Instance(Box::new(header)), request).await
+        }
+        // Sent to an instance that had this address before, or by something that is none.
+        _ => error_response(ErrorKind::BadRequest, None),
+    };
+    if let Ok(name) = HeaderValue::from_str(own.as_str()) {
+        response.headers_mut().insert(FORWARDED_TO, name);
+    }
+    response
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -82,6 +82,7 @@
     repeats: Family<RepeatLabels, Counter>,
     probes: Family<ResultLabels, Counter>,
     connections: Family<ResultLabels, Counter>,
+    forwards: Family<SendLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
     store_restored: Counter,
     dropped_log_lines: Counter,
@@ -91,6 +92,7 @@
     suspects: Gauge,
     quarantined: Gauge,
     instances: Gauge,
+    paths_closed: Gauge,
     ready: Gauge,
     in_progress: Gauge,
     resident_bytes: Gauge,
@@ -110,6 +112,7 @@
             repeats: Family::default(),
             probes: Family::default(),
             connections: Family::default(),
+            forwards: Family::default(),
             store_calls: Family::default(),
             store_restored: Counter::default(),
             dropped_log_lines: Counter::default(),
@@ -119,6 +122,7 @@
             suspects: Gauge::default(),
             quarantined: Gauge::default(),
             instances: Gauge::default(),
+            paths_closed: Gauge::default(),
             ready: Gauge::default(),
             in_progress: Gauge::default(),
             resident_bytes: Gauge::default(),
@@ -137,6 +141,8 @@
         r.register("sends", "Ended sends to targets", self.sends.clone());
         r.register("sends_lost", "Sends without an answer, by state of the process", self.sends_lost.clone());
         r.register("sends_to_limited", "Sends to targets with a rate limit", self.sends_to_limited.clone());
+        r.register("forwards", "Ended offers of calls to other instances", self.forwards.clone());
+        r.register("paths_closed", "Services to whose targets there is no path", self.paths_closed.clone());
         r.register("repeats", "Sends after the first, wanted or made", self.repeats.clone());
         r.register("probes", "Ended probes", self.probes.clone());
         r.register("connections", "Connections to targets that were wanted", self.connections.clone());
@@ -202,6 +208,11 @@
         self.connections.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts an offer of a call to another instance that ended.
+    pub fn record_forward(&self, outcome: SendOutcome) {
+        self.forwards.get_or_create(&SendLabels { outcome: outcome.to_string() }).inc();
+    }
+
     /// Counts a call to the store; `result` is `answered` or the label of a `StoreError`.
     pub fn record_store_call(&self, result: &str) {
         self.store_calls.get_or_create(&ResultLabels { result: result.to_owned() }).inc();
@@ -239,6 +250,8 @@
         self.suspects.set(i64::try_from(suspects).unwrap_or(i64::MAX));
         self.quarantined.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
         self.instances.set(gateway.instance_count().map_or(0, |n| i64::try_from(n).unwrap_or(i64::MAX)));
+        let closed = gateway.target_paths().closed().len();
+        self.paths_closed.set(i64::try_from(closed).unwrap_or(i64::MAX));
         self.ready.set(i64::from(gateway.check_ready().is_ok()));
         self.in_progress.set(i64::try_from(gateway.in_progress().request_count()).unwrap_or(i64::MAX));
         self.resident_bytes.set(i64::try_from(resident_bytes()).unwrap_or(i64::MAX));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,18 +6,23 @@
 //! the setting `peer_seeds`. Instances also work without contact to each other.
 
 pub mod apply;
+pub mod attempt;
 pub mod backoff;
 pub mod budget_shares;
 pub mod call;
+pub mod call_context;
 pub mod config;
 pub mod exchange;
 pub mod follow;
 pub mod follower_places;
+pub mod forward;
 pub mod head_timeout;
 pub mod identity;
 pub mod known_instances;
 pub mod listen;
 pub mod metrics;
+pub mod path_check;
+pub mod peer_paths;
 pub mod platform_adapter;
 pub mod probe;
 pub mod rate_limits;
@@ -39,7 +44,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -56,7 +61,10 @@
     request_log::RequestLogLimiter,
 };
 use crate::{
-    decide::{service_pools::ServicePools, suspects::SuspectTable, unconfirmed_ends::UnconfirmedEnds},
+    decide::{
+        peer_paths::PeerPaths, service_pools::ServicePools, suspects::SuspectTable,
+        target_paths::TargetPaths, unconfirmed_ends::UnconfirmedEnds,
+    },
     error::{Error, ErrorKind, Result},
     kernel::{
         Phase,
@@ -74,8 +82,8 @@
 
 /// State that all tasks of one gateway instance share.
 ///
-/// A task holds at most one of the locks of `service_pools`, `replica`, `known_instances`, `suspects` and
-/// `unconfirmed_ends` at a time, and none across an await.
+/// A task holds at most one of the locks of `service_pools`, `replica`, `known_instances`, `suspects`,
+/// `unconfirmed_ends`, `target_paths` and `peer_paths` at a time, and none across an await.
 #[derive(Debug)]
 pub struct Gateway {
     /// Clock of this process.
@@ -84,8 +92,12 @@
     pub run_id: RunId,
     /// Access to the platform's store, formats and headers.
     pub platform: PlatformAdapter,
+    /// Start time of this process in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
     /// Connections to targets.
     pub connections: Connections,
+    /// Connections to other instances that carry forwarded calls.
+    pub peer_connections: Connections,
     /// Metrics.
     pub metrics: Metrics,
     /// Limits how many requests are logged.
@@ -114,6 +126,10 @@
     quarantine_started: Notify,
     /// Key of the hashes that identify requests; one of this instance's own until the shared one is known.
     identity_key: ArcSwap<KeyInUse>,
+    target_paths: Mutex<TargetPaths>,
+    peer_paths: Mutex<PeerPaths>,
+    /// Incremented when what is known of instances' paths changes, so that other instances may need to hear of it.
+    paths_changed: watch::Sender<u64>,
     targets_known: watch::Sender<bool>,
     /// Whether the suspects have been read or received, or are no longer waited for.
     suspects_known: watch::Sender<bool>,
@@ -143,6 +159,8 @@
             clock: Clock::start(),
             run_id: RunId::from(seed),
             platform,
+            started_unix_ms: unix_ms(),
+            peer_connections: Connections::default(),
             connections: Connections::from_source(config.targets_source),
             metrics: Metrics::default(),
             request_log_limiter: RequestLogLimiter::default(),
@@ -159,6 +177,9 @@
             suspects_changed: watch::Sender::new(0),
             quarantine_started: Notify::new(),
             identity_key: ArcSwap::from_pointee(KeyInUse { key: IdentityKey::random(), is_shared: false }),
+            target_paths: Mutex::default(),
+            peer_paths: Mutex::new(PeerPaths::new(config.instance.clone())),
+            paths_changed: watch::Sender::new(0),
             targets_known: watch::Sender::new(false),
             suspects_known: watch::Sender::new(false),
             seed_routing_known: watch::Sender::new(false),
@@ -278,6 +299,38 @@
         &self.quarantine_started
     }
 
+    /// Locks what is known of this instance's paths to targets.
+    pub fn target_paths(&self) -> MutexGuard<'_, TargetPaths> {
+        self.target_paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks what instances state of their paths to targets.
+    pub fn peer_paths(&self) -> MutexGuard<'_, PeerPaths> {
+        self.peer_paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Makes the links to other instances check whether they have to send changed statements of paths.
+    pub fn notify_path_change(&self) {
+        self.paths_changed.send_modify(|n| *n += 1);
+    }
+
+    /// Returns a receiver that changes when other instances may need to hear of changed paths.
+    pub fn watch_paths(&self) -> watch::Receiver<u64> {
+        self.paths_changed.subscribe()
+    }
+
+    /// Returns whether this instance has no path to any target, and knows no other instance that has.
+    pub fn is_cut_off(&self) -> bool {
+        let closed = self.target_paths().closed();
+        if closed.is_empty() {
+            return false;
+        }
+        let is_open = self.service_pools().directory.listings().any(|l| !closed.contains(&l.service));
+        let now = self.now();
+        let peer_paths = self.peer_paths();
+        !is_open && !closed.iter().any(|service| peer_paths.has_path(now, service))
+    }
+
     /// Returns the key of the hashes that identify requests.
     pub fn identity_key(&self) -> KeyInUse {
         **self.identity_key.load()
@@ -379,7 +432,8 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::Leaving`] during shutdown, [`ErrorKind::NoPlan`] until routes, targets and suspects are known.
+    /// [`ErrorKind::Leaving`] during shutdown, [`ErrorKind::NoPlan`] until routes, targets and suspects are known,
+    /// [`ErrorKind::NoPath`] while it could serve nothing.
     pub fn check_ready(&self) -> Result<(), ErrorKind> {
         if self.is_leaving() {
             return Err(ErrorKind::Leaving);
@@ -387,6 +441,9 @@
         if !self.are_routes_and_targets_known() || !self.are_suspects_known() {
             return Err(ErrorKind::NoPlan);
         }
+        if self.is_cut_off() {
+            return Err(ErrorKind::NoPath);
+        }
         Ok(())
     }
 
@@ -454,3 +511,9 @@
         });
     }
 }
+
+/// Returns the time of day; 0 if the clock is set to a time before the epoch.
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -11,7 +11,7 @@
 use super::{
     Gateway,
     exchange::{connect, discard},
-    rate_limits,
+    path_check, rate_limits,
 };
 use crate::{
     decide::{directory::Listing, probed_target::LoadReading},
@@ -35,6 +35,9 @@
         if let Err(failure) = probed {
             let Listing { id, service, .. } = &listing;
             log::info!("event=probe-failed target={id} service={service} cause={failure}");
+            if failure.may_be_of_path() {
+                path_check::report_failure(&gateway, &listing);
+            }
         }
         let reading = probed.ok();
         let now = gateway.now();
@@ -60,20 +63,45 @@
     NotRouted,
 }
 
+impl ProbeFailure {
+    /// Returns whether this host may have no path to the target.
+    fn may_be_of_path(self) -> bool {
+        match self {
+            Self::Connect(failure) => failure.may_be_of_path(),
+            Self::TimedOut | Self::Lost => true,
+            Self::Invalid | Self::NotRouted => false,
+        }
+    }
+}
+
+/// Returns whether a target can be reached by a new connection. One that states a rate limit is sent no request.
+pub async fn reach(gateway: &Gateway, listing: &Listing) -> bool {
+    let Ok(mut connection) = gateway.connections.open_beyond_limit(listing.address).await else {
+        return false;
+    };
+    let is_limited = gateway.service_pools().rate_limit(&listing.service, &listing.id).is_some();
+    if is_limited {
+        return true;
+    }
+    let Ok(request) = probe_request(gateway, listing) else { return true };
+    let ExchangeResult::Answered(response) = connection.send(request).await else { return false };
+    if discard(response.into_body()).await {
+        connection.release();
+    }
+    true
+}
+
 /// Sends one probe and returns the target's load.
 async fn probe(gateway: &Gateway, listing: &Listing) -> Result<LoadReading, ProbeFailure> {
-    let routing = gateway.routing();
-    let service = routing.as_ref().and_then(|routing| routing.services.get(&listing.service));
-    let path = service.ok_or(ProbeFailure::NotRouted)?.health_path.as_str();
-    let request = Request::get(path)
-        .header(header::HOST, listing.address.to_string())
-        .body(RequestBody::Buffered(Full::new(Bytes::new())))
-        .map_err(|_malformed| ProbeFailure::NotRouted)?;
+    let request = probe_request(gateway, listing)?;
     let connection = connect(gateway, listing, ReusePolicy::AnyIdle).await;
     let mut connection = connection.map_err(ProbeFailure::Connect)?;
+    let is_new_connection = !connection.is_reused();
     let ExchangeResult::Answered(response) = connection.send(request).await else {
         return Err(ProbeFailure::Lost);
     };
+    let Listing { id, service, .. } = listing;
+    gateway.target_paths().record_response(gateway.now(), service, id, is_new_connection);
     let names = &gateway.platform.headers;
     let headers = response.headers();
     let is_expected_target = headers.get(&names.target_id).is_some_and(|id| id == listing.id.as_str());
@@ -93,3 +121,11 @@
     }
     reading.ok_or(ProbeFailure::Invalid)
 }
+
+fn probe_request(gateway: &Gateway, listing: &Listing) -> Result<Request<RequestBody>, ProbeFailure> {
+    let routing = gateway.routing();
+    let service = routing.as_ref().and_then(|routing| routing.services.get(&listing.service));
+    let path = service.ok_or(ProbeFailure::NotRouted)?.health_path.as_str();
+    let request = Request::get(path).header(header::HOST, listing.address.to_string());
+    request.body(RequestBody::Buffered(Full::new(Bytes::new()))).map_err(|_malformed| ProbeFailure::NotRouted)
+}
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -15,6 +15,7 @@
     Gateway,
     apply::apply_update,
     follow::{MAX_CURRENT_AGE, SEED_MAX_CURRENT_AGE, read_from_store},
+    peer_paths::{self, SentPaths},
     platform_adapter::{Table, TableRow, TableRows},
     rate_limits::{self, SentRateLimits},
     replica::{ReplicaStatus, TableUpdate, UpdateResult},
@@ -135,6 +136,7 @@
             | Frame::StoreRows(_)
             | Frame::StoreAnsweredFor(_)
             | Frame::RateLimits(_) => {}
+            Frame::Paths(entries) => peer_paths::receive(gateway, entries),
             Frame::IdentityKey(key) => suspects::receive_key(gateway, key.into(), false),
             Frame::Suspects(entries) => suspects::receive(gateway, entries),
             _ => return Err("unexpected frame type".into()),
@@ -283,6 +285,7 @@
                 Frame::RateLimits(entries) => rate_limits::receive(self.gateway, entries),
                 Frame::IdentityKey(key) => suspects::receive_key(self.gateway, key.into(), true),
                 Frame::Suspects(entries) => suspects::receive(self.gateway, entries),
+                Frame::Paths(entries) => peer_paths::receive(self.gateway, entries),
                 _ => return Err("unexpected frame type".into()),
             }
         }
@@ -354,7 +357,7 @@
 }
 
 /// Sends to the followed instance the known instance names whenever there are new ones, and at least every
-/// [`NAMES_RESEND_PERIOD`], and changes of targets' rate limits and of suspects at once.
+/// [`NAMES_RESEND_PERIOD`], and changes of targets' rate limits, of suspects and of paths at once.
 async fn send_updates(
     gateway: &Gateway,
     sent_revision: u64,
@@ -365,9 +368,12 @@
     let mut limit_changes = gateway.watch_rate_limits();
     let mut sent_suspects = SentSuspects::default();
     let mut suspect_changes = gateway.watch_suspects();
+    let mut sent_paths = SentPaths::default();
+    let mut path_changes = gateway.watch_paths();
     loop {
         let mut frames = sent_limits.next_frames(gateway, None);
         frames.extend(sent_suspects.next_frames(gateway));
+        frames.extend(sent_paths.next_frames(gateway));
         let (revision, instances) = revision_and_names(gateway);
         if revision != last_sent.0 || gateway.now().since(last_sent.1) > NAMES_RESEND_PERIOD {
             frames.push(Frame::KnownInstances(instances));
@@ -379,6 +385,7 @@
         tokio::select! {
             changed = limit_changes.changed() => changed?,
             changed = suspects::wait_for_change(&mut suspect_changes) => changed?,
+            changed = path_changes.changed() => changed?,
             () = sleep(NAMES_CHECK_PERIOD) => {}
         }
     }
--- a/src/gateway/replication_server.rs
+++ b/src/gateway/replication_server.rs
@@ -15,6 +15,7 @@
 use super::{
     Gateway,
     follower_places::FollowerPlace,
+    peer_paths::{self, SentPaths},
     platform_adapter::{Table, TableRow, TableRows},
     rate_limits::{self, SentRateLimits},
     replica::TableUpdate,
@@ -114,6 +115,7 @@
             place: subscription.wants_rows.then(|| gateway.follower_places.take()),
             sent_limits: SentRateLimits::default(),
             sent_suspects: SentSuspects::default(),
+            sent_paths: SentPaths::default(),
             stream,
         };
         tokio::select! {
@@ -158,6 +160,7 @@
                 Frame::RateLimits(entries) => rate_limits::receive(gateway, entries),
                 Frame::IdentityKey(key) => suspects::receive_key(gateway, key.into(), false),
                 Frame::Suspects(entries) => suspects::receive(gateway, entries),
+                Frame::Paths(entries) => peer_paths::receive(gateway, entries),
                 _ => return Err("unexpected frame type".into()),
             }
         }
@@ -197,6 +200,7 @@
     place: Option<FollowerPlace>,
     sent_limits: SentRateLimits,
     sent_suspects: SentSuspects,
+    sent_paths: SentPaths,
     stream: SendStream<Bytes>,
 }
 
@@ -205,6 +209,7 @@
         let mut replica_changes: watch::Receiver<u64> = self.gateway.watch_replica();
         let mut limit_changes = self.gateway.watch_rate_limits();
         let mut suspect_changes = self.gateway.watch_suspects();
+        let mut path_changes = self.gateway.watch_paths();
         let mut period = interval(HEARTBEAT_PERIOD);
         period.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut sent_store_lost = false;
@@ -225,6 +230,10 @@
                     changed?;
                     false
                 }
+                changed = path_changes.changed() => {
+                    changed?;
+                    false
+                }
             };
             if self.gateway.is_leaving() {
                 return Ok(());
@@ -253,6 +262,7 @@
                 let place = self.place.as_ref().map(FollowerPlace::phase);
                 // After the rows, so that the follower knows the targets.
                 frames.extend(self.sent_limits.next_frames(self.gateway, place));
+                frames.extend(self.sent_paths.next_frames(self.gateway));
             }
             let has_changes =
                 has_new_era || frames.len() > frames_without_rows || state.is_store_lost != sent_store_lost;
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -15,7 +15,7 @@
     logging::{Quoted, SELF_LIMITED_MODULE},
     proxy::connection::ConnectFailure,
     routing::{Route, RoutingVersion},
-    units::{MonoTime, PerSecond, ServiceName, TargetId},
+    units::{InstanceId, MonoTime, PerSecond, ServiceName, TargetId},
 };
 
 /// Notable requests that are logged per second in the long run. A request is notable unless it got a response
@@ -83,6 +83,18 @@
         /// Why there was no connection for a send that was not made.
         failure: Option<ConnectFailure>,
     },
+    /// The request is offered to another instance.
+    Forwarded {
+        /// The other instance.
+        instance: InstanceId,
+    },
+    /// The other instance has answered, or not.
+    ForwardEnded {
+        /// The other instance.
+        instance: InstanceId,
+        /// What became of the offer.
+        outcome: SendOutcome,
+    },
     /// The request should be sent again.
     Repeat {
         /// Reason for the repeat.
@@ -253,6 +265,15 @@
                          {failure}"
                     )
                 }
+                RequestEvent::Forwarded { instance } => write!(
+                    line,
+                    "event=request-forwarded request={request} after_ms={after_ms} instance={instance}"
+                ),
+                RequestEvent::ForwardEnded { instance, outcome } => write!(
+                    line,
+                    "event=forward-ended request={request} after_ms={after_ms} instance={instance} \
+                     outcome={outcome}"
+                ),
                 RequestEvent::Repeat { cause, within_budget } => write!(
                     line,
                     "event=request-repeat request={request} after_ms={after_ms} cause={cause} \
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -16,7 +16,7 @@
 
 use tokio::time::{Instant, Sleep, sleep_until};
 
-use super::exchange::SendGuard;
+use super::{exchange::SendGuard, forward::ForwardGuard};
 use crate::{
     error::ErrorKind,
     proxy::{body::BodyError, headers},
@@ -31,11 +31,37 @@
     remainder: Option<Box<Remainder>>,
 }
 
+/// What is done when a body that is still arriving ends, by where it comes from.
+#[derive(Debug)]
+pub enum BodyGuard {
+    /// From a target.
+    Send(Box<SendGuard>),
+    /// From another instance.
+    Forward(ForwardGuard),
+}
+
+impl BodyGuard {
+    fn completed(self) {
+        match self {
+            Self::Send(guard) => guard.completed(),
+            Self::Forward(guard) => guard.completed(),
+        }
+    }
+
+    /// Ends a body that broke off. What this shows of the request is found out without its caller; of a forwarded
+    /// one, the other instance finds it out.
+    fn lost(self) {
+        if let Self::Send(guard) = self {
+            tokio::spawn(guard.lost());
+        }
+    }
+}
+
 /// The unread part of a target's response body.
 #[derive(Debug)]
 struct Remainder {
     body: Incoming,
-    guard: SendGuard,
+    guard: BodyGuard,
     /// Ends at the time until which the body may go on; `None` if it ends by itself.
     deadline: Option<Pin<Box<Sleep>>>,
 }
@@ -58,7 +84,7 @@
     pub fn streaming(
         chunks: VecDeque<Bytes>,
         body: Incoming,
-        guard: SendGuard,
+        guard: BodyGuard,
         deadline: Option<Instant>,
     ) -> Self {
         let deadline = deadline.map(|at| Box::pin(sleep_until(at)));
@@ -66,11 +92,6 @@
     }
 }
 
-/// Ends a send whose response broke off; what this shows of the request is found out without its caller.
-fn end_lost(guard: SendGuard) {
-    tokio::spawn(guard.lost());
-}
-
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -84,7 +105,7 @@
         }
         let Some(mut remainder) = self.remainder.take() else { return Poll::Ready(None) };
         if remainder.is_overdue(cx) {
-            end_lost(remainder.guard);
+            remainder.guard.lost();
             return Poll::Ready(Some(Err(BodyError::Truncated)));
         }
         match Pin::new(&mut remainder.body).poll_frame(cx) {
@@ -97,7 +118,7 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(_))) => {
-                end_lost(remainder.guard);
+                remainder.guard.lost();
                 Poll::Ready(Some(Err(BodyError::Truncated)))
             }
             Poll::Ready(None) => {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -8,7 +8,13 @@
     time::{Instant, sleep, timeout_at},
 };
 
-use super::{Gateway, config::Config, follow, listen, ready, reload, replication_server};
+use super::{
+    Gateway,
+    config::Config,
+    follow,
+    listen::{self, Audience},
+    ready, reload, replication_server,
+};
 use crate::{
     error::{Error, ErrorKind, Result},
     logging,
@@ -43,6 +49,9 @@
     let ready_listener = bind("ready_address", &mut config.ready_address)?;
     let metrics_listener = bind("metrics_address", &mut config.metrics_address)?;
     let peers = bind("peers_address", &mut config.peers_address)?;
+    let mut forward_address = config.forward_address;
+    let forwards = forward_address.as_mut().map(|address| bind("forward_address", address)).transpose()?;
+    config.forward_address = forward_address;
     let gateway = Gateway::open(config)?;
     log_start(&gateway);
     tokio::spawn(ready::listen(Arc::clone(&gateway), ready_listener));
@@ -50,7 +59,10 @@
     tokio::spawn(report_log_gaps(Arc::clone(&gateway)));
     tokio::spawn(replication_server::listen(Arc::clone(&gateway), peers));
     tokio::spawn(follow::run(Arc::clone(&gateway)));
-    tokio::spawn(listen::listen(Arc::clone(&gateway), callers));
+    if let Some(listener) = forwards {
+        tokio::spawn(listen::listen(Arc::clone(&gateway), listener, Audience::Instances));
+    }
+    tokio::spawn(listen::listen(Arc::clone(&gateway), callers, Audience::Callers));
     wait_for_shutdown_signal(&gateway, path, loaded).await?;
     shut_down(&gateway).await;
     logging::flush();
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     store_position::StoreEra,
-    units::{DataCentre, InstanceId, PlanVersion, RequestDigest, RunId, TargetId},
+    units::{DataCentre, InstanceId, PlanVersion, RequestDigest, RunId, ServiceName, TargetId},
 };
 
 /// Version of the peer protocol; an instance closes links whose hello states another one.
@@ -163,6 +163,23 @@
     pub age_ms: u32,
 }
 
+/// What an instance states of its paths to targets.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PathEntry {
+    /// The instance, not necessarily the sender.
+    pub instance: InstanceId,
+    /// Start time of its process in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
+    /// Number of statements that this process had made before; of two entries, the one with more is later.
+    pub version: u32,
+    /// Address on which it takes requests from other instances.
+    pub address: SocketAddr,
+    /// Whether it takes any.
+    pub is_accepting: bool,
+    /// Services to whose targets it has no path.
+    pub closed: Vec<ServiceName>,
+}
+
 /// Message between two instances.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Frame {
@@ -198,6 +215,8 @@
     IdentityKey([u8; 16]),
     /// Requests under which targets have ended. Instances that don't know it skip it.
     Suspects(Vec<SuspectEntry>),
+    /// Paths of instances to targets. Instances that don't know it skip it.
+    Paths(Vec<PathEntry>),
 }
 
 const TAG_HELLO: u8 = 1;
@@ -215,6 +234,7 @@
 const TAG_RATE_LIMITS: u8 = 13;
 const TAG_IDENTITY_KEY: u8 = 14;
 const TAG_SUSPECTS: u8 = 15;
+const TAG_PATHS: u8 = 16;
 
 /// Largest frame accepted from a peer, tag and body, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
@@ -269,6 +289,7 @@
         Frame::RateLimits(entries) => (TAG_RATE_LIMITS, to_bytes(entries)),
         Frame::IdentityKey(key) => (TAG_IDENTITY_KEY, to_bytes(key)),
         Frame::Suspects(entries) => (TAG_SUSPECTS, to_bytes(entries)),
+        Frame::Paths(entries) => (TAG_PATHS, to_bytes(entries)),
     };
     encode_raw(tag, &body)
 }
@@ -366,6 +387,7 @@
         TAG_RATE_LIMITS => Frame::RateLimits(from_bytes(tag, &body)?),
         TAG_IDENTITY_KEY => Frame::IdentityKey(from_bytes(tag, &body)?),
         TAG_SUSPECTS => Frame::Suspects(from_bytes(tag, &body)?),
+        TAG_PATHS => Frame::Paths(from_bytes(tag, &body)?),
         _ => return Ok(None),
     }))
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub mod drain_notices;
+pub mod forward;
 pub mod frame;
 pub mod link;
 pub mod loads;
--- a/src/peer/receive.rs
+++ b/src/peer/receive.rs
@@ -138,7 +138,8 @@
             | Frame::StoreAnsweredFor(_)
             | Frame::RateLimits(_)
             | Frame::IdentityKey(_)
-            | Frame::Suspects(_) => {}
+            | Frame::Suspects(_)
+            | Frame::Paths(_) => {}
         }
         Ok(())
     }
--- a/src/proxy/connection.rs
+++ b/src/proxy/connection.rs
@@ -200,6 +200,13 @@
     Failed,
 }
 
+impl ConnectFailure {
+    /// Returns whether this host may have no path to the target, rather than too many connections to it.
+    pub fn may_be_of_path(self) -> bool {
+        self != Self::NoPermit
+    }
+}
+
 impl From<io::Error> for ConnectFailure {
     fn from(error: io::Error) -> Self {
         match error.kind() {
@@ -347,6 +354,18 @@
         }
     }
 
+    /// Returns a new connection for one request, even if this instance has as many to the target as it may have.
+    ///
+    /// # Errors
+    ///
+    /// Why none could be opened.
+    pub async fn open_beyond_limit(&self, address: SocketAddr) -> Result<Connection, ConnectFailure> {
+        let target = self.target(address);
+        target.open.count.fetch_add(1, Ordering::AcqRel);
+        let permit = ConnectionPermit { open: Arc::clone(&target.open) };
+        connect(address, self.source, target, permit).await
+    }
+
     /// Returns the number of open connections to a target.
     pub fn open_count(&self, address: SocketAddr) -> usize {
         self.target(address).open.count.load(Ordering::Acquire)
--- a/tests/gateway_cut_off.rs
+++ b/tests/gateway_cut_off.rs
@@ -76,7 +76,7 @@
         let send = |number: usize| async move {
             tokio::time::sleep(REQUEST_GAP * u32::try_from(number).expect("it is small")).await;
             let (method, path) =
-                if number % 2 == 0 { (Method::GET, "/read/x") } else { (Method::POST, "/charge/x") };
+                if number.is_multiple_of(2) { (Method::GET, "/read/x") } else { (Method::POST, "/charge/x") };
             let id = format!("{prefix}-{number}");
             let response = self.deployment.send(instance.callers, method, path, &id).await;
             response.is_ok_and(|r| r.status == 200 && r.body == format!("body of {id}"))
@@ -144,6 +144,8 @@
         deployment.served(&deployment.cut_off, "between", 10).await;
     }
     for instance in [&deployment.cut_off, &deployment.other] {
-        assert!(!instance.logged(&["event=quarantine"]), "a request was quarantined");
+        for event in ["event=target-ended", "event=suspect", "event=quarantine"] {
+            assert!(!instance.logged(&[event]), "{event}");
+        }
     }
 }
--- a/tests/gateway_env/mod.rs
+++ b/tests/gateway_env/mod.rs
@@ -145,6 +145,7 @@
             "ready_address": "127.0.0.1:0",
             "metrics_address": "127.0.0.1:0",
             "peers_address": "127.0.0.1:0",
+            "forward_address": "127.0.0.1:0",
             "place": "stadtwerke",
             "store_address": self.store.server.address,
             "grace_s": 6.0,
--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -3,8 +3,8 @@
 use arbutusshelf::{
     peer::frame::{
         Decoder, DrainNotice, Frame, FrameError, Heartbeat, Hello, LoadCount, Loads, MAX_SMALL_FRAME_BYTES,
-        PROTOCOL_VERSION, RateLimitEntry, StoreRow, StoreRows, StoreState, StoreSubscription, SuspectEntry,
-        encode, encode_raw,
+        PROTOCOL_VERSION, PathEntry, RateLimitEntry, StoreRow, StoreRows, StoreState, StoreSubscription,
+        SuspectEntry, encode, encode_raw,
     },
     store_position::StoreEra,
     units::RunId,
@@ -72,6 +72,14 @@
             ends: 2,
             age_ms: 40,
         }]),
+        Frame::Paths(vec![PathEntry {
+            instance: "kremsau-01".parse().expect("a name"),
+            started_unix_ms: 1_780_000_000_000,
+            version: 4,
+            address: "127.0.0.1:7620".parse().expect("an address"),
+            is_accepting: true,
+            closed: vec!["plan".parse().expect("a name")],
+        }]),
     ]
 }
 
@@ -115,10 +123,11 @@
         Frame::RateLimits(_) => 12,
         Frame::IdentityKey(_) => 13,
         Frame::Suspects(_) => 14,
+        Frame::Paths(_) => 15,
     };
     let mut numbers = sample_frames().iter().map(number).collect::<Vec<_>>();
     numbers.dedup();
-    assert_eq!(numbers, (0..=14).collect::<Vec<_>>());
+    assert_eq!(numbers, (0..=15).collect::<Vec<_>>());
 }
 
 #[test]
