Take a target as ended only if another one is reached

What callers saw: reads that harm nobody were quarantined at all instances, 30 of 60 refused at one that had never been cut off.

Cause: a target counted as ended if it refused connections and none was open any more. From an instance without a path, each target with a lost send looks like that, and the count of ends is shared.

Change: that nothing listens at a target shows its end only if this instance has reached another target since the send was lost, or reaches one now, of the same service first. Otherwise the end stays unconfirmed; the directory can still confirm it.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -142,7 +142,7 @@
         self.is_unanswered = true;
         let lost_at = self.gateway.now();
         path_check::report_failure(&self.gateway, &self.listing);
-        let process = target_end::check(&self.gateway, &self.listing).await;
+        let process = target_end::check(&self.gateway, &self.listing, lost_at).await;
         if let Some(watch) = self.watch.take() {
             watch.lost(&self.listing, process, lost_at);
         }
