Don't take a refusal without an identifier for that of the latest request

What callers would see: 'not run, try again' (429) for a charge that its target has executed. Reported by operators of similar systems: a faulty target wrote an earlier refusal once more on a kept connection.

Cause: a refusal that states another request's identifier was dropped, but one that states none was taken for that of the request in progress.

Change: on a connection that has carried another request, a refusal counts only with the identifier of its request; otherwise the send is lost. On a new connection there is no earlier request.

Evidence: a_refusal_that_is_sent_once_more_is_not_taken_for_that_of_the_next_request failed before with 'a1: 429' for refusals without an identifier and passes. Two other reports can't happen here, which tests of the same file show, passing before the change: a response that ends in its head is no success, and odd entries in the directory (deep nesting, numbers and ports out of range, other types, bytes that are no text) stop no instance and hide no target.

--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -43,6 +43,14 @@
     CloseDelimited,
     /// Refuses them with 421, as another worker that took over the address does.
     Misdirected,
+    /// Refuses the first request on each connection. Sends that refusal once more when the next request has arrived,
+    /// and executes that one.
+    RepeatRefusal {
+        /// Whether the refusals state the identifier of the request that was refused.
+        with_id: bool,
+    },
+    /// Executes them and closes the connection after that many bytes of the response's head.
+    CutHead(usize),
 }
 
 /// One request that a worker received, whether it executed or refused it.
@@ -247,6 +255,7 @@
     ended: &watch::Sender<bool>,
 ) -> std::io::Result<()> {
     let mut buffer = Vec::new();
+    let mut last_refusal = None;
     while let Some(request) = read_request(&mut stream, &mut buffer).await? {
         let load_headers = {
             let state = lock(state);
@@ -264,6 +273,19 @@
             stream.write_all(response.as_bytes()).await?;
             continue;
         }
+        let mode = lock(state).mode;
+        if let WorkerMode::RepeatRefusal { with_id } = mode {
+            if let Some(refusal) = last_refusal.take() {
+                stream.write_all(Vec::as_slice(&refusal)).await?;
+            } else {
+                let refusal =
+                    refusal(&request, "503 Service Unavailable\r\nX-Not-Executed: 1", &load_headers, with_id);
+                lock(state).refused.push(request);
+                stream.write_all(&refusal).await?;
+                last_refusal = Some(refusal);
+                continue;
+            }
+        }
         let is_fatal = {
             let state = lock(state);
             let line = request.head.lines().next().unwrap_or_default();
@@ -313,6 +335,13 @@
     }
 }
 
+/// Returns the bytes of a response that states that a request was not executed.
+fn refusal(request: &WorkerRequest, status: &str, load_headers: &str, with_id: bool) -> Vec<u8> {
+    let id = request.header("x-attempt-id").filter(|_| with_id);
+    let id = id.map(|id| format!("X-Attempt-Id: {id}\r\n")).unwrap_or_default();
+    format!("HTTP/1.1 {status}\r\n{id}{load_headers}Content-Length: 0\r\n\r\n").into_bytes()
+}
+
 /// Executes or refuses one request; returns whether the connection stays open.
 async fn handle(
     stream: &mut TcpStream,
@@ -334,8 +363,7 @@
     };
     if let Some(refusal) = refusal {
         lock(state).refused.push(request.clone());
-        let response = format!("HTTP/1.1 {refusal}\r\n{load_headers}Content-Length: 0\r\n\r\n");
-        stream.write_all(response.as_bytes()).await?;
+        stream.write_all(&self::refusal(request, refusal, load_headers, true)).await?;
         return Ok(true);
     }
     let index = {
@@ -392,6 +420,11 @@
             stream.write_all(format!("{head}Content-Length: {length}\r\n\r\n{half}").as_bytes()).await?;
             return Ok(false);
         }
+        WorkerMode::CutHead(bytes) => {
+            let response = format!("{head}Content-Length: {length}\r\n\r\n{body}");
+            stream.write_all(&response.as_bytes()[..bytes.min(response.len() - body.len() - 1)]).await?;
+            return Ok(false);
+        }
         WorkerMode::CloseDelimited => {
             stream.write_all(format!("{head}Connection: close\r\n\r\n{body}").as_bytes()).await?;
             return Ok(false);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -270,6 +270,7 @@
         let now = call.gateway.now();
         call.gateway.service_pools().record_reading(now, &guard.listing.service, &guard.listing.id, reading);
     }
+    let states_id = headers.contains_key(&names.request_id);
     // A target that rejects a request meant for another one does not execute it, even without the not-run
     // header.
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
@@ -277,6 +278,12 @@
         rate_limits::record(&call.gateway, &guard.listing, headers);
     }
     if is_misdirected || headers.contains_key(&names.not_run) {
+        let is_reused = guard.connection.as_ref().is_some_and(Connection::is_reused);
+        if is_reused && !states_id && !call.request_id.is_empty() {
+            // It may be that of an earlier request on the connection.
+            guard.report(HealthSignal::Failed);
+            return SendResult::Lost(ProcessState::Listening);
+        }
         if discard(response.into_body()).await {
             guard.return_connection();
         }
