--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -203,7 +203,6 @@
     }
     let own_fields = [headers::OUTCOME, headers::CAUSE].map(|name| (fields.get(&name).cloned(), name));
     headers::strip_non_forwardable(&mut head.headers);
-    head.headers.remove(FORWARDED_TO);
     for (value, name) in own_fields {
         if let Some(value) = value {
             head.headers.insert(name, value);
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -9,6 +9,7 @@
 use crate::{
     error::{ErrorKind, Outcome},
     observe::request_id::RequestId,
+    peer::forward::{FORWARD, FORWARDED_TO},
 };
 
 /// Outcome of the request, on responses to callers.
@@ -63,7 +64,7 @@
     for name in HOP_BY_HOP.iter().chain(&listed) {
         headers.remove(name);
     }
-    for name in [OUTCOME, CAUSE, STORED, LOAD, TARGET_STATE] {
+    for name in [OUTCOME, CAUSE, STORED, LOAD, TARGET_STATE, FORWARD, FORWARDED_TO] {
         headers.remove(name);
     }
 }
