Hold removals back only after an absence in which an entry can lapse

What callers saw: a target that left without a drain was used for up to 2.1 s, since the reader's connection to the store was reset at that moment.

Cause: any failed read of the directory started the grace period of 2 s after an outage, whose only purpose is entries that lapsed meanwhile. It counts from the return, so it uses up the whole of drainS before followers hear of the removal.

Change: the grace period starts only if the store was not heard for a heartbeat of the targets (new setting target_heartbeat_s, from the platform's settings, 1.5 s by default). A lease lasts three heartbeats, and the last renewal is at most one older than the absence, so nothing lapses in less than two; the other one is a margin for targets that are early or late. The time without an answer is never shorter than the absence, and after a reset or a late answer it is at most the 0.6 s of a long poll, the time limit of a call and a pause before the next one.

an_outage_of_the_store_is_survived_with_what_is_known was wrong: its outage of milliseconds let an entry 'expire'. It lasts a heartbeat now and checks the same.

--- a/src/decide/directory.rs
+++ b/src/decide/directory.rs
@@ -107,24 +107,35 @@
     removed: HashMap<String, RemovedTarget>,
     /// Latest position at which all rows were read; `None` before the first reading.
     position: Option<StorePosition>,
-    /// Whether the last access to the store failed.
-    is_store_unreachable: bool,
+    /// Time since which the store was not heard, if the last access to it failed.
+    unheard_since: Option<MonoTime>,
+    /// Shortest absence of the store in which an entry can lapse.
+    min_lapse_time: Duration,
     /// Time by which entries that expired during the outage must be registered again.
     grace_until: MonoTime,
 }
 
 impl Directory {
-    /// Records that the store does not answer.
-    pub fn store_lost(&mut self) {
-        self.is_store_unreachable = true;
+    /// Creates an empty directory. `min_lapse_time` is the shortest absence of the store in which an entry can lapse:
+    /// a lease lasts several heartbeats of its target, and the last one before the absence may have been a heartbeat
+    /// earlier.
+    pub fn new(min_lapse_time: Duration) -> Self {
+        Self { min_lapse_time, ..Self::default() }
+    }
+
+    /// Records that the store does not answer, and was heard last at `heard_at`. A later time of the same absence
+    /// changes nothing.
+    pub fn store_lost(&mut self, heard_at: MonoTime) {
+        self.unheard_since.get_or_insert(heard_at);
     }
 
     /// Records that the store answers again, and that it has answered some instance since `since`. Starts the
-    /// grace period if it did not answer before, and ends an earlier one sooner if the store was back sooner than
-    /// was known.
+    /// grace period if it was away for so long that an entry can have lapsed, and ends an earlier one sooner if the
+    /// store was back sooner than was known.
     pub fn store_answered(&mut self, since: MonoTime) {
         let until = since + STORE_RETURN_GRACE;
-        if std::mem::take(&mut self.is_store_unreachable) {
+        let unheard_since = self.unheard_since.take();
+        if unheard_since.is_some_and(|heard_at| since.since(heard_at) >= self.min_lapse_time) {
             self.grace_until = until;
         }
         self.grace_until = self.grace_until.min(until);
--- a/src/decide/service_pools.rs
+++ b/src/decide/service_pools.rs
@@ -48,11 +48,11 @@
 }
 
 impl ServicePools {
-    /// Creates the state without targets. Nothing may be retried until an allowance is set.
-    pub fn new(data_centre: DataCentre, seed: u64) -> Self {
+    /// Creates the state without targets. `min_lapse_time` is that of the directory. Nothing may be retried until an allowance is set.
+    pub fn new(data_centre: DataCentre, min_lapse_time: Duration, seed: u64) -> Self {
         let allowance = RepeatAllowance { ratio: 0.0, extra: 0.0, window: Duration::from_secs(1) };
         Self {
-            directory: Directory::default(),
+            directory: Directory::new(min_lapse_time),
             data_centre,
             seed,
             services: HashMap::default(),
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -66,6 +66,10 @@
     /// Grace period: longest time from the shutdown signal to the exit of the process, in seconds.
     pub grace_s: f64,
 
+    /// Time between two heartbeats of a target in the store, in seconds. An entry lapses after several missed ones.
+    #[serde(default = "default_target_heartbeat_s")]
+    pub target_heartbeat_s: f64,
+
     /// Part of the repeat budget that grows with the load: repeated sends (retries and hedges) per request to
     /// a service.
     pub repeat_ratio: f64,
@@ -93,6 +97,10 @@
     20
 }
 
+fn default_target_heartbeat_s() -> f64 {
+    1.5
+}
+
 fn default_log_level() -> LevelFilter {
     LevelFilter::Info
 }
@@ -120,6 +128,7 @@
             .map_err(|e| Error::new(ErrorKind::Settings, format!("settings: {e}")))?;
         let numbers = [
             ("grace_s", config.grace_s, 0.1..=3_600.0),
+            ("target_heartbeat_s", config.target_heartbeat_s, 0.1..=3_600.0),
             ("repeat_ratio", config.repeat_ratio, 0.0..=10.0),
             ("repeat_window_s", config.repeat_window_s, 0.1..=3_600.0),
             ("repeat_extra", config.repeat_extra, 0.0..=1e6),
@@ -157,4 +166,9 @@
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
     }
+
+    /// Returns the time between two heartbeats of a target in the store.
+    pub fn target_heartbeat(&self) -> Duration {
+        Duration::from_secs_f64(self.target_heartbeat_s)
+    }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -406,8 +406,9 @@
     if !std::mem::replace(&mut replica.status.is_store_lost, true) {
         log::warn!("event=store-lost table={table} error={:?}", error.to_string());
     }
+    let heard_at = replica.status.confirmed_at.unwrap_or_default();
     drop(replica);
-    gateway.service_pools().directory.store_lost();
+    gateway.service_pools().directory.store_lost(heard_at);
     gateway.notify_followers();
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -166,7 +166,11 @@
             request_log_limiter: RequestLogLimiter::default(),
             state_changed: Notify::new(),
             routing: ArcSwapOption::empty(),
-            service_pools: Mutex::new(ServicePools::new(config.data_centre.clone(), seed)),
+            service_pools: Mutex::new(ServicePools::new(
+                config.data_centre.clone(),
+                config.target_heartbeat(),
+                seed,
+            )),
             replica: Mutex::default(),
             known_instances: Mutex::new(KnownInstances::new(config.instance.clone())),
             replica_changed: watch::Sender::new(0),
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -294,12 +294,13 @@
     fn apply_state(&mut self, state: StoreState) -> Result<(), LinkError> {
         let gateway = self.gateway;
         let age = check_usable(gateway, self.era, &state)?;
-        let confirmed_at = Some(gateway.now_minus(age));
+        let confirmed_at = gateway.now_minus(age);
         let previous = {
             let mut replica = gateway.replica();
             let distance = state.distance + 1;
             let answered_since = self.answered_since.or(replica.status.answered_since);
             let is_store_lost = state.is_store_lost;
+            let confirmed_at = Some(confirmed_at);
             let status = ReplicaStatus { confirmed_at, is_store_lost, answered_since, distance };
             std::mem::replace(&mut replica.status, status)
         };
@@ -315,7 +316,7 @@
         }
         let directory = &mut gateway.service_pools().directory;
         if state.is_store_lost {
-            directory.store_lost();
+            directory.store_lost(confirmed_at);
         } else if let Some(since) = self.answered_since.or(previous.is_store_lost.then_some(gateway.now())) {
             directory.store_answered(since);
         }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -50,7 +50,7 @@
 fn an_entry_that_lapsed_in_an_outage_is_kept_until_it_must_be_back() {
     let mut directory = Directory::default();
     directory.apply(at(0), vec![row("a", 1, Some(listing("a"))), row("b", 2, Some(listing("b")))]);
-    directory.store_lost();
+    directory.store_lost(at(0));
     directory.store_answered(at(10_000));
     directory.apply(at(10_100), vec![row("a", 5, None), row("b", 6, None)]);
     assert_eq!(ids(&directory), ["a", "b"]);
@@ -60,11 +60,31 @@
     assert_eq!(ids(&directory), ["b"]);
 }
 
+// Guards against a target that is used for seconds after it has left, because a connection to the store was reset at
+// that moment, or an answer of it was late: nothing can have lapsed in so short a time.
+#[test]
+fn a_removal_after_a_short_loss_of_the_store_is_not_held_back() {
+    let heartbeat = Duration::from_millis(1_500);
+    for (absence_ms, is_held_back) in [(0, false), (94, false), (1_499, false), (1_500, true), (8_000, true)]
+    {
+        let mut directory = Directory::new(heartbeat);
+        directory.apply(at(0), vec![row("a", 1, Some(listing("a")))]);
+        // Several losses that follow each other don't add up.
+        for start in [10_000, 30_000, 50_000] {
+            directory.store_lost(at(start));
+            directory.store_lost(at(start + 1));
+            directory.store_answered(at(start + absence_ms));
+        }
+        directory.apply(at(50_001 + absence_ms), vec![row("a", 5, None)]);
+        assert_eq!(!ids(&directory).is_empty(), is_held_back, "{absence_ms}");
+    }
+}
+
 #[test]
 fn an_instance_that_was_cut_off_takes_the_grace_period_of_one_that_was_not() {
     let mut directory = Directory::default();
     directory.apply(at(0), vec![row("a", 1, Some(listing("a")))]);
-    directory.store_lost();
+    directory.store_lost(at(1_000));
     // It finds the store back, as far as it knows, and reads that the entry is gone.
     directory.store_answered(at(14_100));
     directory.apply(at(14_100), vec![row("a", 5, None)]);
@@ -79,7 +99,7 @@
     let mut directory = Directory::default();
     let leaving = Listing { draining: true, ..listing("a") };
     directory.apply(at(0), vec![row("a", 1, Some(leaving))]);
-    directory.store_lost();
+    directory.store_lost(at(0));
     directory.store_answered(at(1_000));
     directory.apply(at(1_100), vec![row("a", 2, None)]);
     assert!(ids(&directory).is_empty());
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -4,6 +4,8 @@
 mod gateway_env;
 
 use arbutusshelf::gateway::replication_server::MAX_UPDATE_BYTES;
+use std::time::Duration;
+
 use arbutusshelf_bench::rows::RowStoreFault;
 use gateway_env::{TestDeployment, manifest, route};
 use hyper::Method;
@@ -147,6 +149,9 @@
     drop(second);
 }
 
+/// Default time between two heartbeats of a target; its entry lapses after several missed ones.
+const TARGET_HEARTBEAT: Duration = Duration::from_millis(1_500);
+
 #[tokio::test]
 async fn an_outage_of_the_store_is_survived_with_what_is_known() {
     for fault in [RowStoreFault::Down, RowStoreFault::Throttled, RowStoreFault::InvalidJson] {
@@ -159,6 +164,7 @@
             deployment.send(gateway.callers, Method::POST, "/charge/x", "a1").await.expect("an answer");
         assert_eq!(answer.status, 200);
         // The entry expires during the outage, but the target is still running.
+        tokio::time::sleep(TARGET_HEARTBEAT).await;
         deployment.store.remove("servers", "i-1");
         deployment.store.set_fault(RowStoreFault::None);
         deployment
