Let the soak cut instances off from all workers, and check that their callers are served

One to all instances lose their way to the workers for 4 to 9 s, silently, by resets, or for new connections only. The checker compares their callers with those of the other instances by the users' bound, later than 3 s after the cut began and without other trouble at the instance or the store; the cut itself excuses nothing. A forged history that breaks the bound by one request is found, one that meets it is not.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,6 +2,7 @@
 //! load tests, measurements, trace replay and experiments. It is not part of a release.
 
 pub mod allocations;
+pub mod caller_cuts;
 pub mod claim_load;
 pub mod client;
 pub mod control;
--- a/bench/src/soak/checker.rs
+++ b/bench/src/soak/checker.rs
@@ -54,6 +54,12 @@
 /// Minimum share of requests that must be served after the last disturbance.
 const MIN_SERVED_SHARE: f64 = 0.25;
 
+/// Share of the requests at other instances that must be served at instances that are cut off from all workers.
+const MIN_CUT_OFF_SHARE: f64 = 2.0 / 3.0;
+
+/// Requests that may fail at such instances, besides one in fifty of all.
+const TOLERATED_CUT_OFF_COUNT: usize = 10;
+
 /// A property that must hold throughout a soak. Findings print it under the short name given by `display`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
 pub enum Invariant {
@@ -108,6 +114,9 @@
     /// Requests are served again after the last disturbance.
     #[display("Recover")]
     ServesAfterDisturbances,
+    /// Callers of instances that are cut off from all workers are served like those of others.
+    #[display("CutOff")]
+    ServesWhileCutOff,
 }
 
 /// A violated invariant.
@@ -152,6 +161,7 @@
     checker.check_fatal_requests(&mut findings);
     checker.check_cancellation(&mut findings);
     checker.check_processes(&mut findings);
+    checker.check_worker_cuts(&mut findings);
     checker.check_recovery(&mut findings);
     findings
 }
@@ -556,6 +566,59 @@
     }
 
     /// Checks that a minimum share of the requests to permanent routes is served after the last disturbance.
+    /// Checks requests that came to instances some time after these were cut off from all workers, with no other
+    /// trouble than that of workers.
+    fn check_worker_cuts(&self, findings: &mut Vec<Finding>) {
+        let cuts = &self.history.worker_cuts;
+        let is_cut = |a: &Attempt, settle_ms: u64| {
+            let overlaps =
+                |c: &&super::history::WorkerCut| c.from_ms + settle_ms <= a.sent_ms && a.sent_ms < c.to_ms;
+            cuts.iter().filter(overlaps).any(|c| c.instances.contains(&a.instance))
+        };
+        for cut in cuts {
+            let is_calm = |a: &&&Attempt| {
+                (cut.from_ms + self.bounds.settle_ms..cut.to_ms).contains(&a.sent_ms)
+                    && a.result != AttemptResult::CallerLeft
+                    && self.is_undisturbed(a.instance, a.sent_ms, a.ended_ms)
+                    && !a.request_line.contains(FATAL_MARKER)
+                    && !self.history.routes.iter().any(|r| a.request_line.contains(&r.prefix))
+            };
+            let calm = self.history.attempts.iter().collect::<Vec<_>>();
+            let calm = calm.iter().filter(is_calm).copied();
+            let (cut_off, others) = calm.partition::<Vec<_>, _>(|a| cut.instances.contains(&a.instance));
+            let others = others.into_iter().filter(|a| !is_cut(a, 0)).collect::<Vec<_>>();
+            let cut_off =
+                cut_off.into_iter().filter(|a| is_cut(a, self.bounds.settle_ms)).collect::<Vec<_>>();
+            let served = |attempts: &[&Attempt]| {
+                let is_served =
+                    |a: &&&Attempt| matches!(a.result, AttemptResult::Answered { status: 200, .. });
+                attempts.iter().filter(is_served).count()
+            };
+            let (served_cut_off, served_others) = (served(&cut_off), served(&others));
+            let failed = cut_off.len() - served_cut_off;
+            let all = self.history.attempts.len();
+            let share = |served: usize, of: usize| served as f64 / of.max(1) as f64;
+            if !others.is_empty()
+                && failed > TOLERATED_CUT_OFF_COUNT + all / 50
+                && share(served_cut_off, cut_off.len())
+                    < MIN_CUT_OFF_SHARE * share(served_others, others.len())
+            {
+                report(
+                    findings,
+                    Invariant::ServesWhileCutOff,
+                    format!(
+                        "cut off from workers from {} to {} ms: {served_cut_off} of {} requests served, elsewhere \
+                         {served_others} of {}",
+                        cut.from_ms,
+                        cut.to_ms,
+                        cut_off.len(),
+                        others.len()
+                    ),
+                );
+            }
+        }
+    }
+
     fn check_recovery(&self, findings: &mut Vec<Finding>) {
         let from_ms = self.history.undisturbed_from_ms + self.bounds.settle_ms;
         let is_due = |a: &&Attempt| {
--- a/bench/src/soak/cluster.rs
+++ b/bench/src/soak/cluster.rs
@@ -17,12 +17,14 @@
     callers::{CallerContext, FATAL_MARKER, ROUTE_HOST, ROUTE_TIMEOUT_MS, run_fatal_caller},
     checker::Bounds,
     history::{
-        Arrival, Disturbance, Drain, History, ProcessRun, RateLimitPeriod, RouteLifetime, Scope, WorkerEnd,
+        Arrival, Disturbance, Drain, History, ProcessRun, RateLimitPeriod, RouteLifetime, Scope, WorkerCut,
+        WorkerEnd,
     },
     instance::{Addresses, Launch, Process},
     schedule::{Action, Step},
 };
 use crate::{
+    caller_cuts::{CallerCut, CallerCuts},
     client::Caller,
     deployment::ANY_PORT,
     endless::{EndlessPart, EndlessTarget},
@@ -37,6 +39,9 @@
 /// Ports of an instance for callers, readiness checks, metrics and peers.
 const PORTS: [u16; 4] = [8_126, 8_125, 9_464, 8_122];
 
+/// Port of an instance for requests that other instances forward.
+const FORWARD_PORT: u16 = 8_121;
+
 /// Time that a worker takes for a request.
 const REQUEST_TIME: Duration = Duration::from_millis(25);
 
@@ -132,6 +137,7 @@
     pub callers: Arc<CallerContext>,
     store: RowStoreStandIn,
     relays: Vec<Relays>,
+    caller_cuts: CallerCuts,
     /// Callers of requests that end workers; they go on until the end of the soak.
     fatal_callers: Mutex<JoinSet<()>>,
     state: Mutex<State>,
@@ -225,6 +231,7 @@
             callers: Arc::new(context),
             store,
             relays,
+            caller_cuts: CallerCuts::default(),
             fatal_callers: Mutex::default(),
             state: Mutex::new(state),
         };
@@ -257,6 +264,7 @@
         let worker = WorkerStandIn::start_at(&id, address).await.map_err(|e| unavailable(&e))?;
         worker.set_service_time(REQUEST_TIME);
         worker.set_fatal_marker(FATAL_MARKER);
+        worker.set_caller_cuts(&self.caller_cuts);
         self.store.put_json("servers", &id, &server_row(worker.address, "ready"));
         Ok(worker)
     }
@@ -374,11 +382,38 @@
                 self.fatal_callers.lock().unwrap_or_else(PoisonError::into_inner).spawn(caller);
             }
             Action::EndlessWorker(part) => self.add_endless_worker(part, length).await?,
+            Action::CutFromWorkers(first, count, cut) => {
+                self.cut_from_workers(first, count, cut, length).await;
+            }
             Action::Drain(number) => self.drain(number).await?,
         }
         Ok(())
     }
 
+    /// Cuts `count` instances off from all workers. This is no disturbance: the invariants must hold meanwhile.
+    async fn cut_from_workers(&self, first: usize, count: usize, cut: CallerCut, length: Duration) {
+        let total = self.relays.len();
+        let instances = (first..first + count).map(|number| number % total).collect::<Vec<_>>();
+        let source = |number: &usize| self.lock().instances[*number].addresses.callers.ip();
+        let sources = instances.iter().map(source).collect::<Vec<_>>();
+        let number = {
+            let from_ms = self.now_ms();
+            let mut state = self.lock();
+            state.history.worker_cuts.push(WorkerCut { instances, from_ms, to_ms: u64::MAX });
+            state.history.worker_cuts.len() - 1
+        };
+        let set = |cut| {
+            for source in &sources {
+                self.caller_cuts.set(*source, cut);
+            }
+        };
+        set(Some(cut));
+        tokio::time::sleep(length).await;
+        set(None);
+        let to_ms = self.now_ms();
+        self.lock().history.worker_cuts[number].to_ms = to_ms;
+    }
+
     /// Restores the store from a copy of age `age`; what was lost is written again shortly after.
     async fn restore_store(&self, age: Duration) {
         let copy = self.store.copy();
@@ -712,6 +747,8 @@
         "ready_address": own.ready,
         "metrics_address": own.metrics,
         "peers_address": own.peers,
+        "forward_address": SocketAddr::new(own.peers.ip(), FORWARD_PORT),
+        "targets_source": own.peers.ip(),
         "peer_seeds": seeds,
         "place": "stadtwerke",
         "store_address": store,
--- a/bench/src/soak/history.rs
+++ b/bench/src/soak/history.rs
@@ -124,6 +124,17 @@
     pub at_ms: u64,
 }
 
+/// A period in which instances were cut off from all workers.
+#[derive(Debug, Clone)]
+pub struct WorkerCut {
+    /// Numbers of the instances.
+    pub instances: Vec<usize>,
+    /// Start of the cut.
+    pub from_ms: u64,
+    /// End of the cut; [`u64::MAX`] while it lasts.
+    pub to_ms: u64,
+}
+
 /// A route that was added during the soak, and possibly removed.
 #[derive(Debug, Clone)]
 pub struct RouteLifetime {
@@ -167,6 +178,8 @@
     pub rate_limits: Vec<RateLimitPeriod>,
     /// Workers that ended under a request.
     pub worker_ends: Vec<WorkerEnd>,
+    /// Cuts between instances and all workers.
+    pub worker_cuts: Vec<WorkerCut>,
     /// Routes that were added during the soak.
     pub routes: Vec<RouteLifetime>,
     /// Processes of instances, in the order of their starts.
--- a/bench/src/soak/schedule.rs
+++ b/bench/src/soak/schedule.rs
@@ -3,7 +3,9 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::{endless::EndlessPart, relay::LinkFault, rows::RowStoreFault, worker::WorkerMode};
+use crate::{
+    caller_cuts::CallerCut, endless::EndlessPart, relay::LinkFault, rows::RowStoreFault, worker::WorkerMode,
+};
 
 /// An operator action or an injected fault. Instances and workers are given by number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +43,8 @@
     /// Makes a caller send a request that ends each worker which executes it, again and again until the end of the
     /// soak.
     FatalRequest(FatalKind),
+    /// Cuts instances off from all workers: the first one and how many from it on.
+    CutFromWorkers(usize, usize, CallerCut),
     /// Drains a worker and removes it; another worker reuses its address.
     Drain(usize),
     /// Adds a route.
@@ -125,6 +129,15 @@
 /// Number that is mixed into the seed of those requests.
 const FATAL_SEED: u64 = 0xfa7a_1000;
 
+/// Mean time between two cuts of instances from all workers, in milliseconds.
+const CUT_GAP_MS: u64 = 12_000;
+
+/// Range of the time for which they are cut off, in milliseconds: longer than the time from which on it counts.
+const CUT_LENGTH_MS: std::ops::Range<u64> = 4_000..9_000;
+
+/// Number that is mixed into the seed of these cuts.
+const CUT_SEED: u64 = 0xc07_0ff;
+
 /// Generates the schedule of a seed, sorted by start.
 pub fn generate_schedule(seed: u64, size: &SoakSize) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -161,6 +174,11 @@
         let kinds = [FatalKind::Read, FatalKind::VaryingRead, FatalKind::Charge];
         Action::FatalRequest(kinds[rng.random_range(0..kinds.len())])
     }));
+    steps.extend(regular_steps(seed ^ CUT_SEED, CUT_GAP_MS, CUT_LENGTH_MS, size, |rng| {
+        let cuts = [CallerCut::Silent, CallerCut::Reset, CallerCut::ResetNew];
+        let (first, count) = (rng.random_range(0..size.instances), rng.random_range(1..=size.instances));
+        Action::CutFromWorkers(first, count, cuts[rng.random_range(0..cuts.len())])
+    }));
     steps.retain(|step| step.at_ms < size.disturbed_ms);
     steps.sort_by_key(|step| step.at_ms);
     steps
--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -17,6 +17,8 @@
     task::JoinHandle,
 };
 
+use crate::caller_cuts::CallerCuts;
+
 /// How a worker handles requests; health probes are always answered with 200.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum WorkerMode {
@@ -80,6 +82,8 @@
     service_time: Duration,
     /// Service time that load reports state, as a percentage of the usual one.
     reported_pace_percent: u32,
+    /// Callers that it is cut off from.
+    caller_cuts: CallerCuts,
     /// Requests per second that responses state as the limit for all instances together.
     rate_limit_per_s: Option<f64>,
     /// Part of the request line by which requests end the process.
@@ -181,6 +185,11 @@
         *self.ended.borrow()
     }
 
+    /// Sets the callers that it is cut off from.
+    pub fn set_caller_cuts(&self, caller_cuts: &CallerCuts) {
+        lock(&self.state).caller_cuts = caller_cuts.clone();
+    }
+
     /// Stops accepting connections; open ones stay in use.
     pub fn stop_accepting(&self) {
         self.task.abort();
@@ -256,7 +265,12 @@
 ) -> std::io::Result<()> {
     let mut buffer = Vec::new();
     let mut last_refusal = None;
+    let caller_cuts = lock(state).caller_cuts.clone();
+    if !caller_cuts.admit(&stream).await {
+        return Ok(());
+    }
     while let Some(request) = read_request(&mut stream, &mut buffer).await? {
+        caller_cuts.pass(&stream).await?;
         let load_headers = {
             let state = lock(state);
             let rate_limit = state.rate_limit_per_s.map(|limit| format!("Server-Limit: {limit}\r\n"));
@@ -387,6 +401,8 @@
     if is_abandoned || is_fatal {
         return Ok(!is_abandoned);
     }
+    let caller_cuts = lock(state).caller_cuts.clone();
+    caller_cuts.pass(stream).await?;
     write_response(stream, mode, request, load_headers).await
 }
 
--- a/bench/tests/soak_checker.rs
+++ b/bench/tests/soak_checker.rs
@@ -6,7 +6,7 @@
     cluster::bounds,
     history::{
         Arrival, Attempt, AttemptKind, AttemptResult, Disturbance, Drain, History, ProcessRun,
-        RateLimitPeriod, RouteLifetime, Scope, WorkerEnd,
+        RateLimitPeriod, RouteLifetime, Scope, WorkerCut, WorkerEnd,
     },
     schedule::{SoakSize, generate_schedule},
 };
@@ -410,3 +410,40 @@
     add_disturbance(&mut history, Scope::Instance(0), 24_000, 25_000);
     assert_eq!(violated(&history), []);
 }
+
+// Guards against callers of instances that reach no worker being refused while others are served.
+#[test]
+fn callers_of_instances_that_are_cut_off_must_be_served_like_others() {
+    let history = |served_cut_off: usize, is_disturbed: bool, cut_instances: Vec<usize>| {
+        let attempts = (0..120).map(|number| {
+            let (instance, number_there) = (number % 2, number / 2);
+            let status = if instance == 0 && number_there >= served_cut_off { 503 } else { 200 };
+            let sent_ms = 23_100 + number as u64;
+            let id = format!("a{number}");
+            Attempt { instance, ..attempt(&id, AttemptKind::Idempotent, sent_ms, answered(status)) }
+        });
+        let attempts = attempts.collect::<Vec<_>>();
+        let arrivals = attempts.iter().map(|a| arrival(a, "i-1", a.sent_ms + 1)).collect();
+        let disturbances = is_disturbed.then_some(Disturbance {
+            scope: Scope::Instance(0),
+            name: "store link",
+            from_ms: 22_000,
+            to_ms: 22_500,
+        });
+        History {
+            attempts,
+            arrivals,
+            disturbances: disturbances.into_iter().collect(),
+            worker_cuts: vec![WorkerCut { instances: cut_instances, from_ms: 20_000, to_ms: 26_000 }],
+            undisturbed_from_ms: 15_000,
+            ..History::default()
+        }
+    };
+    let is_found = |history: &History| {
+        check(history, &BOUNDS).iter().any(|finding| finding.invariant == Invariant::ServesWhileCutOff)
+    };
+    assert!(is_found(&history(39, false, vec![0])), "39 of 60 against 60 of 60");
+    assert!(!is_found(&history(40, false, vec![0])), "two thirds are enough");
+    assert!(!is_found(&history(0, true, vec![0])), "its link to the store was disturbed, too");
+    assert!(!is_found(&history(0, false, vec![0, 1])), "nobody reaches a worker");
+}
