Heed targets that state in a response that they leave, or that they want a pause

What callers and targets would see: requests to a target seconds after it has stated that it leaves (DRAIN), and to one that wants none for the time of its Retry-After (BUDGET). Both signs were not read.

Change: any response of a target, also to a probe, with the value 1 in the leaving header makes the target draining at this instance, as an entry does: one mechanism. It holds for that run of the target, told by its start time, whatever its entry says later, also if the entry lapses and returns; it ends with another run, or ten minutes after the target was listed last. A response with 421, or that names another target, says nothing of this one. A response with 503 and Retry-After in seconds pauses the target for this instance: no request, no probe, no check until the end, and up to a tenth longer, at most 0.5 s, so that instances don't return together. If all targets of a service are paused, a call waits for the first end if it can still be sent then, and is refused at once with that time otherwise. Both are looked at once more when a connection has been opened.

The other instances are not told of either sign.

--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -82,6 +82,10 @@
     service_time: Duration,
     /// Service time that load reports state, as a percentage of the usual one.
     reported_pace_percent: u32,
+    /// Value of the header by which all responses state that it leaves.
+    leaving: Option<String>,
+    /// Value of `Retry-After` in its refusals with 503.
+    retry_after: Option<String>,
     /// Callers that it is cut off from.
     caller_cuts: CallerCuts,
     /// Requests per second that responses state as the limit for all instances together.
@@ -185,6 +189,16 @@
         *self.ended.borrow()
     }
 
+    /// Sets the value of the header by which all its responses state that it leaves; `None` for no such header.
+    pub fn set_leaving(&self, value: Option<&str>) {
+        lock(&self.state).leaving = value.map(str::to_owned);
+    }
+
+    /// Sets the value of `Retry-After` in its refusals with 503; `None` for no such header.
+    pub fn set_retry_after(&self, value: Option<&str>) {
+        lock(&self.state).retry_after = value.map(str::to_owned);
+    }
+
     /// Sets the callers that it is cut off from.
     pub fn set_caller_cuts(&self, caller_cuts: &CallerCuts) {
         lock(&self.state).caller_cuts = caller_cuts.clone();
@@ -274,11 +288,13 @@
         let load_headers = {
             let state = lock(state);
             let rate_limit = state.rate_limit_per_s.map(|limit| format!("Server-Limit: {limit}\r\n"));
+            let leaving = state.leaving.as_ref().map(|value| format!("Server-Leaving: {value}\r\n"));
             format!(
-                "X-Worker-Id: {id}\r\nX-Worker-Load: {},0,3,{}\r\n{}",
+                "X-Worker-Id: {id}\r\nX-Worker-Load: {},0,3,{}\r\n{}{}",
                 state.running,
                 state.reported_pace_percent,
-                rate_limit.unwrap_or_default()
+                rate_limit.unwrap_or_default(),
+                leaving.unwrap_or_default()
             )
         };
         if request.head.contains(" /healthz ") {
@@ -377,7 +393,12 @@
     };
     if let Some(refusal) = refusal {
         lock(state).refused.push(request.clone());
-        stream.write_all(&self::refusal(request, refusal, load_headers, true)).await?;
+        let retry_after = lock(state).retry_after.as_ref().map(|value| format!("Retry-After: {value}\r\n"));
+        let headers = format!(
+            "{load_headers}{}",
+            retry_after.filter(|_| refusal.starts_with("503")).unwrap_or_default()
+        );
+        stream.write_all(&self::refusal(request, refusal, &headers, true)).await?;
         return Ok(true);
     }
     let index = {
--- a/src/decide/directory.rs
+++ b/src/decide/directory.rs
@@ -25,6 +25,10 @@
 /// old.
 const REMOVED_RETENTION: Duration = Duration::from_mins(2);
 
+/// Time for which it is remembered that a target leaves, once it is not listed any more: far longer than an entry is
+/// away that lapses and returns.
+const LEAVING_RETENTION: Duration = Duration::from_mins(10);
+
 /// Directory entry of one target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listing {
@@ -105,6 +109,9 @@
     entries: HashMap<String, Entry>,
     /// Targets that were removed within [`REMOVED_RETENTION`], by the key of their row.
     removed: HashMap<String, RemovedTarget>,
+    /// Runs of targets that have stated in a response that they leave, by the key of their row, and when they were
+    /// listed last.
+    leaving: HashMap<String, (Listing, MonoTime)>,
     /// Latest position at which all rows were read; `None` before the first reading.
     position: Option<StorePosition>,
     /// Time since which the store was not heard, if the last access to it failed.
@@ -123,6 +130,16 @@
         Self { min_lapse_time, ..Self::default() }
     }
 
+    /// Records that a target has stated in a response that it leaves. It stays draining, whatever its entry says, until
+    /// another run has its name. Returns the change if it was not draining.
+    pub fn record_leaving(&mut self, now: MonoTime, id: &TargetId) -> Option<DirectoryChange> {
+        let entry = self.entries.get_mut(id.as_str())?;
+        let was_draining = std::mem::replace(&mut entry.listing.draining, true);
+        let listing = entry.listing.clone();
+        self.leaving.insert(id.as_str().to_owned(), (listing.clone(), now));
+        (!was_draining).then_some(DirectoryChange::Updated(listing))
+    }
+
     /// Records that the store does not answer, and was heard last at `heard_at`. A later time of the same absence
     /// changes nothing.
     pub fn store_lost(&mut self, heard_at: MonoTime) {
@@ -202,10 +219,17 @@
     }
 
     fn apply_row(&mut self, now: MonoTime, row: DirectoryRow, changes: &mut Vec<DirectoryChange>) {
-        let Some(listing) = row.listing else {
+        let Some(mut listing) = row.listing else {
             self.remove(now, &row.key, row.position, changes);
             return;
         };
+        match self.leaving.get_mut(&row.key) {
+            Some((leaving, listed_at)) if is_same_run(leaving, &listing) => {
+                listing.draining = true;
+                *listed_at = now;
+            }
+            _ => {}
+        }
         if self.was_removed_after(&row.key, row.position, &listing) {
             return;
         }
@@ -235,6 +259,10 @@
         };
         changes.extend(change);
         self.removed.remove(&row.key);
+        if !listing.draining {
+            // Another run has the name.
+            self.leaving.remove(&row.key);
+        }
         self.entries.insert(row.key, Entry { position: row.position, listing, expires_at: None });
     }
 
@@ -266,6 +294,11 @@
     fn forget(&mut self, now: MonoTime, key: &str) -> Option<DirectoryChange> {
         let Entry { position, listing, .. } = self.entries.remove(key)?;
         self.removed.retain(|_, removed| now.since(removed.removed_at) < REMOVED_RETENTION);
+        let entries = &self.entries;
+        self.leaving.retain(|key, (_, at)| entries.contains_key(key) || now.since(*at) < LEAVING_RETENTION);
+        if let Some((_, listed_at)) = self.leaving.get_mut(key) {
+            *listed_at = now;
+        }
         let removed = RemovedTarget { position, written: listing.written_order(), removed_at: now };
         self.removed.insert(key.to_owned(), removed);
         Some(DirectoryChange::Removed(listing.id))
--- a/src/decide/probed_pool.rs
+++ b/src/decide/probed_pool.rs
@@ -6,11 +6,13 @@
 //! whereas a request on a slow machine loses hundreds.
 
 mod limited;
+mod pauses;
 
 use std::time::Duration;
 
 use rand::{Rng, rngs::SmallRng};
 
+use self::pauses::Pauses;
 use super::{
     directory::{DirectoryChange, Listing},
     duration::DurationHistogram,
@@ -51,6 +53,15 @@
 /// targets.
 const ORDER_JITTER: f64 = 0.3;
 
+/// Longest pause that a target can ask for.
+const MAX_PAUSE: Duration = Duration::from_hours(24);
+
+/// Part of a pause by which it is extended at most.
+const PAUSE_SPREAD: f64 = 0.1;
+
+/// Longest time by which a pause is extended.
+const MAX_PAUSE_SPREAD: Duration = Duration::from_millis(500);
+
 /// Next step towards a target for a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Choice {
@@ -92,6 +103,7 @@
     /// Number of instances that share the targets' rate limits; `None` while unknown.
     instances: Option<u64>,
     lapsed_rate_limits: LapsedRateLimits,
+    pauses: Pauses,
     rng: SmallRng,
 }
 
@@ -106,6 +118,7 @@
             probe_budget: ProbeBudget::default(),
             instances: None,
             lapsed_rate_limits: LapsedRateLimits::default(),
+            pauses: Pauses::default(),
             rng,
         }
     }
@@ -157,6 +170,32 @@
         }
     }
 
+    /// Records that a target wants no requests from this instance for a time. Returns whether that is longer than
+    /// what it has asked for before.
+    pub fn record_pause(&mut self, now: MonoTime, id: &TargetId, pause: Duration) -> bool {
+        let Some(target) = self.targets.get(id) else { return false };
+        // Instances that were told at the same moment don't return at the same moment.
+        let spread = pause.mul_f64(PAUSE_SPREAD).min(MAX_PAUSE_SPREAD);
+        let until = now + pause.min(MAX_PAUSE) + spread.mul_f64(self.rng.random());
+        !pause.is_zero() && self.pauses.record(now, &target.listing, until)
+    }
+
+    /// Returns whether a target is known, not draining, and has not asked for a pause.
+    pub fn takes_requests(&self, now: MonoTime, id: &TargetId) -> bool {
+        self.targets.get(id).is_some_and(|t| !t.listing.draining && !self.pauses.is_paused(now, &t.listing))
+    }
+
+    /// Returns the time until the first pause ends, if all targets that are not draining have asked for one.
+    pub fn pause_left(&self, now: MonoTime) -> Option<Duration> {
+        let taking = self.targets.values().filter(|t| !t.listing.draining);
+        let mut first = None;
+        for target in taking {
+            let until = self.pauses.paused_until(now, &target.listing)?;
+            first = Some(first.map_or(until, |first: MonoTime| first.min(until)));
+        }
+        Some(first?.since(now))
+    }
+
     /// Returns whether any target takes requests.
     pub fn has_target(&self) -> bool {
         self.targets.values().any(|t| !t.listing.draining)
@@ -176,6 +215,10 @@
 
     /// Chooses a target for a call, or the step that must come first.
     pub fn choose_target(&mut self, now: MonoTime, request: &ChoiceRequest) -> Choice {
+        if let Some(left) = self.pause_left(now) {
+            let is_in_time = now + left < request.give_up_at;
+            return if is_in_time { Choice::Wait(left) } else { Choice::NoTarget };
+        }
         let is_acceptable = |t: &ProbedTarget| match request.stage {
             WaitStage::FastSlot => t.has_fast_slot(now),
             WaitStage::SpareSlot => t.has_spare_slot(now),
@@ -188,7 +231,8 @@
         {
             return self.start_send(now, &best);
         }
-        let has_unlimited = self.targets.values().any(|t| is_eligible(t, request) && !t.is_limited());
+        let has_unlimited =
+            self.targets.values().any(|t| self.is_eligible(now, t, request) && !t.is_limited());
         // Another target may turn out to have a free slot when it is probed.
         let may_probe = has_unlimited && free_targets == 0 && request.stage != WaitStage::Expired;
         let first_round = (may_probe && request.probe_rounds == 0).then(|| self.choose_probes(now, request));
@@ -262,7 +306,8 @@
         request: &ChoiceRequest,
         is_acceptable: impl Fn(&ProbedTarget) -> bool,
     ) -> Option<(TargetId, usize)> {
-        let is_open = |t: &&ProbedTarget| is_eligible(t, request) && !t.is_limited() && is_acceptable(t);
+        let is_open =
+            |t: &&ProbedTarget| self.is_eligible(now, t, request) && !t.is_limited() && is_acceptable(t);
         let eligible = self.targets.values().filter(is_open).collect::<Vec<_>>();
         let best = eligible.iter().min_by(|a, b| a.expected_time(now).total_cmp(&b.expected_time(now)))?;
         Some((best.listing.id.clone(), eligible.len()))
@@ -270,7 +315,7 @@
 
     /// Chooses the targets to probe next, within the probe budget.
     fn choose_probes(&mut self, now: MonoTime, request: &ChoiceRequest) -> Choice {
-        let is_open = |t: &&ProbedTarget| is_eligible(t, request) && !t.is_limited();
+        let is_open = |t: &&ProbedTarget| self.is_eligible(now, t, request) && !t.is_limited();
         let eligible = self.targets.values().filter(is_open).collect::<Vec<_>>();
         if eligible.is_empty() {
             return Choice::NoTarget;
@@ -315,8 +360,9 @@
         target.start_send(now);
         Choice::Send(target.listing.clone())
     }
-}
 
-fn is_eligible(target: &ProbedTarget, request: &ChoiceRequest) -> bool {
-    !target.listing.draining && !request.excluded.contains(&target.listing.id)
+    fn is_eligible(&self, now: MonoTime, target: &ProbedTarget, request: &ChoiceRequest) -> bool {
+        let Listing { id, draining, .. } = &target.listing;
+        !draining && !request.excluded.contains(id) && !self.pauses.is_paused(now, &target.listing)
+    }
 }
--- a/src/decide/probed_pool/limited.rs
+++ b/src/decide/probed_pool/limited.rs
@@ -3,7 +3,7 @@
 //! Such a target is in trouble. It gets calls that no other target can take now, and is not probed, since it
 //! counts probes as requests.
 
-use super::{Choice, ChoiceRequest, ProbedPool, is_eligible};
+use super::{Choice, ChoiceRequest, ProbedPool};
 use crate::{
     decide::{
         directory::Listing,
@@ -89,7 +89,8 @@
             Some(share) if target.own_in_flight < target.listing.slots => share.available(now) as usize,
             _ => 0,
         };
-        let eligible = self.targets.values().filter(|t| is_eligible(t, request) && permits_of(t) > 0);
+        let eligible =
+            self.targets.values().filter(|t| self.is_eligible(now, t, request) && permits_of(t) > 0);
         let eligible = eligible.collect::<Vec<_>>();
         let permits = eligible.iter().map(|t| permits_of(t)).sum::<usize>();
         if free_targets + permits <= request.calls_ahead {
@@ -104,7 +105,7 @@
     /// Returns the next step of a call whose eligible targets all have a rate limit: to wait for a permit, or to
     /// give up at once if none comes in time. Returns `None` if there is no such target.
     pub(super) fn wait_for_permit(&self, now: MonoTime, request: &ChoiceRequest) -> Option<Choice> {
-        let eligible = self.targets.values().filter(|t| is_eligible(t, request));
+        let eligible = self.targets.values().filter(|t| self.is_eligible(now, t, request));
         let shares = eligible.filter_map(|t| t.rate_limit.share()).collect::<Vec<_>>();
         if shares.is_empty() {
             return None;
--- a/src/decide/service_pools.rs
+++ b/src/decide/service_pools.rs
@@ -6,7 +6,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use super::{
-    directory::{Directory, DirectoryChange},
+    directory::{Directory, DirectoryChange, Listing},
     probed_pool::{Choice, ChoiceRequest, ProbedPool},
     probed_target::{HealthSignal, LoadReading},
     rate_limit::{RateLimitChange, RateLimitStatement},
@@ -118,7 +118,26 @@
     pub fn retry_after(&mut self, now: MonoTime, service: &ServiceName, instances: u32) -> Duration {
         let service = self.service(service);
         let capacity = ServiceCapacity { rate: service.pool.capacity(), instances };
-        service.retry_pacer.next_retry_after(now, &capacity, service.wait_queue.len())
+        let paced = service.retry_pacer.next_retry_after(now, &capacity, service.wait_queue.len());
+        service.pool.pause_left(now).map_or(paced, |left| left.max(paced))
+    }
+
+    /// Records that a target wants no requests from this instance for a time. Returns whether that is longer than
+    /// what it has asked for before.
+    pub fn record_pause(
+        &mut self,
+        now: MonoTime,
+        service: &ServiceName,
+        target: &TargetId,
+        pause: Duration,
+    ) -> bool {
+        self.service(service).pool.record_pause(now, target, pause)
+    }
+
+    /// Returns whether a target takes requests: it is listed, not draining, and has not asked for a pause.
+    pub fn takes_requests(&self, now: MonoTime, listing: &Listing) -> bool {
+        let service = self.services.get(&listing.service);
+        service.is_some_and(|service| service.pool.takes_requests(now, &listing.id))
     }
 
     /// Returns whether a service has a target that takes requests.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -26,7 +26,7 @@
     request_log::SendOutcome,
     response::{BodyGuard, ResponseBody},
     suspects::SendWatch,
-    target_end,
+    target_end, target_statements,
 };
 use crate::{
     decide::{directory::Listing, probed_target::HealthSignal, unconfirmed_ends::ProcessState},
@@ -191,7 +191,9 @@
             return SendResult::Unsent(Some(failure));
         }
     };
-    if call.remaining().is_zero() {
+    // It may have stated that it leaves, or asked for a pause, while the connection was opened.
+    let takes_requests = call.gateway.service_pools().takes_requests(call.gateway.now(), &guard.listing);
+    if call.remaining().is_zero() || !takes_requests {
         return SendResult::Unsent(None);
     }
     let Some(body) = call.parts.take_body() else { return SendResult::Unsent(None) };
@@ -261,6 +263,7 @@
 async fn read_response(call: &CallContext, mut guard: SendGuard, response: Response<Incoming>) -> SendResult {
     let names = &call.gateway.platform.headers;
     let headers = response.headers();
+    target_statements::record(&call.gateway, &guard.listing, response.status(), headers);
     if headers.get(&names.request_id).is_some_and(|id| *id != call.request_id) {
         // This is the late response to an earlier request on the connection.
         guard.report(HealthSignal::Failed);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 pub mod suspect_store;
 pub mod suspects;
 pub mod target_end;
+pub mod target_statements;
 
 use std::{
     sync::{
--- a/src/gateway/path_check.rs
+++ b/src/gateway/path_check.rs
@@ -98,8 +98,14 @@
     }
 }
 
+/// Returns the targets that take requests, in random order.
 fn shuffled_listings(gateway: &Gateway) -> Vec<Listing> {
-    let mut listings = gateway.service_pools().directory.listings().cloned().collect::<Vec<_>>();
+    let now = gateway.now();
+    let mut listings = {
+        let service_pools = gateway.service_pools();
+        let listings = service_pools.directory.listings().filter(|l| service_pools.takes_requests(now, l));
+        listings.cloned().collect::<Vec<_>>()
+    };
     listings.shuffle(&mut rand::rng());
     listings
 }
--- a/src/gateway/platform_adapter.rs
+++ b/src/gateway/platform_adapter.rs
@@ -130,6 +130,8 @@
     pub load: HeaderName,
     /// Requests per second that the target takes from all instances together; absent if it states no limit.
     pub rate_limit: HeaderName,
+    /// States in any response of a target whether that target leaves.
+    pub leaving: HeaderName,
     /// Present in a response if the target did not execute the request.
     pub not_run: HeaderName,
     /// Proof that a response was made by the target rather than by something on the way to it.
@@ -161,6 +163,10 @@
     pub decode_load: fn(&HeaderValue) -> Option<LoadReading>,
     /// Decodes the value of the rate limit header; `None` if it is malformed.
     pub decode_rate_limit: fn(&HeaderValue) -> Option<PerSecond>,
+    /// Returns whether a value of the leaving header states that the target leaves.
+    pub decode_leaving: fn(&HeaderValue) -> bool,
+    /// Decodes the pause that a target asks for with `Retry-After`; `None` if the value asks for none.
+    pub decode_pause: fn(&HeaderValue) -> Option<Duration>,
 }
 
 impl std::fmt::Debug for PlatformAdapter {
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -11,7 +11,7 @@
 use super::{
     Gateway,
     exchange::{connect, discard},
-    path_check, rate_limits,
+    path_check, rate_limits, target_statements,
 };
 use crate::{
     decide::{directory::Listing, probed_target::LoadReading},
@@ -24,8 +24,12 @@
 /// Time after which a probe has failed: ten times what a busy target in another data centre takes.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Starts a probe of a target unless one is in flight. `Gateway::state_changed` is notified when it ends.
+/// Starts a probe of a target unless one is in flight, or the target takes no requests. `Gateway::state_changed` is
+/// notified when it ends.
 pub fn start(gateway: &Arc<Gateway>, listing: Listing) {
+    if !gateway.service_pools().takes_requests(gateway.now(), &listing) {
+        return;
+    }
     let Some(marker) = gateway.service_pools().start_probe(&listing.service, &listing.id) else { return };
     let gateway = Arc::clone(gateway);
     tokio::spawn(async move {
@@ -111,6 +115,7 @@
     if !is_expected_target || !is_probe_response {
         return Err(ProbeFailure::Invalid);
     }
+    target_statements::record(gateway, listing, response.status(), headers);
     rate_limits::record(gateway, listing, headers);
     // Targets that do not report their load are judged only by this instance's sends to them.
     let unreported = LoadReading { running: 0, waiting: 0, slots: listing.slots, slowdown: 1.0 };
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -85,7 +85,7 @@
 fn log_start(gateway: &Gateway) {
     let config = gateway.config();
     log::info!(
-        "event=started instance={} run={} data_centre={} callers={} ready={} metrics={} peers={} store={} place={}",
+        "event=started instance={} run={} data_centre={} callers={} ready={} metrics={} peers={} forwards={} store={} place={}",
         config.instance,
         gateway.run_id,
         config.data_centre,
@@ -93,6 +93,7 @@
         config.ready_address,
         config.metrics_address,
         config.peers_address,
+        config.forward_address.map_or_else(|| "none".to_owned(), |address| address.to_string()),
         config.store_address,
         config.place
     );
--- a/tests/gateway_env/mod.rs
+++ b/tests/gateway_env/mod.rs
@@ -42,6 +42,8 @@
     pub metrics: SocketAddr,
     /// Address on which other instances connect.
     pub peers: SocketAddr,
+    /// Address on which other instances forward requests.
+    pub forwards: SocketAddr,
 }
 
 impl Drop for GatewayProcess {
@@ -177,7 +179,7 @@
             value.expect("the start line has the address").parse().expect("it is an address")
         };
         let (callers, ready) = (address("callers="), address("ready="));
-        let (metrics, peers) = (address("metrics="), address("peers="));
+        let (metrics, peers, forwards) = (address("metrics="), address("peers="), address("forwards="));
         let log = Arc::new(Mutex::new(vec![started]));
         let log_sink = Arc::clone(&log);
         std::thread::spawn(move || {
@@ -185,7 +187,7 @@
                 log_sink.lock().unwrap_or_else(PoisonError::into_inner).push(line);
             }
         });
-        GatewayProcess { child, log, callers, ready, metrics, peers }
+        GatewayProcess { child, log, callers, ready, metrics, peers, forwards }
     }
 
     /// Starts one instance that the others follow, and waits until all know how many they are.
--- a/tests/gateway_forward.rs
+++ b/tests/gateway_forward.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use arbutusshelf::peer::forward::{FORWARD, ForwardHeader};
 use arbutusshelf_bench::{client::Caller, relay::LinkFault, worker::WorkerStandIn};
 use bytes::Bytes;
 use cut_off_env::{CutOffDeployment, OTHER_SOURCE};
@@ -205,3 +206,41 @@
         assert_eq!(later, None, "{fault:?}");
     }
 }
+
+// Guards against loops: an instance that gets a forwarded request may have lost its path by then, too.
+#[tokio::test]
+async fn a_forwarded_request_is_not_forwarded_again() {
+    let deployment = CutOffDeployment::start(1).await;
+    deployment.cut_off(LinkFault::Blackhole).await;
+    let send = |to: &'static str, id: &'static str| {
+        let header = ForwardHeader {
+            from: "other-0".parse().expect("a name"),
+            to: to.parse().expect("a name"),
+            caller: [127, 0, 0, 1].into(),
+            service: "plan".parse().expect("a name"),
+            elapsed_ms: 0,
+            sends: 0,
+            is_counted: true,
+        };
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}/charge/x", deployment.cut_off.forwards))
+            .header("Host", HOST)
+            .header("X-Attempt-Id", id)
+            .header("X-Request-Deadline-Ms", 1_500)
+            .header(FORWARD, header.encode().expect("a header"))
+            .body(Full::<Bytes>::default());
+        deployment.deployment.caller.send(request.expect("a request"))
+    };
+    let started = Instant::now();
+    let response = send("cut-off", "again").await.expect("a response");
+    assert_eq!(
+        (response.status, &response.headers["arbutusshelf-cause"]),
+        (503, &"no-path".parse().expect("text"))
+    );
+    assert_eq!(response.headers["arbutusshelf-forwarded-to"], "cut-off");
+    assert!(started.elapsed() < AT_ONCE, "{:?}", started.elapsed());
+    let response = send("another", "misaddressed").await.expect("a response");
+    assert_eq!(response.status, 400, "the address belonged to another instance before");
+    assert_eq!((deployment.executions("again"), deployment.executions("misaddressed")), (0, 0));
+}
