Test what three small faults of forwarding would do

Three of twelve faults put into a copy were found by no test: a deadline that starts anew when a request is forwarded, an instance that leaves and goes on to state that it accepts requests, and failures that are held against targets after a cut.

--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -507,3 +507,16 @@
         true
     }
 }
+
+// Guards against targets that are avoided for seconds after a cut, because they seemed to fail while this instance had no
+// path to them.
+#[test]
+fn targets_are_used_at_once_when_their_failures_were_not_theirs() {
+    let mut pool = pool(&[("a", Some(reading(0, 1.0)))], at(1_000));
+    for _ in 0..4 {
+        pool.record_end(at(1_000), &pool_env::id("a"), HealthSignal::Failed);
+    }
+    assert_eq!(sent_to(&pool.choose_target(at(1_001), &FIRST_CHOICE)), None);
+    pool.forget_failures();
+    assert_eq!(sent_to(&pool.choose_target(at(1_001), &FIRST_CHOICE)), Some("a"));
+}
--- a/tests/gateway_forward.rs
+++ b/tests/gateway_forward.rs
@@ -6,7 +6,11 @@
 use std::time::{Duration, Instant};
 
 use arbutusshelf::peer::forward::{FORWARD, ForwardHeader};
-use arbutusshelf_bench::{client::Caller, relay::LinkFault, worker::WorkerStandIn};
+use arbutusshelf_bench::{
+    client::Caller,
+    relay::LinkFault,
+    worker::{WorkerMode, WorkerStandIn},
+};
 use bytes::Bytes;
 use cut_off_env::{CutOffDeployment, OTHER_SOURCE};
 use gateway_env::HOST;
@@ -60,6 +64,25 @@
     assert!(deadline_ms.is_some_and(|ms| (1_200..=1_500).contains(&ms)), "{deadline_ms:?}");
 }
 
+// Guards against targets that work on beyond the time of the caller: a request may have waited before it is forwarded.
+#[tokio::test]
+async fn a_request_that_has_waited_is_forwarded_with_the_time_that_is_left() {
+    let deployment = CutOffDeployment::start(1).await;
+    deployment.set_fault(LinkFault::Blackhole);
+    let sent_at = Instant::now();
+    let response =
+        deployment.deployment.send(deployment.cut_off.callers, Method::POST, "/charge/x", "waits").await;
+    assert_eq!(response.expect("a response").status, 200);
+    let executed = deployment.workers.iter().flat_map(WorkerStandIn::executed_requests);
+    let executed = executed.filter(|r| r.header("x-attempt-id") == Some("waits")).collect::<Vec<_>>();
+    assert_eq!(executed.len(), 1);
+    let waited = executed[0].received_at - sent_at;
+    assert!(waited > AT_ONCE, "it waits until the path is closed: {waited:?}");
+    let deadline_ms = executed[0].header("x-request-deadline-ms").and_then(|v| v.parse::<u64>().ok());
+    let left = Duration::from_millis(deadline_ms.expect("a deadline"));
+    assert!(left + waited <= Duration::from_secs(2) + AT_ONCE / 2, "{left:?} left after {waited:?} of 2 s");
+}
+
 // Guards against requests that count as those of the forwarding instance: suspects are told by their caller.
 #[tokio::test]
 async fn a_forwarded_request_has_the_same_identity_at_both_instances() {
@@ -67,7 +90,7 @@
     deployment.cut_off(LinkFault::Reset).await;
     // Ordinary requests are logged as a sample, failed ones all.
     for worker in &deployment.workers {
-        worker.set_mode(arbutusshelf_bench::worker::WorkerMode::Fail);
+        worker.set_mode(WorkerMode::Fail);
     }
     let sent = deployment.deployment.send(deployment.cut_off.callers, Method::POST, "/charge/x", "c1").await;
     assert_eq!(sent.expect("a response").status, 500);
@@ -187,6 +210,24 @@
     assert_eq!(deployment.served(&deployment.cut_off, "leaving", 100).await, 100);
 }
 
+// Guards against requests that are forwarded to an instance which has stated that it leaves.
+#[tokio::test]
+async fn an_instance_that_leaves_gets_no_more_forwarded_requests() {
+    let deployment = CutOffDeployment::start(2).await;
+    deployment.cut_off(LinkFault::Reset).await;
+    for worker in &deployment.workers {
+        // Requests that fail are all logged.
+        worker.set_mode(WorkerMode::Fail);
+    }
+    deployment.served(&deployment.cut_off, "before", 30).await;
+    let has_got = |prefix: &str| deployment.others[1].logged(&["request-admitted", &format!("\"{prefix}")]);
+    assert!(has_got("before-"), "it gets some before");
+    deployment.others[1].signal("TERM");
+    tokio::time::sleep(AT_TARGET_TIME).await;
+    deployment.served(&deployment.cut_off, "after", 30).await;
+    assert!(!has_got("after-"));
+}
+
 // Guards against an instance that goes on forwarding after its path is back, or blames targets for the cut.
 #[tokio::test]
 async fn an_instance_whose_path_is_back_sends_its_requests_itself() {
