Let no instance with an older routing table handle a forwarded request

What callers would see: for some tenths of a second after a change, a request at an instance that has the new routing table is handled by one that has the old one: 404 for a new route, or the old service.

Cause: the instance that gets a forwarded request finds its route by its own table.

Change: the forwarding header has the version of the table; an instance with an older one refuses as no-plan, and the next one is asked.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -117,6 +117,10 @@
     let (head, mut body) = request.into_parts();
     headers::check_unambiguous(&head)?;
     let routing = gateway.routing().ok_or(ErrorKind::NoPlan)?;
+    let min_version = forwarded.as_ref().map_or(0, |header| header.routing_version);
+    if u64::from(routing.version) < min_version {
+        return Err(ErrorKind::NoPlan);
+    }
     let route = find_route(&routing, &head).ok_or(ErrorKind::UnknownService)?;
     let names = &gateway.platform.headers;
     let request_id = head.headers.get(&names.request_id).cloned().unwrap_or(HeaderValue::from_static(""));
@@ -152,6 +156,7 @@
         is_ended: AtomicBool::new(false),
         request_id,
         route,
+        routing_version: routing.version,
         service,
         arrived,
         deadline,
--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -23,7 +23,7 @@
     peer::forward::ForwardHeader,
     plan::RequestKind,
     proxy::upload::RequestParts,
-    routing::Route,
+    routing::{Route, RoutingVersion},
     units::{MonoTime, ServiceName, TargetId},
 };
 
@@ -36,6 +36,8 @@
     pub request_id: HeaderValue,
     /// Route that the request's host and path match.
     pub route: Arc<Route>,
+    /// Version of the routing table that the route is from.
+    pub routing_version: RoutingVersion,
     /// Service that was chosen by the weights of the route's backends.
     pub service: ServiceName,
     /// When the head of the request arrived.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -175,6 +175,7 @@
         to: to.clone(),
         caller: call.caller,
         service: call.service.clone(),
+        routing_version: call.routing_version.into(),
         elapsed_ms: u32::try_from(elapsed_ms).unwrap_or(u32::MAX),
         sends: call.open_send_count(),
         is_counted: call.is_counted(),
--- a/src/peer/forward.rs
+++ b/src/peer/forward.rs
@@ -28,6 +28,8 @@
     pub caller: IpAddr,
     /// Service that was chosen by the weights of the route's backends.
     pub service: ServiceName,
+    /// Version of the routing table by which it was chosen; an instance with an older one must not handle the request.
+    pub routing_version: u64,
     /// Milliseconds since the request arrived from its caller.
     pub elapsed_ms: u32,
     /// Earlier sends of the request to targets that may have executed it.
--- a/tests/gateway_cut_off.rs
+++ b/tests/gateway_cut_off.rs
@@ -32,6 +32,7 @@
         deployment.served(&deployment.cut_off, "cut-off", REQUESTS),
         deployment.served(&deployment.others[0], "other", REQUESTS)
     );
+    println!("{fault:?}: served {at_cut_off} of {REQUESTS}, elsewhere {at_other}");
     assert!(at_cut_off * 3 >= at_other * 2, "served {at_cut_off} of {REQUESTS}, elsewhere {at_other}");
     deployment.assert_no_charge_twice();
 }
--- a/tests/gateway_forward.rs
+++ b/tests/gateway_forward.rs
@@ -259,6 +259,7 @@
             to: to.parse().expect("a name"),
             caller: [127, 0, 0, 1].into(),
             service: "plan".parse().expect("a name"),
+            routing_version: 0,
             elapsed_ms: 0,
             sends: 0,
             is_counted: true,
@@ -285,3 +286,38 @@
     assert_eq!(response.status, 400, "the address belonged to another instance before");
     assert_eq!((deployment.executions("again"), deployment.executions("misaddressed")), (0, 0));
 }
+
+// Guards against a caller who sees an older routing table than before, because its request is forwarded to an instance
+// that has not heard of the present one.
+#[tokio::test]
+async fn an_instance_with_an_older_routing_table_does_not_handle_a_forwarded_request() {
+    let deployment = CutOffDeployment::start(1).await;
+    let send = |id: &'static str, routing_version| {
+        let header = ForwardHeader {
+            from: "cut-off".parse().expect("a name"),
+            to: "other-0".parse().expect("a name"),
+            caller: [127, 0, 0, 1].into(),
+            service: "plan".parse().expect("a name"),
+            routing_version,
+            elapsed_ms: 0,
+            sends: 0,
+            is_counted: true,
+        };
+        let request = Request::builder()
+            .uri(format!("http://{}/read/x", deployment.others[0].forwards))
+            .header("Host", HOST)
+            .header("X-Attempt-Id", id)
+            .header("X-Request-Deadline-Ms", 1_500)
+            .header(FORWARD, header.encode().expect("a header"))
+            .body(Full::<Bytes>::default());
+        deployment.deployment.caller.send(request.expect("a request"))
+    };
+    // The table of the deployment has version 3.
+    assert_eq!(send("same", 3).await.expect("a response").status, 200);
+    let refused = send("later", 4).await.expect("a response");
+    assert_eq!(
+        (refused.status, &refused.headers["arbutusshelf-cause"]),
+        (503, &"no-plan".parse().expect("text"))
+    );
+    assert_eq!(deployment.executions("later"), 0);
+}
