review: a gateway started after a restore of the store uses a worker that has left

The store comes back from a copy that still lists a worker that has left since. Instances that knew of its leaving don't use it again. One that starts then gets the copy's row from a seed that knows better, and uses it until the entry lapses.

--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -267,12 +267,20 @@
     ver: u64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Tables {
     ver: u64,
     rows: BTreeMap<(String, String), Row>,
+    /// Rises each time the store comes back from an older copy.
+    era: u64,
+    /// While set, the store answers nothing but 503.
+    is_away: bool,
 }
 
+/// A copy of the store's content.
+#[derive(Clone)]
+pub struct StoreCopy(Tables);
+
 /// The platform's store: tables of rows, linearizable, with a feed of changes.
 #[derive(Clone)]
 pub struct Store {
@@ -292,6 +300,27 @@
         store
     }
 
+    /// Returns a copy of the content.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.tables.0.lock().unwrap().clone())
+    }
+
+    /// Makes the store go away.
+    pub fn go_away(&self) {
+        let (tables, changed) = &*self.tables;
+        tables.lock().unwrap().is_away = true;
+        changed.notify_all();
+    }
+
+    /// Makes the store come back from a copy: what was written since is gone, and its versions are given out again.
+    pub fn come_back(&self, copy: StoreCopy) {
+        let (tables, changed) = &*self.tables;
+        let mut tables = tables.lock().unwrap();
+        let era = tables.era + 1;
+        *tables = Tables { era, is_away: false, ..copy.0 };
+        changed.notify_all();
+    }
+
     /// Opens another address of the store. While the returned flag is set, it answers each call there with 503.
     pub fn open_refusable(&self) -> (SocketAddr, Arc<AtomicBool>) {
         let listener = TcpListener::bind(("127.0.0.1", 0)).expect("the store's port");
@@ -331,24 +360,32 @@
         while let Some(request) = read_request(&mut reader)? {
             let path = request.target.split('?').next().unwrap_or("").to_owned();
             let (status, body) = match path.as_str() {
-                _ if refuses.load(Ordering::Relaxed) => (503, "{}".to_owned()),
+                _ if refuses.load(Ordering::Relaxed) || self.tables.0.lock().unwrap().is_away => {
+                    (503, "{}".to_owned())
+                }
                 "/rows-get" => (200, self.rows(&request, 0, false)),
-                "/rows-feed" => (200, self.feed(&request)),
+                "/rows-feed" => self.feed(&request),
                 "/rows-tx" => self.transaction(&request),
                 _ => (404, "{}".to_owned()),
             };
+            let (era, is_away) = {
+                let tables = self.tables.0.lock().unwrap();
+                (tables.era, tables.is_away)
+            };
             // It may have begun to refuse while it waited for changes.
-            let is_refused = refuses.load(Ordering::Relaxed) && path != "/rows-tx";
+            let is_refused = (refuses.load(Ordering::Relaxed) || is_away) && path != "/rows-tx";
             let (status, body) = if is_refused { (503, "{}".to_owned()) } else { (status, body) };
             let reason = if status == 200 { "OK" } else { "Error" };
-            let head = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n");
+            let head = format!(
+                "HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n"
+            );
             let text = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
             writer.write_all(text.as_bytes())?;
         }
         Ok(())
     }
 
-    fn feed(&self, request: &Request) -> String {
+    fn feed(&self, request: &Request) -> (u16, String) {
         let after = request.query("after").and_then(|v| v.parse().ok()).unwrap_or(0);
         let wait = request.query("waitMs").and_then(|v| v.parse().ok()).unwrap_or(0);
         let table = request.query("table").unwrap_or_default();
@@ -358,13 +395,16 @@
         loop {
             let has_change = locked.rows.iter().any(|((t, _), row)| *t == table && row.ver > after);
             let left = until.saturating_duration_since(Instant::now());
-            if has_change || left.is_zero() {
+            if locked.ver < after {
+                return (410, "{}".to_owned());
+            }
+            if has_change || locked.is_away || left.is_zero() {
                 break;
             }
             locked = changed.wait_timeout(locked, left).unwrap().0;
         }
         drop(locked);
-        self.rows(request, after, true)
+        (200, self.rows(request, after, true))
     }
 
     fn rows(&self, request: &Request, after: u64, with_removed: bool) -> String {
