--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -628,6 +628,9 @@
         };
         let id = child.id();
         record.line(&format!("gateway {name} starts, process {id}"));
+        // For run.sh, which ends what is left if this run is ended from outside.
+        let pids = File::options().create(true).append(true).open(dir.join("pids"));
+        let _ = pids.and_then(|mut pids| writeln!(pids, "{id}"));
         processes.0.lock().unwrap().push(child);
         id
     }
@@ -686,6 +689,12 @@
     let record = Record::create(Path::new(record));
     let processes = Processes::default();
     start_watchdog(processes.clone());
+    let started = processes.clone();
+    std::panic::set_hook(Box::new(move |panic| {
+        eprintln!("{panic}");
+        started.end_all();
+        std::process::exit(2);
+    }));
     let is_troubled = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     record.line(&format!("disruption: {is_troubled}"));
     let (root, dir) = (PathBuf::from(root), PathBuf::from(dir));
