Refuse requests that come late in a shutdown instead of cutting them off

Cause: the shutdown refused nothing. It counted on the ingress, which takes an instance out of rotation within 2.3 s; with fewer than half of a data centre's instances in rotation, the ingress uses all of them. So requests came until the end, there was always one in progress, and the process ended under them at 92% of the grace period. Calls that waited for a target, half-sent requests and calls with slow targets ended in the same way.

Change: decide::shutdown has the times. From 2.3 s on every request is refused (503, not run); calls are sent only while three times the usual duration remains; at 90% of the grace period calls are told not-run or unknown. Once nothing is in progress, no connection is accepted and the process ends. Retry-After is 0.1 s, or 1 s if no other instance is known that takes requests.

Why it works: after the moment of refusal, nothing begins that the process could outlive, and what is in progress by then is excused or ends with an answer.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -25,6 +25,7 @@
 pub mod retry;
 pub mod retry_pacing;
 pub mod service_pools;
+pub mod shutdown;
 pub mod suspects;
 pub mod target;
 pub mod target_paths;
--- a/src/decide/peer_paths.rs
+++ b/src/decide/peer_paths.rs
@@ -141,6 +141,12 @@
         changed.map(|peer| peer.statement.clone()).collect()
     }
 
+    /// Returns whether another instance is known that takes requests.
+    pub fn is_any_accepting(&self, now: MonoTime) -> bool {
+        let others = self.peers.values().filter(|peer| peer.statement.instance != self.own);
+        others.filter(|peer| now.since(peer.received_at) <= RETENTION).any(|peer| peer.statement.is_accepting)
+    }
+
     /// Returns whether another instance is known that has a path to a service and can be reached, as far as is known.
     pub fn has_path(&self, now: MonoTime, service: &ServiceName) -> bool {
         self.candidates(now, service, &[]).next().is_some()
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -77,7 +77,10 @@
         Pin::as_mut(&mut changed).enable();
         let now = gateway.now();
         let (stage, mut stage_until) = times.stage(now, started);
+        let send_until = call.send_until();
+        stage_until = stage_until.min(send_until);
         match call.admission() {
+            _ if now >= send_until => return AttemptResult::NotSent(ErrorKind::Leaving),
             Admission::Quarantined(_) => return AttemptResult::NotSent(ErrorKind::Quarantined),
             _ if call.is_path_closed() => {
                 drop(queued);
@@ -110,17 +113,10 @@
             queued = is_queued.then(|| QueuedCall::new(call));
         }
         let tried = call.tried();
-        let choice = {
-            let mut service_pools = gateway.service_pools();
-            let position = queued.as_ref().map(|q| q.position);
-            let competes = is_hedge || position.is_some();
-            let calls_ahead = if competes { service_pools.ahead_of(&call.service, position) } else { 0 };
-            service_pools.choose_target(
-                now,
-                &call.service,
-                &ChoiceRequest { excluded: &tried, probe_rounds, stage, calls_ahead, give_up_at },
-            )
-        };
+        let position = queued.as_ref().map(|q| q.position);
+        let competes = is_hedge || position.is_some();
+        let request = ChoiceRequest { excluded: &tried, probe_rounds, stage, calls_ahead: 0, give_up_at };
+        let choice = call.choose_target(now, position, competes, request);
         let recheck_at = match choice {
             Choice::Send(listing) => {
                 if is_hedge && !spend_hedge(call) {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -5,6 +5,7 @@
 
 use std::{
     net::IpAddr,
+    pin::pin,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -40,6 +41,7 @@
         suspects::Admission,
     },
     error::ErrorKind,
+    kernel::Phase,
     logging::Quoted,
     peer::forward::ForwardHeader,
     proxy::{
@@ -58,6 +60,10 @@
 /// `Retry-After` of requests that are rejected before their service is known.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// `Retry-After` of requests that an instance rejects because it leaves, if it knows no other one that takes requests:
+/// time in which it ends and another process takes its place.
+const RESTART_TIME: Duration = Duration::from_secs(1);
+
 /// Targets to which a connection is tried for one request. Each failed try takes up to 0.5 s.
 const MAX_TARGETS_TRIED: usize = 4;
 
@@ -82,13 +88,19 @@
     let _in_progress = gateway.track_request();
     let arrived = gateway.now();
     let request_id = request.headers().get(&gateway.platform.headers.request_id).cloned();
-    let mut response = match prepare(&gateway, source, arrived, request).await {
+    let prepared = tokio::select! {
+        biased;
+        prepared = prepare(&gateway, source, arrived, request) => prepared,
+        // Nothing has been sent to a target yet.
+        () = gateway.wait_phase(Phase::Ending) => Err(ErrorKind::Leaving),
+    };
+    let mut response = match prepared {
         Ok(call) => run(&call).await,
         Err(kind) => {
             let id = request_id.as_ref().map_or(&[][..], HeaderValue::as_bytes);
             let id = String::from_utf8_lossy(id);
             log::info!("event=request-refused request={} cause={kind}", Quoted(&id));
-            error_response(kind, Some(RETRY_AFTER))
+            error_response(kind, Some(retry_after(&gateway, kind)))
         }
     };
     if let Some(id) = request_id {
@@ -100,6 +112,12 @@
     response
 }
 
+/// Returns the time after which a caller should send a request again that is rejected without regard to its service.
+fn retry_after(gateway: &Gateway, kind: ErrorKind) -> Duration {
+    let needs_restart = kind == ErrorKind::Leaving && !gateway.is_any_other_accepting();
+    if needs_restart { RESTART_TIME } else { RETRY_AFTER }
+}
+
 /// Checks and routes a request and reads its body up to the size that can be repeated. Nothing has been sent
 /// to a target when this fails.
 async fn prepare(
@@ -131,11 +149,17 @@
     let deadline =
         stated_deadline.map_or(arrived + route_timeout, |stated| stated.min(arrived + route_timeout));
     let limit = routing.limits.max_body_bytes;
+    if !gateway.takes_requests() {
+        return Err(ErrorKind::Leaving);
+    }
     let start = read_body_start(&mut body, limit, MAX_RETRYABLE_BODY_BYTES, BODY_PROGRESS_TIMEOUT).await?;
     if !gateway.are_suspects_known() {
         // After a timeout, the request is served as one under which no target has ended.
         let _known_or_timeout = timeout(START_WAIT, gateway.wait_for_suspects()).await;
     }
+    if !gateway.takes_requests() {
+        return Err(ErrorKind::Leaving);
+    }
     let identity = gateway.identity_key().key.identify(caller, &head, &start.bytes);
     let (body, upload) = if start.is_complete {
         (start.bytes, None)
@@ -193,6 +217,7 @@
     let mut may_hedge = call.may_repeat();
     let mut quarantine = Box::pin(wait_for_quarantine(call));
     let mut path_closed = Box::pin(wait_for_closed_path(call));
+    let mut shutdown_end = pin!(call.gateway.wait_phase(Phase::Ending));
     let mut may_forward_hedge = call.may_repeat() && call.forwarded.is_none();
     loop {
         tokio::select! {
@@ -203,6 +228,7 @@
                 }
             }
             () = sleep_until(deadline) => return attempts.on_deadline(),
+            () = &mut shutdown_end => return attempts.on_shutdown_end(),
             // An instance that leaves lets its requests end.
             () = &mut quarantine, if !call.gateway.is_leaving() => return attempts.on_quarantine(),
             () = &mut path_closed, if may_forward_hedge => {
@@ -307,6 +333,15 @@
         self.give_up(ErrorKind::DeadlineUnreachable)
     }
 
+    /// Ends the call because the process ends.
+    fn on_shutdown_end(&mut self) -> Response<ResponseBody> {
+        if self.call.open_sends.load(Ordering::Acquire) > 0 {
+            self.executed_error = Some(ErrorKind::AnswerTimeout);
+        }
+        self.in_flight.clear();
+        self.give_up(ErrorKind::Leaving)
+    }
+
     /// Ends the call because the request is quarantined from now on. Its sends in progress are broken off, which
     /// spares their targets.
     fn on_quarantine(&mut self) -> Response<ResponseBody> {
@@ -326,7 +361,9 @@
         let kind = self.executed_error.unwrap_or(unsent_error);
         let call = self.call;
         call.end(RequestEnd::Refused(kind));
-        error_response(kind, Some(call.retry_after()))
+        let after =
+            if kind == ErrorKind::Leaving { retry_after(&call.gateway, kind) } else { call.retry_after() };
+        error_response(kind, Some(after))
     }
 
     fn forward(&self, response: TargetResponse) -> Response<ResponseBody> {
--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -18,7 +18,9 @@
 use crate::{
     decide::{
         directory::Listing,
+        probed_pool::{Choice, ChoiceRequest},
         suspects::{Admission, RequestIdentity},
+        wait_queue::QueuePosition,
     },
     peer::forward::ForwardHeader,
     plan::RequestKind,
@@ -128,6 +130,26 @@
         gateway.service_pools().retry_after(now, &self.service, instances)
     }
 
+    /// Returns the time until which the call may be sent to a target, as far as a shutdown sets one.
+    pub(super) fn send_until(&self) -> MonoTime {
+        let Some(times) = self.gateway.shutdown_times() else { return MonoTime::MAX };
+        times.send_until(self.deadline, self.gateway.service_pools().usual_time(&self.service))
+    }
+
+    /// Chooses a target. `position` is that in the queue, if the call is queued; `competes` says whether it lets the calls
+    /// go first that are ahead of it.
+    pub(super) fn choose_target(
+        &self,
+        now: MonoTime,
+        position: Option<QueuePosition>,
+        competes: bool,
+        request: ChoiceRequest<'_>,
+    ) -> Choice {
+        let mut service_pools = self.gateway.service_pools();
+        let calls_ahead = if competes { service_pools.ahead_of(&self.service, position) } else { 0 };
+        service_pools.choose_target(now, &self.service, &ChoiceRequest { calls_ahead, ..request })
+    }
+
     /// Records a decision for the log.
     pub fn record(&self, event: RequestEvent) {
         self.log.record(self.gateway.now(), event);
--- a/src/gateway/head_timeout.rs
+++ b/src/gateway/head_timeout.rs
@@ -22,8 +22,10 @@
 /// What the server reads from a connection at present.
 #[derive(Debug, Default)]
 enum ReadState {
-    /// Nothing has arrived of the next head.
+    /// Nothing has arrived on the connection.
     #[default]
+    Unused,
+    /// Nothing has arrived of the next head.
     Idle,
     /// A head has begun, and must be complete at the deadline. Most heads arrive at once and need no timer.
     Head { deadline: Instant, timer: Option<Pin<Box<Sleep>>> },
@@ -44,6 +46,11 @@
         RequestGuard { timer: self.clone() }
     }
 
+    /// Returns whether nothing has arrived on the connection.
+    pub fn is_unused(&self) -> bool {
+        matches!(*self.lock(), ReadState::Unused)
+    }
+
     fn lock(&self) -> MutexGuard<'_, ReadState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -52,7 +59,7 @@
     fn poll_expired(&self, cx: &mut Context<'_>, has_bytes: bool, timeout: Duration) -> bool {
         let mut state = self.lock();
         match &mut *state {
-            ReadState::Idle if has_bytes => {
+            ReadState::Unused | ReadState::Idle if has_bytes => {
                 *state = ReadState::Head { deadline: Instant::now() + timeout, timer: None };
                 false
             }
@@ -61,7 +68,7 @@
                 let timer = timer.get_or_insert_with(|| Box::pin(sleep_until(*deadline)));
                 timer.as_mut().poll(cx).is_ready()
             }
-            ReadState::Idle | ReadState::Request => false,
+            ReadState::Unused | ReadState::Idle | ReadState::Request => false,
         }
     }
 }
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -1,6 +1,6 @@
 //! Accepts and serves callers' connections, with limits on size and time, and closes them on shutdown.
 
-use std::{convert::Infallible, net::IpAddr, pin::pin, sync::Arc, time::Duration};
+use std::{convert::Infallible, future::pending, net::IpAddr, pin::pin, sync::Arc, time::Duration};
 
 use hyper::{
     Request, Response, body::Incoming, header::HeaderValue, server::conn::http1, service::service_fn,
@@ -51,12 +51,17 @@
     Instances,
 }
 
-/// Accepts connections from callers or from instances; runs until dropped.
+/// Accepts connections from callers or from instances until the last phase of the shutdown.
 pub async fn listen(gateway: Arc<Gateway>, listener: TcpListener, audience: Audience) {
     // After a timeout, requests get error responses until routes and targets are known.
     let _ready_or_timeout = timeout(MAX_START_WAIT, gateway.wait_ready()).await;
+    let mut ending = pin!(gateway.wait_phase(Phase::Ending));
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut ending => return,
+        };
+        match accepted {
             Ok((stream, address)) => {
                 tokio::spawn(serve(Arc::clone(&gateway), stream, address.ip(), audience));
             }
@@ -87,6 +92,7 @@
         .header_read_timeout(limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout))
         .max_buf_size(max_head_bytes);
     let timer = HeadTimer::default();
+    let head_timer = timer.clone();
     let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.head_timeout);
     let stream = HeadTimeoutStream::new(stream, timer.clone(), head_timeout);
     let shared = Arc::clone(&gateway);
@@ -106,7 +112,10 @@
         result = connection.as_mut() => result,
         () = gateway.wait_phase(Phase::Refusing) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                result = connection.as_mut() => result,
+                () = wait_for_end_unused(&gateway, &head_timer) => Ok(()),
+            }
         }
     };
     if let Err(e) = result {
@@ -114,6 +123,15 @@
     }
 }
 
+/// Returns in the last phase of the shutdown if nothing has arrived on the connection. Any other connection ends with
+/// the response to its request.
+async fn wait_for_end_unused(gateway: &Gateway, timer: &HeadTimer) {
+    gateway.wait_phase(Phase::Ending).await;
+    if !timer.is_unused() {
+        pending::<()>().await;
+    }
+}
+
 /// Handles a request that another instance has forwarded.
 async fn handle_forwarded(gateway: Arc<Gateway>, mut request: Request<Incoming>) -> Response<ResponseBody> {
     let own = gateway.config().instance.clone();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,7 +42,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -63,7 +63,7 @@
 };
 use crate::{
     decide::{
-        peer_paths::PeerPaths, service_pools::ServicePools, suspects::SuspectTable,
+        peer_paths::PeerPaths, service_pools::ServicePools, shutdown::ShutdownTimes, suspects::SuspectTable,
         target_paths::TargetPaths, unconfirmed_ends::UnconfirmedEnds,
     },
     error::{Error, ErrorKind, Result},
@@ -140,6 +140,8 @@
     instance_count: AtomicU64,
     /// Shutdown phase; it only advances.
     phase: watch::Sender<Phase>,
+    /// Times of the shutdown; set before the phase advances.
+    shutdown_times: OnceLock<ShutdownTimes>,
     in_progress: Arc<InProgressTable>,
 }
 
@@ -190,6 +192,7 @@
             seed_routing_known: watch::Sender::new(false),
             instance_count: AtomicU64::new(0),
             phase: watch::Sender::new(Phase::Serving),
+            shutdown_times: OnceLock::new(),
             in_progress: Arc::default(),
             config: ArcSwap::from_pointee(config),
             config_changed: Notify::new(),
@@ -475,17 +478,43 @@
         }
     }
 
-    /// Starts the shutdown: the instance is no longer ready but still serves requests. Later invocations do
-    /// nothing.
-    pub fn start_leaving(&self) {
+    /// Starts the shutdown: the instance is no longer ready but still serves requests. Returns the times of the
+    /// shutdown; later invocations only do that.
+    pub fn start_leaving(&self) -> ShutdownTimes {
+        let times =
+            *self.shutdown_times.get_or_init(|| ShutdownTimes::new(self.now(), self.config().grace()));
         self.advance(Phase::Leaving);
+        // Queued calls may have to be refused earlier now.
+        self.state_changed.notify_waiters();
+        times
     }
 
-    /// Starts the last phase of the shutdown, in which callers' idle connections are closed.
+    /// Starts the phase of the shutdown in which callers' idle connections are closed, and requests are refused.
     pub fn start_refusing(&self) {
         self.advance(Phase::Refusing);
     }
 
+    /// Starts the last phase of the shutdown, in which no connections are accepted and calls in progress are ended.
+    pub fn start_ending(&self) {
+        self.advance(Phase::Ending);
+    }
+
+    /// Returns the times of the shutdown, or `None` if there is none in progress.
+    pub fn shutdown_times(&self) -> Option<&ShutdownTimes> {
+        self.shutdown_times.get()
+    }
+
+    /// Returns whether requests are taken now.
+    pub fn takes_requests(&self) -> bool {
+        self.shutdown_times().is_none_or(|times| times.takes_requests(self.now()))
+    }
+
+    /// Returns whether another instance takes requests of callers, as far as is known.
+    pub fn is_any_other_accepting(&self) -> bool {
+        let has_unheard = self.config().forward_address.is_none() && self.estimate_instance_count() > 1;
+        has_unheard || self.peer_paths().is_any_accepting(self.now())
+    }
+
     /// Returns whether this instance is shutting down.
     pub fn is_leaving(&self) -> bool {
         *self.phase.borrow() >= Phase::Leaving
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -5,7 +5,7 @@
 use tokio::{
     net::{TcpListener, TcpSocket},
     signal::unix::{SignalKind, signal},
-    time::{Instant, sleep, timeout_at},
+    time::{sleep, sleep_until, timeout_at},
 };
 
 use super::{
@@ -20,13 +20,6 @@
     logging,
 };
 
-/// Time within which the ingress notices that this instance is not ready: two readiness checks one second
-/// apart, and their responses.
-const INGRESS_DELAY: Duration = Duration::from_millis(2_300);
-
-/// Part of the grace period that is reserved for the exit of the process.
-const EXIT_RESERVE: f64 = 0.08;
-
 /// Time between two reports of dropped log lines.
 const REPORT_PERIOD: Duration = Duration::from_secs(5);
 
@@ -126,13 +119,18 @@
 }
 
 /// Shuts down gracefully: waits until the ingress notices, closes idle caller connections, and waits for
-/// requests in progress.
+/// requests in progress. Requests that still come meanwhile are refused.
 async fn shut_down(gateway: &Gateway) {
-    let until = Instant::now() + gateway.config().grace().mul_f64(1.0 - EXIT_RESERVE);
-    gateway.start_leaving();
-    log::info!("event=leaving in_progress={}", gateway.in_progress().request_count());
-    sleep(INGRESS_DELAY.min(gateway.config().grace() / 2)).await;
+    let times = gateway.start_leaving();
+    let in_progress = gateway.in_progress();
+    log::info!("event=leaving in_progress={}", in_progress.request_count());
+    sleep_until(gateway.clock.instant(times.refuse_at)).await;
     gateway.start_refusing();
-    let idle = timeout_at(until, gateway.in_progress().wait_idle()).await.is_ok();
-    log::info!("event=left idle={idle} in_progress={}", gateway.in_progress().request_count());
+    let calls_end_at = gateway.clock.instant(times.calls_end_at);
+    let calls_ended = timeout_at(calls_end_at, in_progress.wait_requests_ended()).await.is_ok();
+    log::info!("event=ending calls_ended={calls_ended} in_progress={}", in_progress.request_count());
+    gateway.start_ending();
+    let process_ends_at = gateway.clock.instant(times.process_ends_at);
+    let idle = timeout_at(process_ends_at, in_progress.wait_idle()).await.is_ok();
+    log::info!("event=left idle={idle} in_progress={}", in_progress.request_count());
 }
--- a/src/kernel/in_progress.rs
+++ b/src/kernel/in_progress.rs
@@ -86,6 +86,14 @@
         requests
     }
 
+    /// Waits until no request is in progress. Only one task may wait at a time, for this or for
+    /// [`wait_idle`](Self::wait_idle).
+    pub async fn wait_requests_ended(&self) {
+        while self.request_count() > 0 {
+            self.idle.notified().await;
+        }
+    }
+
     /// Waits until no request is in progress and no caller is connected. Only one task may wait at a time.
     pub async fn wait_idle(&self) {
         while self.request_count() > 0 || self.connection_count() > 0 {
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -59,6 +59,8 @@
     Leaving,
     /// The instance answers new requests with the outcome `not-run`.
     Refusing,
+    /// The instance accepts no more connections, and ends the calls in progress.
+    Ending,
 }
 
 /// State shared by all tasks of one instance.
@@ -157,7 +159,7 @@
     ///
     /// [`ErrorKind::Leaving`], [`ErrorKind::NoPlan`] or [`ErrorKind::CutOff`].
     pub fn check_admission(&self) -> Result<(), ErrorKind> {
-        if *self.phase.borrow() == Phase::Refusing {
+        if *self.phase.borrow() >= Phase::Refusing {
             return Err(ErrorKind::Leaving);
         }
         let valid_until_us = self.valid_until_us.load(Ordering::Acquire);
