End a response body with a stated length at the deadline, too

The caller got no final answer at its route's timeout, nor later; each such request held a slot and a connection of its target.

Cause: a body that is passed on while it arrives had the deadline only if it had no length (exchange.rs, and forward.rs for forwarded calls). A stated length bounds the bytes, not the time.

Change: the deadline holds for every such body.

Why it works: at the deadline the body ends as truncated, which closes the caller's connection and the target's. Nobody waits for it any longer: the deadline is the earlier one of the caller's own and the route's timeout.

--- a/bench/src/endless.rs
+++ b/bench/src/endless.rs
@@ -33,6 +33,10 @@
     ChunkedBody,
     /// A body of a genuine success that ends with the connection.
     UnframedBody,
+    /// A body of a genuine success under a length that it will not reach for years.
+    BodyWithLength,
+    /// A body of a genuine success that stops before its stated length, beyond what is buffered of a body.
+    StalledBody,
     /// A body of a genuine success of which a byte comes every now and then.
     SlowBody,
     /// A body of a genuine failure.
@@ -45,7 +49,7 @@
 
 impl EndlessPart {
     /// All values.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 13] = [
         Self::HeaderLines,
         Self::HeaderLine,
         Self::InterimResponses,
@@ -53,6 +57,8 @@
         Self::SlowHead,
         Self::ChunkedBody,
         Self::UnframedBody,
+        Self::BodyWithLength,
+        Self::StalledBody,
         Self::SlowBody,
         Self::FailureBody,
         Self::RefusalBody,
@@ -63,6 +69,9 @@
 /// Pause between two parts of a slow response.
 const DRIP_PAUSE: Duration = Duration::from_millis(20);
 
+/// Bytes that come of a body that stops before its end.
+const STALLED_BYTES: usize = 512 << 10;
+
 /// Bytes that are written at once.
 const FILLER: [u8; 16 << 10] = [b'x'; 16 << 10];
 
@@ -191,6 +200,15 @@
         EndlessPart::SlowHead => ("HTTP/1.1 200 OK\r\nX-More: ".to_owned(), "x".to_owned(), Some(DRIP_PAUSE)),
         EndlessPart::ChunkedBody => (genuine("200 OK", "Transfer-Encoding: chunked\r\n"), chunk, None),
         EndlessPart::UnframedBody => (genuine("200 OK", ""), "x".repeat(FILLER.len()), None),
+        EndlessPart::BodyWithLength => {
+            (genuine("200 OK", "Content-Length: 99999999999999\r\n"), "x".repeat(FILLER.len()), None)
+        }
+        EndlessPart::StalledBody => {
+            let head = genuine("200 OK", "Content-Length: 99999999999999\r\n");
+            stream.write_all((head + &"x".repeat(STALLED_BYTES)).as_bytes()).await?;
+            // Returns once the other side closes the connection.
+            return stream.read(&mut [0]).await.map(|_| ());
+        }
         EndlessPart::SlowBody => (genuine("200 OK", ""), "x".to_owned(), Some(DRIP_PAUSE)),
         EndlessPart::FailureBody => {
             (genuine("500 Internal Server Error", "Transfer-Encoding: chunked\r\n"), chunk, None)
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::{
     Response, StatusCode,
-    body::{Body, Incoming},
+    body::Incoming,
     header::{self, HeaderValue},
     http::response,
 };
@@ -318,10 +318,7 @@
             SendResult::Failed(response)
         }
         BufferedBody::Partial(chunks, remainder) => {
-            // A body of known length ends by itself. Any other one may go on without end, and after the
-            // deadline nobody waits for it.
-            let has_length = remainder.size_hint().exact().is_some();
-            let deadline = (!has_length).then(|| call.gateway.clock.instant(call.deadline));
+            let deadline = call.gateway.clock.instant(call.deadline);
             let body = ResponseBody::streaming(chunks, remainder, BodyGuard::Send(Box::new(guard)), deadline);
             SendResult::Answered(Box::new(TargetResponse { head, body }))
         }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -5,11 +5,7 @@
 
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
-use hyper::{
-    Response,
-    body::{Body, Incoming},
-    header::HeaderValue,
-};
+use hyper::{Response, body::Incoming, header::HeaderValue};
 use tokio::time::timeout;
 
 use super::{
@@ -209,8 +205,7 @@
             head.headers.insert(name, value);
         }
     }
-    let has_length = body.size_hint().exact().is_some();
-    let deadline = (!has_length).then(|| call.gateway.clock.instant(call.deadline));
+    let deadline = call.gateway.clock.instant(call.deadline);
     let body = ResponseBody::streaming(VecDeque::new(), body, BodyGuard::Forward(guard), deadline);
     Offer::Taken(SendResult::Answered(Box::new(TargetResponse { head, body })))
 }
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -62,15 +62,8 @@
 struct Remainder {
     body: Incoming,
     guard: BodyGuard,
-    /// Ends at the time until which the body may go on; `None` if it ends by itself.
-    deadline: Option<Pin<Box<Sleep>>>,
-}
-
-impl Remainder {
-    /// Returns whether the body should have ended by now, and registers for the time at which it should.
-    fn is_overdue(&mut self, cx: &mut Context<'_>) -> bool {
-        self.deadline.as_mut().is_some_and(|deadline| deadline.as_mut().poll(cx).is_ready())
-    }
+    /// Ends at the time until which the body may go on. A body with a stated length may go on without end, too.
+    deadline: Pin<Box<Sleep>>,
 }
 
 impl ResponseBody {
@@ -81,13 +74,8 @@
 
     /// Creates a body that starts with `chunks` and forwards the frames of `body` as they arrive. It breaks off
     /// if `body` has not ended by `deadline`.
-    pub fn streaming(
-        chunks: VecDeque<Bytes>,
-        body: Incoming,
-        guard: BodyGuard,
-        deadline: Option<Instant>,
-    ) -> Self {
-        let deadline = deadline.map(|at| Box::pin(sleep_until(at)));
+    pub fn streaming(chunks: VecDeque<Bytes>, body: Incoming, guard: BodyGuard, deadline: Instant) -> Self {
+        let deadline = Box::pin(sleep_until(deadline));
         Self { chunks, remainder: Some(Box::new(Remainder { body, guard, deadline })) }
     }
 }
@@ -104,7 +92,7 @@
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
         let Some(mut remainder) = self.remainder.take() else { return Poll::Ready(None) };
-        if remainder.is_overdue(cx) {
+        if remainder.deadline.as_mut().poll(cx).is_ready() {
             remainder.guard.lost();
             return Poll::Ready(Some(Err(BodyError::Truncated)));
         }
--- a/tests/gateway_endless_answers.rs
+++ b/tests/gateway_endless_answers.rs
@@ -86,7 +86,14 @@
 async fn another_target_answers_what_may_be_repeated() {
     // A success whose body goes on beyond what is buffered has been passed on in part and can't be repeated.
     let repeatable = EndlessPart::ALL.into_iter().filter(|part| {
-        !matches!(part, EndlessPart::ChunkedBody | EndlessPart::UnframedBody | EndlessPart::FailureBody)
+        !matches!(
+            part,
+            EndlessPart::ChunkedBody
+                | EndlessPart::UnframedBody
+                | EndlessPart::BodyWithLength
+                | EndlessPart::StalledBody
+                | EndlessPart::FailureBody
+        )
     });
     for part in repeatable {
         let deployment = TestDeployment::start().await;
@@ -107,7 +114,13 @@
 
 #[tokio::test]
 async fn a_stop_is_not_held_up_by_answers_without_end() {
-    for part in [EndlessPart::SlowHead, EndlessPart::ChunkedBody, EndlessPart::RefusalBody] {
+    for part in [
+        EndlessPart::SlowHead,
+        EndlessPart::ChunkedBody,
+        EndlessPart::BodyWithLength,
+        EndlessPart::StalledBody,
+        EndlessPart::RefusalBody,
+    ] {
         let deployment = TestDeployment::start().await;
         let _target = endless_target(&deployment, "i-1", part).await;
         let mut gateway = deployment.gateway("one", &json!({})).await;
--- a/tests/gateway_forward.rs
+++ b/tests/gateway_forward.rs
@@ -4,19 +4,20 @@
 mod gateway_env;
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     time::{Duration, Instant},
 };
 
 use arbutusshelf::peer::forward::{FORWARD, ForwardHeader};
 use arbutusshelf_bench::{
     client::{Caller, CompleteResponse},
-    relay::LinkFault,
+    endless::{EndlessPart, EndlessTarget},
+    relay::{LinkFault, Relay},
     worker::{WorkerMode, WorkerStandIn},
 };
 use bytes::Bytes;
-use cut_off_env::{CutOffDeployment, OTHER_SOURCE};
-use gateway_env::HOST;
+use cut_off_env::{CUT_OFF_SOURCE, CutOffDeployment, OTHER_SOURCE};
+use gateway_env::{HOST, entry};
 use http_body_util::Full;
 use hyper::{Method, Request};
 
@@ -312,3 +313,38 @@
     );
     assert_eq!(deployment.executions("later"), 0);
 }
+
+// Guards against callers that are held beyond their deadline by a forwarded response under a stated length, when the
+// instance that passes it on falls silent.
+#[tokio::test]
+async fn a_forwarded_response_that_stops_midway_ends_at_the_deadline() {
+    let deployment = CutOffDeployment::start(1).await;
+    let target =
+        EndlessTarget::start("i-endless", EndlessPart::BodyWithLength).await.expect("the target starts");
+    let relay = Relay::start(target.address).await.expect("the relay starts");
+    relay.set_fault_from(IpAddr::from(CUT_OFF_SOURCE), LinkFault::Blackhole);
+    let store = &deployment.deployment.store;
+    store.put_json("servers", &target.id, &entry(relay.address, "plan", "ready"));
+    deployment.cut_off(LinkFault::Blackhole).await;
+    for worker in &deployment.workers {
+        store.remove("servers", &worker.id);
+        let removed = || async {
+            let words = ["event=target-removed", &format!("target={}", worker.id)];
+            deployment.others[0].logged(&words) && deployment.cut_off.logged(&words)
+        };
+        deployment.deployment.wait_until("the target is removed", removed).await;
+    }
+    let (sent_at, deadline_ms) = (Instant::now(), 800);
+    let to = deployment.cut_off.callers;
+    let read = deployment.deployment.send_within(to, Method::GET, "/read/x", "a1", deadline_ms);
+    let pause = async {
+        tokio::time::sleep(AT_TARGET_TIME).await;
+        assert!(target.request_count() > 0, "the request is at the target");
+        deployment.others[0].signal("STOP");
+    };
+    let (answer, ()) = tokio::join!(read, pause);
+    let took = sent_at.elapsed();
+    deployment.others[0].signal("CONT");
+    assert!(answer.is_err(), "a body that breaks off must not look complete: {answer:?}");
+    assert!(took < Duration::from_millis(deadline_ms + 500), "it ended after {took:?}");
+}
