Let a caller that takes nothing hold no target, nor its connection for good

Cause: the deadline of a body that is passed on was looked at only when the HTTP library asked for more of the body, which it does only once the caller has taken what was written. Writes to callers had no time limit at all.

Change: such a body is read by a task of its own, which ends at the deadline (passed_body.rs). A connection on which nothing more can be written is reset after the longest timeout of a route and the idle timeout (caller_stream.rs, formerly head_timeout.rs).

Why it works: the task's end drops the connection to the target whether the caller reads or not; the write timer runs from the first write that finds no room until all has been written.

--- a/src/gateway/head_timeout.rs
+++ b/src/gateway/caller_stream.rs
@@ -1,7 +1,7 @@
-//! Limits the time that a caller may take for a request head, from its first byte on.
+//! Limits the time that a caller may take for a request head, from its first byte on, and to take a response.
 //!
 //! The HTTP library has one timer for the wait for a head and for its transfer. That timer is set to the time that
-//! a connection may be idle, which is several times as long.
+//! a connection may be idle, which is several times as long. It has none for responses.
 
 use std::{
     io,
@@ -16,7 +16,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::{Instant, Sleep, sleep_until},
+    time::{Instant, Sleep, sleep, sleep_until},
 };
 
 /// What the server reads from a connection at present.
@@ -114,22 +114,58 @@
     }
 }
 
-/// A caller's connection whose reads fail once a head takes too long.
+/// Longest times that a caller may take.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerTimeLimits {
+    /// For a request head, from its first byte on.
+    pub head: Duration,
+    /// To take what has been written, from the moment on at which nothing more can be written.
+    pub response: Duration,
+}
+
+/// A caller's connection whose reads and writes fail once the caller takes too long.
 #[derive(Debug)]
-pub struct HeadTimeoutStream {
+pub struct CallerStream {
     stream: TcpStream,
     timer: HeadTimer,
-    timeout: Duration,
+    time_limits: CallerTimeLimits,
+    /// Present while the caller has not taken all that has been written.
+    write_timer: Option<Pin<Box<Sleep>>>,
+}
+
+fn timed_out(what: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::TimedOut, what)
 }
 
-impl HeadTimeoutStream {
-    /// Wraps a stream; a head may take `timeout`.
-    pub fn new(stream: TcpStream, timer: HeadTimer, timeout: Duration) -> Self {
-        Self { stream, timer, timeout }
+impl CallerStream {
+    /// Wraps a stream whose caller may take as long as `time_limits` say.
+    pub fn new(stream: TcpStream, timer: HeadTimer, time_limits: CallerTimeLimits) -> Self {
+        Self { stream, timer, time_limits, write_timer: None }
+    }
+
+    /// Returns the result of a write, or an error if the caller has taken too long to make room for it.
+    fn limit_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        result: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if result.is_ready() && self.write_timer.is_none() {
+            return result;
+        }
+        let time = self.time_limits.response;
+        let timer = self.write_timer.get_or_insert_with(|| Box::pin(sleep(time)));
+        if timer.as_mut().poll(cx).is_pending() {
+            return result;
+        }
+        // What the caller has not taken is discarded with the connection.
+        if let Err(e) = self.stream.set_zero_linger() {
+            log::debug!("event=linger-failed error={:?}", e.to_string());
+        }
+        Poll::Ready(Err(timed_out("the caller took too long to take the response")))
     }
 }
 
-impl AsyncRead for HeadTimeoutStream {
+impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -138,22 +174,22 @@
         let filled_before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
         let has_bytes = buffer.filled().len() > filled_before;
-        if self.timer.poll_expired(cx, has_bytes, self.timeout) {
-            return Poll::Ready(Err(io::Error::new(
-                io::ErrorKind::TimedOut,
-                "the request head took too long",
-            )));
+        if self.timer.poll_expired(cx, has_bytes, self.time_limits.head) {
+            return Poll::Ready(Err(timed_out("the request head took too long")));
         }
         result
     }
 }
 
-impl AsyncWrite for HeadTimeoutStream {
+impl AsyncWrite for CallerStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.limit_write(cx, result)
     }
 
+    /// The HTTP library flushes once it has written all that it has.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.write_timer = None;
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
@@ -166,7 +202,8 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.limit_write(cx, result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,13 +20,8 @@
 use tokio::time::timeout;
 
 use super::{
-    Gateway,
-    call_context::CallContext,
-    path_check, rate_limits,
-    request_log::SendOutcome,
-    response::{BodyGuard, ResponseBody},
-    suspects::SendWatch,
-    target_end, target_statements,
+    Gateway, call_context::CallContext, passed_body::BodyGuard, path_check, rate_limits,
+    request_log::SendOutcome, response::ResponseBody, suspects::SendWatch, target_end, target_statements,
 };
 use crate::{
     decide::{directory::Listing, probed_target::HealthSignal, unconfirmed_ends::ProcessState},
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -12,8 +12,9 @@
     Gateway,
     call_context::CallContext,
     exchange::{SendResult, TargetResponse},
+    passed_body::BodyGuard,
     request_log::{RequestEvent, SendOutcome},
-    response::{BodyGuard, ResponseBody},
+    response::ResponseBody,
 };
 use crate::{
     decide::unconfirmed_ends::ProcessState,
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -14,7 +14,7 @@
 use super::{
     Gateway,
     call::{self, RequestSource},
-    head_timeout::{GuardedBody, HeadTimeoutStream, HeadTimer},
+    caller_stream::{CallerStream, CallerTimeLimits, GuardedBody, HeadTimer},
     response::{ResponseBody, error_response},
 };
 use crate::{
@@ -79,7 +79,9 @@
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("event=nodelay-failed error={:?}", e.to_string());
     }
-    let limits = gateway.routing().map(|table| table.limits);
+    let routing = gateway.routing();
+    let limits = routing.as_ref().map(|table| table.limits);
+    let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout);
     let caller_head_bytes =
         limits.map_or(MIN_HEAD_BUFFER_BYTES, |l| l.max_head_bytes.max(MIN_HEAD_BUFFER_BYTES));
     let max_head_bytes = match audience {
@@ -87,14 +89,16 @@
         Audience::Instances => caller_head_bytes + MAX_ADDED_HEAD_BYTES,
     };
     let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout))
-        .max_buf_size(max_head_bytes);
+    builder.timer(TokioTimer::new()).header_read_timeout(idle_timeout).max_buf_size(max_head_bytes);
     let timer = HeadTimer::default();
     let head_timer = timer.clone();
-    let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.head_timeout);
-    let stream = HeadTimeoutStream::new(stream, timer.clone(), head_timeout);
+    let longest_timeout = routing.map_or(Duration::ZERO, |table| table.longest_timeout);
+    let time_limits = CallerTimeLimits {
+        head: limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.head_timeout),
+        // A target may go on with its response until the timeout of its route.
+        response: longest_timeout + idle_timeout,
+    };
+    let stream = CallerStream::new(stream, timer.clone(), time_limits);
     let shared = Arc::clone(&gateway);
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Arc::clone(&shared);
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::VecDeque,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -13,10 +13,9 @@
     body::{Body, Frame, Incoming, SizeHint},
     header::{self, HeaderValue},
 };
+use tokio::{sync::mpsc::Receiver, time::Instant};
 
-use tokio::time::{Instant, Sleep, sleep_until};
-
-use super::{exchange::SendGuard, forward::ForwardGuard};
+use super::passed_body::{self, BodyGuard, BodyPart};
 use crate::{
     error::ErrorKind,
     proxy::{body::BodyError, headers},
@@ -31,39 +30,12 @@
     remainder: Option<Box<Remainder>>,
 }
 
-/// What is done when a body that is still arriving ends, by where it comes from.
-#[derive(Debug)]
-pub enum BodyGuard {
-    /// From a target.
-    Send(Box<SendGuard>),
-    /// From another instance.
-    Forward(ForwardGuard),
-}
-
-impl BodyGuard {
-    fn completed(self) {
-        match self {
-            Self::Send(guard) => guard.completed(),
-            Self::Forward(guard) => guard.completed(),
-        }
-    }
-
-    /// Ends a body that broke off. What this shows of the request is found out without its caller; of a forwarded
-    /// one, the other instance finds it out.
-    fn lost(self) {
-        if let Self::Send(guard) = self {
-            tokio::spawn(guard.lost());
-        }
-    }
-}
-
-/// The unread part of a target's response body.
+/// The unread part of a response body.
 #[derive(Debug)]
 struct Remainder {
-    body: Incoming,
-    guard: BodyGuard,
-    /// Ends at the time until which the body may go on. A body with a stated length may go on without end, too.
-    deadline: Pin<Box<Sleep>>,
+    parts: Receiver<BodyPart>,
+    /// Bytes that are still to come; `None` if the body states no length.
+    remaining_bytes: Option<u64>,
 }
 
 impl ResponseBody {
@@ -73,10 +45,11 @@
     }
 
     /// Creates a body that starts with `chunks` and forwards the frames of `body` as they arrive. It breaks off
-    /// if `body` has not ended by `deadline`.
+    /// if `body` has not ended by `deadline`, whether it states a length or not.
     pub fn streaming(chunks: VecDeque<Bytes>, body: Incoming, guard: BodyGuard, deadline: Instant) -> Self {
-        let deadline = Box::pin(sleep_until(deadline));
-        Self { chunks, remainder: Some(Box::new(Remainder { body, guard, deadline })) }
+        let remaining_bytes = body.size_hint().exact();
+        let parts = passed_body::start(body, guard, deadline);
+        Self { chunks, remainder: Some(Box::new(Remainder { parts, remaining_bytes })) }
     }
 }
 
@@ -91,28 +64,21 @@
         if let Some(chunk) = self.chunks.pop_front() {
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
-        let Some(mut remainder) = self.remainder.take() else { return Poll::Ready(None) };
-        if remainder.deadline.as_mut().poll(cx).is_ready() {
-            remainder.guard.lost();
-            return Poll::Ready(Some(Err(BodyError::Truncated)));
-        }
-        match Pin::new(&mut remainder.body).poll_frame(cx) {
-            Poll::Pending => {
-                self.remainder = Some(remainder);
-                Poll::Pending
+        let Some(remainder) = &mut self.remainder else { return Poll::Ready(None) };
+        match ready!(remainder.parts.poll_recv(cx)) {
+            Some(BodyPart::Chunk(chunk)) => {
+                let remaining_bytes = &mut remainder.remaining_bytes;
+                *remaining_bytes = remaining_bytes.map(|bytes| bytes.saturating_sub(chunk.len() as u64));
+                Poll::Ready(Some(Ok(Frame::data(chunk))))
             }
-            Poll::Ready(Some(Ok(frame))) => {
-                self.remainder = Some(remainder);
-                Poll::Ready(Some(Ok(frame)))
+            Some(BodyPart::End) => {
+                self.remainder = None;
+                Poll::Ready(None)
             }
-            Poll::Ready(Some(Err(_))) => {
-                remainder.guard.lost();
+            None => {
+                self.remainder = None;
                 Poll::Ready(Some(Err(BodyError::Truncated)))
             }
-            Poll::Ready(None) => {
-                remainder.guard.completed();
-                Poll::Ready(None)
-            }
         }
     }
 
@@ -123,12 +89,11 @@
     fn size_hint(&self) -> SizeHint {
         let buffered = self.chunks.iter().map(Bytes::len).sum::<usize>() as u64;
         let Some(remainder) = &self.remainder else { return SizeHint::with_exact(buffered) };
-        let remainder = remainder.body.size_hint();
-        let mut hint = SizeHint::new();
-        hint.set_lower(buffered + remainder.lower());
-        if let Some(upper) = remainder.upper() {
-            hint.set_upper(buffered + upper);
+        if let Some(remaining_bytes) = remainder.remaining_bytes {
+            return SizeHint::with_exact(buffered + remaining_bytes);
         }
+        let mut hint = SizeHint::new();
+        hint.set_lower(buffered);
         hint
     }
 }
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -139,6 +139,8 @@
     pub services: HashMap<ServiceName, ServiceLimits>,
     /// Limits on callers of all routes.
     pub limits: CallerLimits,
+    /// Longest timeout of a route; zero if there is none.
+    pub longest_timeout: Duration,
     /// Routes of each host, longest prefix first.
     by_host: HashMap<String, Vec<Arc<Route>>>,
     /// Number of routes over all hosts.
@@ -150,6 +152,7 @@
     /// start at the same backend.
     pub fn new(spec: RoutingSpec, seed: u64) -> Self {
         let routes = spec.routes.len();
+        let longest_timeout = spec.routes.iter().map(|r| r.timeout).max().unwrap_or_default();
         let mut by_host = HashMap::<String, Vec<Arc<Route>>>::default();
         for (position, route) in spec.routes.into_iter().enumerate() {
             let start = seed.wrapping_mul(GOLDEN_STEP).wrapping_add((position as u64) << 32);
@@ -159,7 +162,8 @@
             routes.sort_by_key(|r| std::cmp::Reverse(r.spec.prefix.len()));
             routes.shrink_to_fit();
         }
-        Self { version: spec.version, services: spec.services, limits: spec.limits, by_host, routes }
+        let RoutingSpec { version, services, limits, .. } = spec;
+        Self { version, services, limits, longest_timeout, by_host, routes }
     }
 
     /// Returns the route with the longest matching prefix for a host (with or without port) and a path.
--- a/tests/gateway_slow_callers.rs
+++ b/tests/gateway_slow_callers.rs
@@ -1,10 +1,11 @@
-//! Callers that take long to send a request.
+//! Callers that take long to send a request, or to take a response.
 
 mod gateway_env;
 
 use std::time::{Duration, Instant};
 
-use gateway_env::{HOST, TestDeployment, manifest, route};
+use arbutusshelf_bench::endless::{EndlessPart, EndlessTarget};
+use gateway_env::{HOST, TestDeployment, entry, manifest, route};
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -80,6 +81,66 @@
     assert_eq!(read_status(&mut stream).await, 200);
 }
 
+/// Deadline of callers that take nothing of their response.
+const DEADLINE: Duration = Duration::from_millis(600);
+
+/// Sends a read whose response has no end, and takes nothing of it.
+async fn send_and_take_nothing(
+    deployment: &TestDeployment,
+    gateway: &gateway_env::GatewayProcess,
+) -> TcpStream {
+    let mut stream = TcpStream::connect(gateway.callers).await.expect("a connection");
+    let deadline_ms = DEADLINE.as_millis();
+    let request = format!(
+        "GET /read/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: a1\r\nX-Request-Deadline-Ms: {deadline_ms}\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.expect("it is written");
+    let admitted = || async { gateway.logged(&["event=request-ended", "request=\"a1\""]) };
+    deployment.wait_until("the head of the response is there", admitted).await;
+    stream
+}
+
+/// Guards against targets that are held by a caller that takes nothing: a body was only given up when its caller had
+/// room for more of it.
+#[tokio::test]
+async fn a_caller_that_takes_nothing_holds_no_target_beyond_its_deadline() {
+    for part in [EndlessPart::BodyWithLength, EndlessPart::ChunkedBody] {
+        let deployment = TestDeployment::start().await;
+        let target = EndlessTarget::start("i-1", part).await.expect("the target starts");
+        deployment.store.put_json("servers", "i-1", &entry(target.address, "plan", "ready"));
+        let gateway = deployment.gateway("one", &json!({})).await;
+        let sent_at = Instant::now();
+        let _stream = send_and_take_nothing(&deployment, &gateway).await;
+        deployment.wait_until("the target is let go", || async { target.open_responses() == 0 }).await;
+        let took = sent_at.elapsed();
+        assert!(took < DEADLINE + Duration::from_millis(500), "{part:?}: the target was held for {took:?}");
+    }
+}
+
+/// Guards against connections, and responses in memory, that a caller which takes nothing keeps for good.
+#[tokio::test]
+async fn a_caller_that_takes_nothing_is_disconnected() {
+    let deployment = TestDeployment::start().await;
+    let (route_timeout, idle_timeout) = (Duration::from_secs(1), Duration::from_millis(700));
+    let mut short = manifest(100, &[route("read", "/read/", "idempotent", "plan", 1_000)]);
+    for resource in short["resources"].as_array_mut().expect("a list") {
+        if resource["resourceKind"] == "limits" {
+            resource["spec"]["idleTimeoutS"] = json!(idle_timeout.as_secs_f64());
+        }
+    }
+    deployment.store.put_json("op", "config", &short);
+    let target = EndlessTarget::start("i-1", EndlessPart::BodyWithLength).await.expect("the target starts");
+    deployment.store.put_json("servers", "i-1", &entry(target.address, "plan", "ready"));
+    let gateway = deployment.gateway("one", &json!({})).await;
+    let sent_at = Instant::now();
+    let stream = send_and_take_nothing(&deployment, &gateway).await;
+    let is_reset = || async { stream.take_error().expect("the state of the socket").is_some() };
+    deployment.wait_until("the connection is reset", is_reset).await;
+    let took = sent_at.elapsed();
+    let limit = route_timeout + idle_timeout;
+    assert!(took < limit + Duration::from_secs(1), "the connection was kept for {took:?}");
+}
+
 /// The manifest of these tests has the time that they expect.
 #[test]
 fn the_manifest_of_the_tests_states_the_time_for_a_head() {
