Refuse a request whose body has not arrived at its deadline

A request body that came a byte at a time was awaited for up to 10 s a part, whatever the request's deadline, and the request had no answer until it was complete.

Change: the read of a body ends at the deadline (the caller's own or the route's timeout, whichever is earlier), with 408: nothing has been sent to a target.

Test, red before (no answer within 10 s): gateway_slow_callers, a_body_that_is_not_there_at_the_deadline_ends_the_request. gateway_calls, gateway_shutdown and gateway_slow_callers pass.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -23,7 +23,7 @@
     header::{self, HeaderValue},
     http::request::Parts,
 };
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{sleep_until, timeout, timeout_at};
 
 use super::{
     Gateway,
@@ -152,7 +152,9 @@
     if !gateway.takes_requests() {
         return Err(ErrorKind::Leaving);
     }
-    let start = read_body_start(&mut body, limit, MAX_RETRYABLE_BODY_BYTES, BODY_PROGRESS_TIMEOUT).await?;
+    let start = read_body_start(&mut body, limit, MAX_RETRYABLE_BODY_BYTES, BODY_PROGRESS_TIMEOUT);
+    let start = timeout_at(gateway.clock.instant(deadline), start).await;
+    let start = start.unwrap_or(Err(ErrorKind::BodyIncomplete))?;
     if !gateway.are_suspects_known() {
         // After a timeout, the request is served as one under which no target has ended.
         let _known_or_timeout = timeout(START_WAIT, gateway.wait_for_suspects()).await;
--- a/tests/gateway_slow_callers.rs
+++ b/tests/gateway_slow_callers.rs
@@ -81,7 +81,48 @@
     assert_eq!(read_status(&mut stream).await, 200);
 }
 
-/// Deadline of callers that take nothing of their response.
+/// Sends the head of a request with a body, and a byte of the body now and then, until a response comes. Returns the
+/// response and how long it took.
+async fn send_body_slowly(address: std::net::SocketAddr, deadline_ms: u64) -> (String, Duration) {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let head = format!(
+        "POST /charge/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: a1\r\nX-Request-Deadline-Ms: {deadline_ms}\r\n\
+         Content-Length: 100\r\n\r\n"
+    );
+    let sent_at = Instant::now();
+    stream.write_all(head.as_bytes()).await.expect("it is written");
+    let (mut reader, mut writer) = stream.split();
+    let drip = async {
+        for _ in 0..99 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            // The gateway may have closed the connection, which the reader notices.
+            let _closed = writer.write_all(b"x").await;
+        }
+    };
+    let mut received = vec![0; 4_096];
+    let length = tokio::select! {
+        length = reader.read(&mut received) => length.expect("a response"),
+        () = drip => 0,
+    };
+    (String::from_utf8_lossy(&received[..length]).into_owned(), sent_at.elapsed())
+}
+
+/// Guards against requests whose body arrives so slowly that they are answered long after their deadline.
+#[tokio::test]
+async fn a_body_that_is_not_there_at_the_deadline_ends_the_request() {
+    let deployment = TestDeployment::start().await;
+    let worker = deployment.worker("i-1").await;
+    let gateway = deployment.gateway("one", &json!({})).await;
+    // The timeout of the route is 2 s.
+    for (deadline_ms, expected) in [(600, DEADLINE), (30_000, Duration::from_secs(2))] {
+        let (response, took) = send_body_slowly(gateway.callers, deadline_ms).await;
+        assert!(response.starts_with("HTTP/1.1 408") && response.contains("not-run"), "{response:?}");
+        assert!((expected..expected + Duration::from_millis(500)).contains(&took), "{took:?}");
+    }
+    assert_eq!(worker.executed_requests().len(), 0);
+}
+
+/// Deadline of callers that are slow.
 const DEADLINE: Duration = Duration::from_millis(600);
 
 /// Sends a read whose response has no end, and takes nothing of it.
