Close unused connections to the addresses of readiness and metrics

A connection that was opened there and sent nothing, or a part of a head, kept its descriptor for good, of which a process has 4,100.

Change: 5 s idle, 3 s for a head, 5 s for a response that is not taken. Checks once a second may keep their connection.

Test, red before (still open after 10 s): gateway_slow_callers, unused_connections_for_readiness_and_metrics_are_closed.

--- a/src/gateway/ready.rs
+++ b/src/gateway/ready.rs
@@ -1,17 +1,21 @@
 //! HTTP endpoints for the readiness check of the ingress and for metrics.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
     time::sleep,
 };
 
-use super::{Gateway, listen::ACCEPT_PAUSE};
+use super::{
+    Gateway,
+    caller_stream::{CallerStream, CallerTimeLimits, GuardedBody, HeadTimer},
+    listen::ACCEPT_PAUSE,
+};
 
 /// Path of the readiness check. The ingress, which spreads callers over the instances, sends callers only to
 /// ready instances.
@@ -20,6 +24,12 @@
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// Time for which a connection may be idle: five readiness checks.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+
+const TIME_LIMITS: CallerTimeLimits =
+    CallerTimeLimits { head: Duration::from_secs(3), response: Duration::from_secs(5) };
+
 /// Accepts connections; runs until dropped.
 pub async fn listen(gateway: Arc<Gateway>, listener: TcpListener) {
     loop {
@@ -36,11 +46,16 @@
 }
 
 async fn serve(gateway: Arc<Gateway>, stream: TcpStream) {
+    let timer = HeadTimer::default();
+    let stream = CallerStream::new(stream, timer.clone(), TIME_LIMITS);
     let service = service_fn(move |request: Request<Incoming>| {
+        let guard = timer.head_complete();
         let response = respond(&gateway, request.uri().path());
-        async move { Ok::<_, Infallible>(response) }
+        async move { Ok::<_, Infallible>(response.map(|body| GuardedBody { body, guard })) }
     });
-    if let Err(e) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await {
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT);
+    if let Err(e) = builder.serve_connection(TokioIo::new(stream), service).await {
         log::debug!("event=ready-connection-ended error={:?}", e.to_string());
     }
 }
--- a/tests/gateway_slow_callers.rs
+++ b/tests/gateway_slow_callers.rs
@@ -182,6 +182,37 @@
     assert!(took < limit + Duration::from_secs(1), "the connection was kept for {took:?}");
 }
 
+/// Guards against connections that occupy descriptors for good at the addresses of readiness and metrics, idle or with
+/// heads that are never finished.
+#[tokio::test]
+async fn unused_connections_for_readiness_and_metrics_are_closed() {
+    let deployment = TestDeployment::start().await;
+    let _worker = deployment.worker("i-1").await;
+    let gateway = deployment.gateway("one", &json!({})).await;
+    let connected_at = Instant::now();
+    let mut open = Vec::new();
+    for address in [gateway.ready, gateway.metrics] {
+        for sent in ["", "GET /ready HTTP/1.1\r\nHost: a\r\n", "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"] {
+            let mut stream = TcpStream::connect(address).await.expect("a connection");
+            stream.write_all(sent.as_bytes()).await.expect("it is written");
+            open.push(stream);
+        }
+    }
+    for mut stream in open {
+        let mut received = Vec::new();
+        // A reset ends the connection, too.
+        let ended = tokio::time::timeout(Duration::from_secs(10), stream.read_to_end(&mut received)).await;
+        assert!(ended.is_ok(), "still open after {:?}", connected_at.elapsed());
+    }
+    // Checks once a second may use one connection.
+    let mut stream = TcpStream::connect(gateway.ready).await.expect("a connection");
+    for _ in 0..7 {
+        stream.write_all(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").await.expect("it is open");
+        assert_eq!(read_status(&mut stream).await, 200);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+}
+
 /// The manifest of these tests has the time that they expect.
 #[test]
 fn the_manifest_of_the_tests_states_the_time_for_a_head() {
