Hold removals back only after an absence in which entries can lapse

Cause: an instance that had not heard of the store for one heartbeat of a target (1.5 s) took it for away so long that entries may have lapsed. An entry lapses after three heartbeats of silence, and the last one before the loss was at most one earlier: within two heartbeats nothing lapses. A follower whose seed has lost the store hears nothing for 1.5 to 2 s, so a short loss of one source started the grace period that is made for a long outage.

Change: the absence must be 0.8 times two heartbeats (2.4 s). The platform's adapter states the length of a lease in heartbeats. After a shorter absence of a heartbeat or more, only removals that would leave less than half of a service's targets are held back: should entries lapse sooner than stated, a service is not left without targets. event=store-heard tells how long an instance has not heard of the store and what it holds back.

--- a/src/decide/directory.rs
+++ b/src/decide/directory.rs
@@ -10,6 +10,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use derive_more::Display;
+
 use crate::{
     collections::{HashMap, HashSet},
     store_position::StorePosition,
@@ -21,6 +23,10 @@
 /// The platform states about two seconds.
 pub const STORE_RETURN_GRACE: Duration = Duration::from_secs(2);
 
+/// Share of the shortest time in which an entry can lapse from which on an absence of the store counts as one that may
+/// have let it lapse: heartbeats come early at times, and the absence began after the store was heard last.
+const LAPSE_MARGIN: f64 = 0.8;
+
 /// Time for which a removed target is remembered. A copy of the store that still lists it is only some seconds
 /// old.
 const REMOVED_RETENTION: Duration = Duration::from_mins(2);
@@ -103,6 +109,46 @@
     removed_at: MonoTime,
 }
 
+/// How targets keep their entries in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct EntryLease {
+    /// Time between two heartbeats, with each of which a target writes its entry.
+    pub heartbeat: Duration,
+    /// Number of heartbeats after which the entry lapses if the target writes none.
+    pub length_heartbeats: u32,
+}
+
+impl EntryLease {
+    /// Returns the shortest absence of the store in which an entry can lapse. The last heartbeat before the absence may
+    /// have been nearly one earlier.
+    pub fn min_lapse_time(&self) -> Duration {
+        self.heartbeat.mul_f64(LAPSE_MARGIN) * self.length_heartbeats.saturating_sub(1)
+    }
+}
+
+/// Which removals are held back after an absence of the store, for [`STORE_RETURN_GRACE`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Display)]
+#[display(rename_all = "kebab-case")]
+pub enum HeldRemovals {
+    /// None: no heartbeat was missed.
+    #[default]
+    None,
+    /// Those that would leave less than half of a service's targets: no entry should have lapsed yet, but so many
+    /// targets hardly leave at once.
+    Many,
+    /// All: any entry may have lapsed.
+    All,
+}
+
+/// A time for which the store was not heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreAbsence {
+    /// How long it lasted.
+    pub length: Duration,
+    /// Which removals are held back after it.
+    pub held: HeldRemovals,
+}
+
 /// The directory as last read from the store.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
@@ -116,18 +162,19 @@
     position: Option<StorePosition>,
     /// Time since which the store was not heard, if the last access to it failed.
     unheard_since: Option<MonoTime>,
-    /// Shortest absence of the store in which an entry can lapse.
-    min_lapse_time: Duration,
+    lease: EntryLease,
+    /// Which removals are held back until `grace_until`.
+    held: HeldRemovals,
     /// Time by which entries that expired during the outage must be registered again.
     grace_until: MonoTime,
+    /// Number of targets of each service that were removed in the present grace period.
+    removed_in_grace: HashMap<ServiceName, usize>,
 }
 
 impl Directory {
-    /// Creates an empty directory. `min_lapse_time` is the shortest absence of the store in which an entry can lapse:
-    /// a lease lasts several heartbeats of its target, and the last one before the absence may have been a heartbeat
-    /// earlier.
-    pub fn new(min_lapse_time: Duration) -> Self {
-        Self { min_lapse_time, ..Self::default() }
+    /// Creates an empty directory of targets that keep their entries by `lease`.
+    pub fn new(lease: EntryLease) -> Self {
+        Self { lease, ..Self::default() }
     }
 
     /// Records that a target has stated in a response that it leaves. It stays draining, whatever its entry says, until
@@ -148,17 +195,22 @@
 
     /// Records that the store answers again, and that it has answered some instance since `since`. Starts the
     /// grace period if it was away for so long that an entry can have lapsed, and ends an earlier one sooner if the
-    /// store was back sooner than was known.
-    pub fn store_answered(&mut self, since: MonoTime) {
+    /// store was back sooner than was known. Returns for how long the store was not heard, if it was not.
+    pub fn store_answered(&mut self, since: MonoTime) -> Option<StoreAbsence> {
         let until = since + STORE_RETURN_GRACE;
-        let unheard_since = self.unheard_since.take();
-        if unheard_since.is_some_and(|heard_at| since.since(heard_at) >= self.min_lapse_time) {
-            self.grace_until = until;
+        let absence = self.unheard_since.take().map(|heard_at| {
+            let length = since.since(heard_at);
+            StoreAbsence { length, held: self.held_after(length) }
+        });
+        if let Some(StoreAbsence { held, .. }) = absence.filter(|absence| absence.held != HeldRemovals::None)
+        {
+            self.start_grace(until, held);
         }
         self.grace_until = self.grace_until.min(until);
         for entry in self.entries.values_mut() {
             entry.expires_at = entry.expires_at.map(|at| at.min(until));
         }
+        absence
     }
 
     /// Applies changed rows.
@@ -182,7 +234,7 @@
             return Vec::new();
         }
         if self.position.is_some_and(|known| position.era > known.era) {
-            self.grace_until = now + STORE_RETURN_GRACE;
+            self.start_grace(now + STORE_RETURN_GRACE, HeldRemovals::All);
         }
         self.position = Some(position);
         let present = rows.iter().map(|r| r.key.clone()).collect::<HashSet<_>>();
@@ -281,15 +333,49 @@
         position: StorePosition,
         changes: &mut Vec<DirectoryChange>,
     ) {
-        let Some(entry) = self.entries.get_mut(key).filter(|e| e.position <= position) else { return };
+        let Some(entry) = self.entries.get(key).filter(|e| e.position <= position) else { return };
+        let is_held =
+            now < self.grace_until && !entry.listing.draining && self.is_held(&entry.listing.service);
+        let Some(entry) = self.entries.get_mut(key) else { return };
         entry.position = position;
-        if now < self.grace_until && !entry.listing.draining {
+        if is_held {
             entry.expires_at.get_or_insert(self.grace_until);
             return;
         }
+        *self.removed_in_grace.entry(entry.listing.service.clone()).or_default() += 1;
         changes.extend(self.forget(now, key));
     }
 
+    fn held_after(&self, absence: Duration) -> HeldRemovals {
+        if absence >= self.lease.min_lapse_time() {
+            HeldRemovals::All
+        } else if absence >= self.lease.heartbeat {
+            HeldRemovals::Many
+        } else {
+            HeldRemovals::None
+        }
+    }
+
+    fn start_grace(&mut self, until: MonoTime, held: HeldRemovals) {
+        self.grace_until = until;
+        self.held = held;
+        self.removed_in_grace.clear();
+    }
+
+    /// Returns whether the removal of a further target of a service is held back in the grace period.
+    fn is_held(&self, service: &ServiceName) -> bool {
+        match self.held {
+            HeldRemovals::None => false,
+            HeldRemovals::All => true,
+            HeldRemovals::Many => {
+                let removed = self.removed_in_grace.get(service).copied().unwrap_or_default();
+                let is_usable = |e: &&Entry| e.listing.service == *service && !e.listing.draining;
+                let listed = self.entries.values().filter(is_usable).count();
+                (removed + 1) * 2 > listed + removed
+            }
+        }
+    }
+
     /// Removes a target and remembers until when its entries were known.
     fn forget(&mut self, now: MonoTime, key: &str) -> Option<DirectoryChange> {
         let Entry { position, listing, .. } = self.entries.remove(key)?;
--- a/src/decide/service_pools.rs
+++ b/src/decide/service_pools.rs
@@ -6,7 +6,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use super::{
-    directory::{Directory, DirectoryChange, Listing},
+    directory::{Directory, DirectoryChange, EntryLease, Listing},
     probed_pool::{Choice, ChoiceRequest, ProbedPool},
     probed_target::{HealthSignal, LoadReading},
     rate_limit::{RateLimitChange, RateLimitStatement},
@@ -48,11 +48,12 @@
 }
 
 impl ServicePools {
-    /// Creates the state without targets. `min_lapse_time` is that of the directory. Nothing may be retried until an allowance is set.
-    pub fn new(data_centre: DataCentre, min_lapse_time: Duration, seed: u64) -> Self {
+    /// Creates the state without targets, which keep their entries by `lease`. Nothing may be retried until an
+    /// allowance is set.
+    pub fn new(data_centre: DataCentre, lease: EntryLease, seed: u64) -> Self {
         let allowance = RepeatAllowance { ratio: 0.0, extra: 0.0, window: Duration::from_secs(1) };
         Self {
-            directory: Directory::new(min_lapse_time),
+            directory: Directory::new(lease),
             data_centre,
             seed,
             services: HashMap::default(),
--- a/src/gateway/apply.rs
+++ b/src/gateway/apply.rs
@@ -7,8 +7,9 @@
     suspects::confirm_ends,
 };
 use crate::{
-    decide::directory::{DirectoryChange, DirectoryRow},
+    decide::directory::{DirectoryChange, DirectoryRow, StoreAbsence},
     routing::RoutingSpec,
+    units::MonoTime,
 };
 
 /// Applies an update of a table, from the store or from another instance.
@@ -117,6 +118,14 @@
     DirectoryRow { key: row.key, position: row.position, listing }
 }
 
+/// Records that the store has answered some instance since `since`, and logs for how long it was not heard if it was not.
+pub fn record_store_heard(gateway: &Gateway, since: MonoTime) {
+    let absence = gateway.service_pools().directory.store_answered(since);
+    if let Some(StoreAbsence { length, held }) = absence {
+        log::info!("event=store-heard unheard_ms={} removals_held={held}", length.as_millis());
+    }
+}
+
 /// Logs changes of the set of targets.
 pub fn log_changes(changes: &[DirectoryChange]) {
     for change in changes {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -18,7 +18,7 @@
 
 use super::{
     Gateway,
-    apply::{apply_update, log_changes},
+    apply::{apply_update, log_changes, record_store_heard},
     backoff::{Backoff, JITTER},
     budget_shares::count_instances,
     peer_paths,
@@ -386,7 +386,7 @@
     }
     let answered_since = *status.answered_since.get_or_insert(now);
     drop(replica);
-    gateway.service_pools().directory.store_answered(answered_since);
+    record_store_heard(gateway, answered_since);
 }
 
 fn record_confirmation(gateway: &Gateway, table: Table, at: MonoTime) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -64,8 +64,8 @@
 };
 use crate::{
     decide::{
-        peer_paths::PeerPaths, service_pools::ServicePools, shutdown::ShutdownTimes, suspects::SuspectTable,
-        target_paths::TargetPaths, unconfirmed_ends::UnconfirmedEnds,
+        directory::EntryLease, peer_paths::PeerPaths, service_pools::ServicePools, shutdown::ShutdownTimes,
+        suspects::SuspectTable, target_paths::TargetPaths, unconfirmed_ends::UnconfirmedEnds,
     },
     error::{Error, ErrorKind, Result},
     kernel::{
@@ -158,6 +158,8 @@
             Error::new(ErrorKind::Settings, format!("place: expected {known}, found {:?}", config.place))
         })?;
         let platform = (driver.open)(&config);
+        let lease =
+            EntryLease { heartbeat: config.target_heartbeat(), length_heartbeats: platform.lease_heartbeats };
         let seed = rand::random::<u64>();
         Ok(Arc::new(Self {
             clock: Clock::start(),
@@ -170,11 +172,7 @@
             request_log_limiter: RequestLogLimiter::default(),
             state_changed: Notify::new(),
             routing: ArcSwapOption::empty(),
-            service_pools: Mutex::new(ServicePools::new(
-                config.data_centre.clone(),
-                config.target_heartbeat(),
-                seed,
-            )),
+            service_pools: Mutex::new(ServicePools::new(config.data_centre.clone(), lease, seed)),
             replica: Mutex::default(),
             known_instances: Mutex::new(KnownInstances::new(config.instance.clone())),
             replica_changed: watch::Sender::new(0),
--- a/src/gateway/platform_adapter.rs
+++ b/src/gateway/platform_adapter.rs
@@ -151,6 +151,8 @@
     pub wait_for_suspects: DriverFn<(StorePosition, Duration), Result<TableRows, StoreError>>,
     /// Changes rows of that table.
     pub change_suspects: DriverFn<RowChanges, Result<(), StoreError>>,
+    /// Number of heartbeats of a target after which its entry lapses if it writes none.
+    pub lease_heartbeats: u32,
     /// Key of the row in [`Table::Routing`] that holds the routing table.
     pub routing_key: &'static str,
     /// Decodes the routing table. The error says why the table is unusable as a whole.
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -13,7 +13,7 @@
 
 use super::{
     Gateway,
-    apply::apply_update,
+    apply::{apply_update, record_store_heard},
     follow::{MAX_CURRENT_AGE, SEED_MAX_CURRENT_AGE, read_from_store},
     peer_paths::{self, SentPaths},
     platform_adapter::{Table, TableRow, TableRows},
@@ -314,11 +314,10 @@
                 state.distance + 1
             );
         }
-        let directory = &mut gateway.service_pools().directory;
         if state.is_store_lost {
-            directory.store_lost(confirmed_at);
+            gateway.service_pools().directory.store_lost(confirmed_at);
         } else if let Some(since) = self.answered_since.or(previous.is_store_lost.then_some(gateway.now())) {
-            directory.store_answered(since);
+            record_store_heard(gateway, since);
         }
         Ok(())
     }
