--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -214,7 +214,7 @@
 /// A [`StoreError`] if the call fails; the replica stays as it is.
 pub async fn read_from_store(gateway: &Gateway, table: Table) -> Result<(), StoreError> {
     let snapshot = read_snapshot(gateway, table).await;
-    gateway.metrics.record_store_call(snapshot.as_ref().map_or_else(StoreError::label, |_| "answered"));
+    gateway.metrics.record_store_call(&table.to_string(), &snapshot);
     apply_update(gateway, table, snapshot?);
     Ok(())
 }
@@ -326,7 +326,7 @@
                 (gateway.platform.wait_for_changes)(from).await.map(TableUpdate::Delta)
             }
         };
-        gateway.metrics.record_store_call(read.as_ref().map_or_else(StoreError::label, |_| "answered"));
+        gateway.metrics.record_store_call(&table.to_string(), &read);
         match read {
             Ok(update) => {
                 pauses = backoff(gateway);
@@ -350,7 +350,7 @@
                 gateway.replica().require_snapshot(table);
             }
             Err(e) => {
-                record_store_lost(gateway, table, &e);
+                record_store_lost(gateway, table, asked_at, &e);
                 wait = Duration::ZERO;
                 let took = gateway.now().since(asked_at);
                 sleep(pauses.next_pause(took, rand::random_range(JITTER))).await;
@@ -374,12 +374,16 @@
 /// Records that a table could be read. The target table alone says whether the store is lost: the grace period
 /// after its return is for rows of that table, and both tables are read at the same rate.
 fn record_store_answered(gateway: &Gateway, table: Table) {
-    if table != Table::Targets {
-        return;
-    }
     let now = gateway.now();
     let mut replica = gateway.replica();
     let status = &mut replica.status;
+    if table == Table::Routing {
+        if let Some(since) = status.routing_unread_since.take() {
+            let unread_ms = now.since(since).as_millis();
+            log::info!("event=store-regained table={table} unread_ms={unread_ms}");
+        }
+        return;
+    }
     if std::mem::take(&mut status.is_store_lost) {
         log::info!("event=store-regained table={table}");
         status.answered_since = Some(now);
@@ -397,14 +401,22 @@
     gateway.notify_followers();
 }
 
-fn record_store_lost(gateway: &Gateway, table: Table, error: &StoreError) {
-    if table != Table::Targets {
-        log::debug!("event=store-call-failed table={table} error={:?}", error.to_string());
-        return;
-    }
+/// Records that a call for a table that began at `asked_at` has failed.
+fn record_store_lost(gateway: &Gateway, table: Table, asked_at: MonoTime, error: &StoreError) {
     let mut replica = gateway.replica();
-    if !std::mem::replace(&mut replica.status.is_store_lost, true) {
-        log::warn!("event=store-lost table={table} error={:?}", error.to_string());
+    let status = &mut replica.status;
+    let was_lost = match table {
+        Table::Routing => {
+            let was_lost = status.routing_unread_since.is_some();
+            status.routing_unread_since.get_or_insert(asked_at);
+            was_lost
+        }
+        Table::Targets => std::mem::replace(&mut status.is_store_lost, true),
+    };
+    let level = if was_lost { log::Level::Debug } else { log::Level::Warn };
+    log::log!(level, "event=store-lost table={table} error={:?}", error.to_string());
+    if table == Table::Routing {
+        return;
     }
     let heard_at = replica.status.confirmed_at.unwrap_or_default();
     drop(replica);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -20,6 +20,7 @@
 
 use super::{
     Gateway,
+    platform_adapter::StoreError,
     request_log::{RepeatCause, SendOutcome},
 };
 use crate::{
@@ -69,6 +70,12 @@
     result: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreCallLabels {
+    table: String,
+    result: String,
+}
+
 type TimeFamily = Family<ServiceLabels, Histogram, fn() -> Histogram>;
 
 /// Counters, histograms and gauges of one gateway instance.
@@ -83,10 +90,11 @@
     probes: Family<ResultLabels, Counter>,
     connections: Family<ResultLabels, Counter>,
     forwards: Family<SendLabels, Counter>,
-    store_calls: Family<ResultLabels, Counter>,
+    store_calls: Family<StoreCallLabels, Counter>,
     store_restored: Counter,
     dropped_log_lines: Counter,
     routing_version: Gauge,
+    routing_unread: Gauge,
     targets: Gauge,
     targets_limited: Gauge,
     suspects: Gauge,
@@ -117,6 +125,7 @@
             store_restored: Counter::default(),
             dropped_log_lines: Counter::default(),
             routing_version: Gauge::default(),
+            routing_unread: Gauge::default(),
             targets: Gauge::default(),
             targets_limited: Gauge::default(),
             suspects: Gauge::default(),
@@ -150,6 +159,12 @@
         r.register("store_restored", "Returns of the store from an older copy", self.store_restored.clone());
         r.register("log_lines_left_out", "Log lines left out", self.dropped_log_lines.clone());
         r.register("routing_version", "Version of the routing table", self.routing_version.clone());
+        r.register_with_unit(
+            "routing_unread",
+            "Time for which the routing table could not be read from the store",
+            Unit::Seconds,
+            self.routing_unread.clone(),
+        );
         r.register("targets", "Targets listed", self.targets.clone());
         r.register("targets_limited", "Targets with a rate limit", self.targets_limited.clone());
         r.register("suspects", "Request digests under which targets have ended", self.suspects.clone());
@@ -213,9 +228,10 @@
         self.forwards.get_or_create(&SendLabels { outcome: outcome.to_string() }).inc();
     }
 
-    /// Counts a call to the store; `result` is `answered` or the label of a `StoreError`.
-    pub fn record_store_call(&self, result: &str) {
-        self.store_calls.get_or_create(&ResultLabels { result: result.to_owned() }).inc();
+    /// Counts a call to the store for a table.
+    pub fn record_store_call<T>(&self, table: &str, result: &Result<T, StoreError>) {
+        let result = result.as_ref().map_or_else(StoreError::label, |_| "answered").to_owned();
+        self.store_calls.get_or_create(&StoreCallLabels { table: table.to_owned(), result }).inc();
     }
 
     /// Counts a return of the store from an older copy.
@@ -237,6 +253,9 @@
         self.record_dropped_log_lines();
         let version = gateway.routing().map_or(0, |table| u64::from(table.version));
         self.routing_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        let unread =
+            gateway.replica().status.routing_unread_since.map(|at| gateway.now().since(at).as_secs());
+        self.routing_unread.set(i64::try_from(unread.unwrap_or(0)).unwrap_or(i64::MAX));
         let (targets, limited) = {
             let service_pools = gateway.service_pools();
             (service_pools.directory.listings().count(), service_pools.limited_count())
--- a/src/gateway/platform_adapter.rs
+++ b/src/gateway/platform_adapter.rs
@@ -67,6 +67,12 @@
     /// The store answered with an error or in an unexpected format; the text says which.
     #[error("unexpected response of the store: {0}")]
     Unexpected(String),
+    /// The body of the response broke off, did not arrive within the timeout, or was too large.
+    #[error("incomplete response of the store, {received_bytes} bytes received")]
+    Incomplete {
+        /// What had arrived of the body.
+        received_bytes: usize,
+    },
     /// The store could not be reached or did not answer within the timeout.
     #[error("the store did not answer or could not be reached")]
     NoResponse,
@@ -79,6 +85,7 @@
             Self::Throttled => "throttled",
             Self::HistoryGone => "history-gone",
             Self::Unexpected(_) => "unexpected",
+            Self::Incomplete { .. } => "incomplete",
             Self::NoResponse => "silent",
         }
     }
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -60,6 +60,9 @@
     pub confirmed_at: Option<MonoTime>,
     /// Whether the store does not answer the instance that reads it.
     pub is_store_lost: bool,
+    /// Start of the first of the calls for the routing table that have failed since the last one that succeeded;
+    /// `None` if the latest one succeeded or this instance does not read the store.
+    pub routing_unread_since: Option<MonoTime>,
     /// Time since which the store has answered that instance, as far as it knows; `None` while unknown.
     pub answered_since: Option<MonoTime>,
     /// Number of instances between this one and the store; 0 if this instance reads the store itself.
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -301,7 +301,13 @@
             let answered_since = self.answered_since.or(replica.status.answered_since);
             let is_store_lost = state.is_store_lost;
             let confirmed_at = Some(confirmed_at);
-            let status = ReplicaStatus { confirmed_at, is_store_lost, answered_since, distance };
+            let status = ReplicaStatus {
+                confirmed_at,
+                is_store_lost,
+                routing_unread_since: None,
+                answered_since,
+                distance,
+            };
             std::mem::replace(&mut replica.status, status)
         };
         gateway.known_instances().record_reported_count(gateway.now(), state.instances);
--- a/src/gateway/suspect_store.rs
+++ b/src/gateway/suspect_store.rs
@@ -27,6 +27,9 @@
 /// Key of the row that holds the key of the hashes.
 const IDENTITY_KEY_ROW: &str = "identity-key";
 
+/// Value of the metric label `table` for calls of this module.
+const SUSPECTS_LABEL: &str = "suspects";
+
 /// Time between an end and its record in the store. Most requests are answered by another target meanwhile, and need
 /// no record.
 const STORE_DELAY: Duration = Duration::from_millis(250);
@@ -98,14 +101,14 @@
 
 async fn change_rows(gateway: &Gateway, changes: RowChanges) -> Result<(), StoreError> {
     let result = (gateway.platform.change_suspects)(changes).await;
-    gateway.metrics.record_store_call(result.as_ref().map_or_else(StoreError::label, |()| "answered"));
+    gateway.metrics.record_store_call(SUSPECTS_LABEL, &result);
     result
 }
 
 /// Reads what is stored once, for an instance that has just started and reaches no seed yet.
 pub async fn read_at_start(gateway: &Gateway) {
     let read = read_once(gateway, None).await;
-    gateway.metrics.record_store_call(read.as_ref().map_or_else(StoreError::label, |_| "answered"));
+    gateway.metrics.record_store_call(SUSPECTS_LABEL, &read);
     if let Err(e) = read {
         log::info!("event=suspects-not-read error={:?}", e.to_string());
     }
@@ -128,7 +131,7 @@
         wait_for_store(gateway).await;
         let asked_at = gateway.now();
         let read = read_once(gateway, position).await;
-        gateway.metrics.record_store_call(read.as_ref().map_or_else(StoreError::label, |_| "answered"));
+        gateway.metrics.record_store_call(SUSPECTS_LABEL, &read);
         position = match read {
             Ok(read_at) => read_at,
             Err(e) => {
