--- a/bench/src/relay.rs
+++ b/bench/src/relay.rs
@@ -40,6 +40,8 @@
     HoldResponses,
     /// Each chunk of data, in both directions, is forwarded after 60 ms.
     Delayed,
+    /// Response data is forwarded at [`LIMITED_BYTES_PER_S`].
+    Limited,
     /// Data is dropped in both directions. A connection that lost data forwards nothing more in that
     /// direction, even after the fault ends.
     Blackhole,
@@ -53,6 +55,10 @@
     ResetNew,
 }
 
+/// Rate of response data on each connection under [`LinkFault::Limited`]: 10 Mbit/s, the network link of the users'
+/// smallest machines.
+const LIMITED_BYTES_PER_S: f64 = 1_250_000.0;
+
 /// Delay of each chunk of data under [`LinkFault::Delayed`].
 const DELAY: Duration = Duration::from_millis(60);
 
@@ -197,6 +203,10 @@
                 tokio::time::sleep(DELAY).await;
                 read
             }
+            LinkFault::Limited => {
+                tokio::time::sleep(Duration::from_secs_f64(read as f64 / LIMITED_BYTES_PER_S)).await;
+                read
+            }
             LinkFault::Blackhole | LinkFault::BlackholeToCaller => {
                 is_blackholed = true;
                 read
--- a/bench/src/rows.rs
+++ b/bench/src/rows.rs
@@ -2,14 +2,15 @@
 //! long-poll feed of the changes of a table.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use http_body_util::BodyExt;
-use hyper::{Request, StatusCode, body::Incoming};
+use hyper::{Request, StatusCode, body::Incoming, header::HOST};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::watch;
@@ -35,6 +36,18 @@
 /// Header of all responses: rises by one with each restore from a copy.
 const ERA_HEADER: &str = "store-era";
 
+/// Time for which a feed still has versions that a later one has replaced, as on the users' platform.
+const HISTORY: Duration = Duration::from_secs(20);
+
+/// A version of a row that a later one has replaced.
+#[derive(Debug)]
+struct ReplacedRow {
+    table: String,
+    key: String,
+    row: StoredRow,
+    replaced_at: Instant,
+}
+
 #[derive(Debug, Clone)]
 struct StoredRow {
     /// Value, or `None` if the row was removed.
@@ -46,17 +59,33 @@
 struct State {
     /// Present and removed rows by table and key.
     rows: BTreeMap<(String, String), StoredRow>,
+    /// Earlier versions of the rows, oldest first.
+    replaced: VecDeque<ReplacedRow>,
     version: u64,
     /// Version up to which the history of changes is lost; a feed from an older version gets 410.
     compacted_version: u64,
     fault: RowStoreFault,
     /// Time by which responses about each of these tables are delayed.
     delays: BTreeMap<String, Duration>,
+    /// Time by which responses about one table are delayed for those who name a host in their requests.
+    host_delays: BTreeMap<(String, String), Duration>,
     request_count: u64,
     /// Number of restores from a copy.
     era: u64,
 }
 
+impl State {
+    fn put(&mut self, table: String, key: String, row: StoredRow) {
+        let now = Instant::now();
+        while self.replaced.front().is_some_and(|old| now.duration_since(old.replaced_at) > HISTORY) {
+            self.replaced.pop_front();
+        }
+        if let Some(old) = self.rows.insert((table.clone(), key.clone()), row) {
+            self.replaced.push_back(ReplacedRow { table, key, row: old, replaced_at: now });
+        }
+    }
+}
+
 /// Copy of a store's content, which [`RowStoreStandIn::restore`] puts back.
 #[derive(Debug, Clone)]
 pub struct RowStoreCopy {
@@ -147,6 +176,7 @@
         let is_lost = |row: &StoredRow| row.version > copy.version;
         let lost = rows.into_iter().filter(|(_, row)| is_lost(row)).collect();
         let lost = LostRows { rows: lost, restored_version: copy.version };
+        state.replaced.clear();
         state.version = copy.version;
         state.compacted_version = state.compacted_version.min(copy.version);
         state.era += 1;
@@ -176,6 +206,11 @@
         lock(&self.state).delays.insert(table.to_owned(), delay);
     }
 
+    /// Delays the responses about one table for those who reach the store at `address`, a relay's for example.
+    pub fn set_delay_at(&self, address: SocketAddr, table: &str, delay: Duration) {
+        lock(&self.state).host_delays.insert((address.to_string(), table.to_owned()), delay);
+    }
+
     /// Returns the number of requests received since the start.
     pub fn request_count(&self) -> u64 {
         lock(&self.state).request_count
@@ -185,7 +220,7 @@
         let mut state = lock(&self.state);
         state.version += 1;
         let version = state.version;
-        state.rows.insert((table.to_owned(), key.to_owned()), StoredRow { value, version });
+        state.put(table.to_owned(), key.to_owned(), StoredRow { value, version });
         drop(state);
         self.changed.send_replace(version);
     }
@@ -225,12 +260,12 @@
     let mut updates = changed.subscribe();
     let table = query_parameter(&request, "table").unwrap_or_default();
     delay_response(state, [table.as_str()]).await;
+    let host = request.headers().get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let host_delay = lock(state).host_delays.get(&(host.to_owned(), table.clone())).copied();
+    tokio::time::sleep(host_delay.unwrap_or_default()).await;
     if request.uri().path() == "/rows-get" {
         let from = query_parameter(&request, "from").unwrap_or_default();
-        return Ok(json_response(
-            StatusCode::OK,
-            &rows_json(&lock(state), &table, |key, row| key >= from.as_str() && row.value.is_some()),
-        ));
+        return Ok(json_response(StatusCode::OK, &table_json(&lock(state), &table, &from)));
     }
     let number =
         |name: &str| query_parameter(&request, name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
@@ -249,7 +284,7 @@
     if after < state.compacted_version || after > state.version {
         return Ok(full_response(StatusCode::GONE, ""));
     }
-    Ok(json_response(StatusCode::OK, &rows_json(&state, &table, |_, row| row.version > after)))
+    Ok(json_response(StatusCode::OK, &changes_json(&state, &table, after)))
 }
 
 /// Waits for the longest delay that is set for one of `tables`.
@@ -311,21 +346,33 @@
         let Ok(value) = BASE64_STANDARD.decode(row.value) else {
             return Ok(full_response(StatusCode::BAD_REQUEST, ""));
         };
-        state.rows.insert((row.table, row.key), StoredRow { value: Some(value), version });
+        state.put(row.table, row.key, StoredRow { value: Some(value), version });
     }
     for row in transaction.remove {
-        state.rows.insert((row.table, row.key), StoredRow { value: None, version });
+        state.put(row.table, row.key, StoredRow { value: None, version });
     }
     drop(state);
     changed.send_replace(version);
     Ok(json_response(StatusCode::OK, &json!({"ver": version, "nowS": 0.0})))
 }
 
-fn rows_json(state: &State, table: &str, is_wanted: impl Fn(&str, &StoredRow) -> bool) -> Value {
-    let wanted = state.rows.iter().filter(|((t, key), row)| t == table && is_wanted(key, row));
-    let mut rows = wanted.collect::<Vec<_>>();
+/// Returns the present rows of a table from a key on.
+fn table_json(state: &State, table: &str, from: &str) -> Value {
+    let rows =
+        state.rows.iter().filter(|((t, key), row)| t == table && key.as_str() >= from && row.value.is_some());
+    rows_json(state, table, rows.map(|((_, key), row)| (key, row)).collect())
+}
+
+/// Returns all versions of a table's rows after a version of the store.
+fn changes_json(state: &State, table: &str, after: u64) -> Value {
+    let replaced = state.replaced.iter().filter(|old| old.table == table).map(|old| (&old.key, &old.row));
+    let present = state.rows.iter().filter(|((t, _), _)| t == table).map(|((_, key), row)| (key, row));
+    rows_json(state, table, replaced.chain(present).filter(|(_, row)| row.version > after).collect())
+}
+
+fn rows_json(state: &State, table: &str, mut rows: Vec<(&String, &StoredRow)>) -> Value {
     rows.sort_by_key(|(_, row)| row.version);
-    let row = |((_, key), row): &(&(String, String), &StoredRow)| match &row.value {
+    let row = |(key, row): &(&String, &StoredRow)| match &row.value {
         Some(value) => {
             json!({"table": table, "part": "", "key": key, "value": BASE64_STANDARD.encode(value), "ver": row.version})
         }
--- a/tests/gateway_env/mod.rs
+++ b/tests/gateway_env/mod.rs
@@ -109,11 +109,12 @@
         deployment
     }
 
-    /// Writes a manifest with the routes and a higher version to the store.
-    pub fn put_routes(&self, routes: &[Value]) {
+    /// Writes a manifest with the routes and a higher version to the store, and returns that version.
+    pub fn put_routes(&self, routes: &[Value]) -> u32 {
         let mut version = self.version.lock().unwrap_or_else(PoisonError::into_inner);
         *version += 3;
         self.store.put_json("op", "config", &manifest(*version, routes));
+        *version
     }
 
     /// Starts a worker and registers it as ready.
