--- a/tests/gateway_routing_updates.rs
+++ b/tests/gateway_routing_updates.rs
@@ -95,7 +95,7 @@
             .wait_until("it follows the seed", || async { follower.logged(&["event=source", "distance=1"]) })
             .await;
     }
-    deployment.store.set_delay_at(relay.address, "op", Duration::from_secs(60));
+    deployment.store.set_delay_at(relay.address, "op", Duration::from_mins(1));
     // Longer than a poll that began before.
     tokio::time::sleep(Duration::from_secs(1)).await;
     deployment.put_routes(&[route("added", "/added/", "idempotent", "plan", 2_000)]);
