Read the whole table if a response with its changes is too large

Cause: the store's feed has each version of a row since the position that is asked for. An instance that had missed some versions of a large manifest got them in one response; beyond 4 MB it refused it, and asked for the same and more again, for 20 s. Below 4 MB the response took seconds over a link of 10 Mbit/s, for versions that were out of date.

A response that is not complete makes the instance read the table as a whole, at once: it has the latest version only.

versions_missed_in_an_outage_are_caught_up_with_in_time (nine versions of 0.9 MB): not in force after 30 s before, passes now.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -349,6 +349,12 @@
                 log::info!("event=history-gone table={table}");
                 gateway.replica().require_snapshot(table);
             }
+            Err(e @ StoreError::Incomplete { .. }) if known.is_some() => {
+                // The next response with changes would have these again, and more. The whole table is smaller
+                // if it has large rows.
+                record_store_lost(gateway, table, asked_at, &e);
+                gateway.replica().require_snapshot(table);
+            }
             Err(e) => {
                 record_store_lost(gateway, table, asked_at, &e);
                 wait = Duration::ZERO;
