Use a routing table as a whole or not at all

What callers saw: after a manifest of a higher version with one faulty route, 404 on that route at all instances although the version in force had it and every valid version has it, and the new routes of the faulty version served.

Cause: the decoder left out what it could not read and handed over the rest, and the version counted as newer. An instance that started read the same. A valid version right before an invalid one in the same response was skipped, since only the latest row was looked at.

Now one fault makes the version invalid: nothing of it is used. The newest valid one stays in force, takes its place in what is passed on to followers, and is what instances get that start; one that reaches nobody who has it is not ready and answers 503. Of several versions in one response the newest valid one is used. Faults are also no attempts (they were counted as one) and a service that the manifest does not have. routing-invalid names version, version in force and the first fault; routing_invalid counts. What a later release may add is no fault: fields, kinds of resources, and kinds of routes, which run at most once.

a_faulty_route_is_left_out_and_the_others_hold asked for the former behaviour, which takes routes out of force; the platform accepts only valid manifests. an_invalid_routing_table_changes_nothing replaces it, with its three faults and eight more.

Red before: 404 instead of 200 (an_invalid_..., an_instance_that_starts_..., what_a_later_...), not in force after 30 s (a_valid_...). Pass now. routing_decode: a table cut at each byte, without each field, with 14 wrong values at each place.

--- a/src/gateway/apply.rs
+++ b/src/gateway/apply.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Gateway,
-    platform_adapter::{DecodedRouting, Table, TableRow, TableRows},
+    platform_adapter::{DecodedRouting, InvalidRouting, Table, TableRow, TableRows},
     replica::{TableUpdate, UpdateResult},
     suspects::confirm_ends,
 };
@@ -46,10 +46,13 @@
 /// position of the store from which they were read.
 fn apply_routing(gateway: &Gateway, mut update: TableUpdate) -> UpdateResult {
     let key = gateway.platform.routing_key;
-    let row = update.rows().latest(key).cloned();
-    let received = row.and_then(|row| Some((decode_routing(gateway, &row)?, row)));
-    let (received, spec) = match received {
-        Some((spec, row)) => (Some((spec.version, row)), Some(spec)),
+    let valid = update
+        .rows()
+        .newest_first(key)
+        .into_iter()
+        .find_map(|row| Some((decode_routing(gateway, row)?, row)));
+    let (received, spec) = match valid {
+        Some((spec, row)) => (Some((spec.version, row.clone())), Some(spec)),
         None => (None, None),
     };
     let kept = gateway.replica().keep_newest_routing(key, received, &mut update);
@@ -69,14 +72,23 @@
 
 fn decode_routing(gateway: &Gateway, row: &TableRow) -> Option<RoutingSpec> {
     match (gateway.platform.decode_routing)(row.value.as_ref()?) {
-        Ok(DecodedRouting { spec, faults }) => {
-            for fault in faults {
-                log::warn!("event=routing-fault version={} error={fault:?}", spec.version);
+        Ok(DecodedRouting { spec, unknown }) => {
+            for unknown in unknown {
+                log::info!("event=routing-value-unknown version={} value={unknown:?}", spec.version);
             }
             Some(spec)
         }
-        Err(e) => {
-            log::error!("event=routing-unreadable row_position={} error={e:?}", row.position);
+        Err(InvalidRouting { version, faults }) => {
+            let version = version.map_or_else(|| "none".to_owned(), |version| version.to_string());
+            let in_force =
+                gateway.routing().map_or_else(|| "none".to_owned(), |table| table.version.to_string());
+            log::error!(
+                "event=routing-invalid version={version} in_force={in_force} row_position={} faults={} first={:?}",
+                row.position,
+                faults.len(),
+                faults.first().map_or("", String::as_str)
+            );
+            gateway.metrics.record_invalid_routing();
             None
         }
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -93,6 +93,7 @@
     store_calls: Family<StoreCallLabels, Counter>,
     store_restored: Counter,
     dropped_log_lines: Counter,
+    routing_invalid: Counter,
     routing_version: Gauge,
     routing_unread: Gauge,
     targets: Gauge,
@@ -124,6 +125,7 @@
             store_calls: Family::default(),
             store_restored: Counter::default(),
             dropped_log_lines: Counter::default(),
+            routing_invalid: Counter::default(),
             routing_version: Gauge::default(),
             routing_unread: Gauge::default(),
             targets: Gauge::default(),
@@ -158,6 +160,7 @@
         r.register("store_calls", "Calls of the store", self.store_calls.clone());
         r.register("store_restored", "Returns of the store from an older copy", self.store_restored.clone());
         r.register("log_lines_left_out", "Log lines left out", self.dropped_log_lines.clone());
+        r.register("routing_invalid", "Invalid routing tables that were read", self.routing_invalid.clone());
         r.register("routing_version", "Version of the routing table", self.routing_version.clone());
         r.register_with_unit(
             "routing_unread",
@@ -234,6 +237,11 @@
         self.store_calls.get_or_create(&StoreCallLabels { table: table.to_owned(), result }).inc();
     }
 
+    /// Counts a routing table that was read and is not used because it is invalid.
+    pub fn record_invalid_routing(&self) {
+        self.routing_invalid.inc();
+    }
+
     /// Counts a return of the store from an older copy.
     pub fn record_store_restored(&self) {
         self.store_restored.inc();
--- a/src/gateway/platform_adapter.rs
+++ b/src/gateway/platform_adapter.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     decide::{directory::Listing, probed_target::LoadReading},
-    routing::RoutingSpec,
+    routing::{RoutingSpec, RoutingVersion},
     store::DriverFn,
     store_position::StorePosition,
     units::PerSecond,
@@ -53,6 +53,14 @@
     pub fn latest(&self, key: &str) -> Option<&TableRow> {
         self.rows.iter().filter(|row| row.key == key).max_by_key(|row| row.position)
     }
+
+    /// Returns the contents of the rows with this key, the latest first.
+    pub fn newest_first(&self, key: &str) -> Vec<&TableRow> {
+        let mut rows =
+            self.rows.iter().filter(|row| row.key == key && row.value.is_some()).collect::<Vec<_>>();
+        rows.sort_by_key(|row| std::cmp::Reverse(row.position));
+        rows
+    }
 }
 
 /// Why a call to the store failed.
@@ -113,12 +121,21 @@
     pub wait: Duration,
 }
 
-/// The result of decoding a routing table.
+/// A valid routing table.
 #[derive(Debug, Clone)]
 pub struct DecodedRouting {
-    /// The valid parts of the routing table.
+    /// Its contents.
     pub spec: RoutingSpec,
-    /// One message for each part that was left out because it is invalid.
+    /// One message for each value that this release does not know, and what is assumed instead.
+    pub unknown: Vec<String>,
+}
+
+/// Why a routing table is not used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InvalidRouting {
+    /// Its version, if that could be read.
+    pub version: Option<RoutingVersion>,
+    /// One message for each fault; at least one.
     pub faults: Vec<String>,
 }
 
@@ -162,8 +179,8 @@
     pub lease_heartbeats: u32,
     /// Key of the row in [`Table::Routing`] that holds the routing table.
     pub routing_key: &'static str,
-    /// Decodes the routing table. The error says why the table is unusable as a whole.
-    pub decode_routing: fn(&[u8]) -> Result<DecodedRouting, String>,
+    /// Decodes the routing table. One with a fault anywhere is invalid as a whole.
+    pub decode_routing: fn(&[u8]) -> Result<DecodedRouting, InvalidRouting>,
     /// Decodes a row of the target directory from its key and value.
     pub decode_listing: fn(&str, &[u8]) -> Result<Listing, String>,
     /// Header names that the platform's callers and targets use.
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -172,9 +172,10 @@
         self.table_mut(table).apply(update)
     }
 
-    /// Puts the newest known routing table into an update that contains an older one, none, or one that can't
-    /// be read, so that neither this instance nor its followers go back to an older one when the store does.
-    /// `received` is the routing table in the update with its version. Returns the version that was put in.
+    /// Leaves the newest known routing table as the only one in an update, also if that has an older, an invalid or no
+    /// routing table. So neither this instance nor its followers go back to an older one when the store does.
+    /// `received` is the newest valid routing table in the update with its version. Returns the version that was put
+    /// in for another table.
     pub fn keep_newest_routing(
         &mut self,
         key: &str,
@@ -185,15 +186,17 @@
             |known: &Option<(RoutingVersion, TableRow)>| known.as_ref().map(|(version, _)| *version);
         if version(&received) >= version(&self.newest_routing) {
             self.newest_routing = received.or(self.newest_routing.take());
+        }
+        let (version, newest) = self.newest_routing.as_ref()?;
+        let latest = update.rows().latest(key);
+        if latest.is_none() && matches!(update, TableUpdate::Delta(_)) {
             return None;
         }
-        let is_snapshot = matches!(update, TableUpdate::Snapshot(_));
+        let latest = latest.filter(|row| row.value == newest.value).map(|row| row.position);
         let TableRows { rows, position } = update.rows_mut();
-        let is_replaced = rows.iter().any(|r| r.key == key);
-        let (version, newest) = self.newest_routing.as_ref().filter(|_| is_replaced || is_snapshot)?;
         rows.retain(|r| r.key != key);
-        rows.push(TableRow { position: *position, ..newest.clone() });
-        Some(*version)
+        rows.push(TableRow { position: latest.unwrap_or(*position), ..newest.clone() });
+        latest.is_none().then_some(*version)
     }
 
     /// Returns the latest era of the store that is known.
