Look for another source once a seed says that it has lost the store

Cause: a follower left a seed only once the seed's copy was 1.5 s old, which it looked at with each message, and then gave later seeds 0.2 s. The seed had said long before that the store turned it away. The time without news came near the 2.4 s from which removals are held back.

Now an instance whose seed says so looks after 0.3 s for a seed that has the store, or else asks the store itself, once for each loss, so that an outage of the whole store costs one call of each instance. A copy that is not confirmed any more is too old at that moment.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,12 +7,13 @@
 
 use std::{convert::Infallible, future::pending, net::SocketAddr, sync::Arc, time::Duration};
 
+use derive_more::Display;
 use futures::{
     future::join_all,
     stream::{FuturesOrdered, FuturesUnordered, StreamExt},
 };
 use tokio::{
-    sync::Notify,
+    sync::{Notify, watch},
     time::{sleep, timeout},
 };
 
@@ -24,7 +25,8 @@
     peer_paths,
     platform_adapter::{ChangesRequest, StoreError, Table},
     replica::{TableUpdate, UpdateResult},
-    replication_client, seeds, suspect_store,
+    replication_client::{self, StoreAccess},
+    seeds, suspect_store,
 };
 use crate::units::MonoTime;
 
@@ -71,6 +73,10 @@
 /// Pause between two attempts to reach a seed at the start.
 const SEED_RETRY_PAUSE: Duration = Duration::from_millis(30);
 
+/// Time after which an instance looks for another source if the seed that it follows has lost the store. A call of the
+/// seed that failed by itself succeeds again within it.
+const SOURCE_CHECK_DELAY: Duration = Duration::from_millis(300);
+
 /// Time for which a seed must have been followed to be tried again at once after it is lost.
 const MIN_STABLE_FOLLOW: Duration = Duration::from_secs(5);
 
@@ -116,8 +122,9 @@
 async fn follow_with_seeds(gateway: &Gateway, seeds: &[SocketAddr], seed_wait: Duration) -> Infallible {
     wait_for_seeds(gateway, seeds, seed_wait).await;
     loop {
-        follow_seeds(gateway, seeds).await;
-        if !gateway.is_seed() && has_later_seed_taken_over(gateway, seeds).await {
+        let end = follow_seeds(gateway, seeds).await;
+        let may_wait = end == SeedsEnd::NoneCurrent && !gateway.is_seed();
+        if may_wait && has_later_seed_taken_over(gateway, seeds).await {
             continue;
         }
         log::info!("event=source source=store");
@@ -136,7 +143,8 @@
 async fn has_later_seed_taken_over(gateway: &Gateway, seeds: &[SocketAddr]) -> bool {
     let wait = TAKEOVER_SPREAD.mul_f64(rand::random_range(0.5..1.0));
     sleep(wait / 2).await;
-    timeout(wait / 2, first_current_seed(gateway, seeds)).await.is_ok_and(|seed| seed.is_some())
+    let seed = first_current_seed(gateway, seeds, StoreAccess::Any);
+    timeout(wait / 2, seed).await.is_ok_and(|seed| seed.is_some())
 }
 
 /// Waits until one of the seeds becomes current; forever if `seeds` is empty.
@@ -147,7 +155,7 @@
         while let Err(e) = replication_client::wait_until_current(gateway, address).await {
             log::debug!("event=source-unusable source={address} error={:?}", e.to_string());
             sleep(SEED_RETRY_PERIOD.mul_f64(rand::random_range(0.75..1.5))).await;
-            if replication_client::check(gateway, address).await.is_ok() {
+            if replication_client::check(gateway, address, StoreAccess::Needed).await.is_ok() {
                 return;
             }
         }
@@ -160,9 +168,13 @@
 
 /// Returns the first seed that is current. All seeds are checked at once, so that the timeouts of
 /// unresponsive ones do not add up.
-async fn first_current_seed(gateway: &Gateway, seeds: &[SocketAddr]) -> Option<SocketAddr> {
+async fn first_current_seed(
+    gateway: &Gateway,
+    seeds: &[SocketAddr],
+    access: StoreAccess,
+) -> Option<SocketAddr> {
     let checks = seeds.iter().map(|address| async move {
-        let checked = replication_client::check(gateway, *address).await;
+        let checked = replication_client::check(gateway, *address, access).await;
         if let Err(e) = &checked {
             log::debug!("event=source-unusable source={address} error={:?}", e.to_string());
         }
@@ -272,25 +284,108 @@
     }
 }
 
-/// Follows one seed after another; returns when no seed is current.
-async fn follow_seeds(gateway: &Gateway, seeds: &[SocketAddr]) {
-    let mut candidates = seeds.to_vec();
-    while let Some(address) = first_current_seed(gateway, &candidates).await {
+/// Why an instance stops to follow seeds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SeedsEnd {
+    /// None is current.
+    NoneCurrent,
+    /// Those that are current have lost the store, and it answers this instance.
+    StoreAnswers,
+}
+
+/// Follows one seed after another; returns when no seed is current, or the store is the better source.
+async fn follow_seeds(gateway: &Gateway, seeds: &[SocketAddr]) -> SeedsEnd {
+    let (mut candidates, mut access) = (seeds.to_vec(), StoreAccess::Any);
+    while let Some(address) = first_current_seed(gateway, &candidates, access).await {
         let started = gateway.now();
-        if let Err(ended) = replication_client::follow(gateway, address).await {
-            let level = if ended.was_current { log::Level::Info } else { log::Level::Debug };
-            log::log!(level, "event=source-lost source={address} error={:?}", ended.reason);
+        let better = tokio::select! {
+            ended = replication_client::follow(gateway, address) => {
+                if let Err(ended) = ended {
+                    let level = if ended.was_current { log::Level::Info } else { log::Level::Debug };
+                    log::log!(level, "event=source-lost source={address} error={:?}", ended.reason);
+                }
+                None
+            }
+            better = wait_for_better_source(gateway, seeds, address) => Some(better),
+        };
+        if let Some(better) = better {
+            log::info!("event=source-lost source={address} error=\"store lost\" better={better}");
+        }
+        match better {
+            Some(BetterSource::Store) => return SeedsEnd::StoreAnswers,
+            Some(BetterSource::Seed) => access = StoreAccess::Needed,
+            None if gateway.now().since(started) > MIN_STABLE_FOLLOW => {
+                (candidates, access) = (seeds.to_vec(), StoreAccess::Any);
+                continue;
+            }
+            None => {}
+        }
+        // A seed that is lost again and again would keep this instance from the other seeds and from the
+        // store.
+        candidates.retain(|seed| *seed != address);
+    }
+    SeedsEnd::NoneCurrent
+}
+
+/// A source that has the store, while the followed seed has lost it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "kebab-case")]
+enum BetterSource {
+    /// Another seed.
+    Seed,
+    /// The store itself.
+    Store,
+}
+
+/// Returns once the followed seed has lost the store and another source has it. The store may turn some instances away,
+/// seeds among them, and serve the others.
+///
+/// Each loss is checked once, so that an outage of the whole store costs one call of each instance.
+async fn wait_for_better_source(
+    gateway: &Gateway,
+    seeds: &[SocketAddr],
+    followed: SocketAddr,
+) -> BetterSource {
+    let others = seeds.iter().copied().filter(|seed| *seed != followed).collect::<Vec<_>>();
+    let mut changes = gateway.watch_replica();
+    loop {
+        wait_for_store_state(gateway, &mut changes, true).await;
+        sleep(SOURCE_CHECK_DELAY.mul_f64(rand::random_range(JITTER))).await;
+        if gateway.replica().status.is_store_lost {
+            if first_current_seed(gateway, &others, StoreAccess::Needed).await.is_some() {
+                return BetterSource::Seed;
+            }
+            if does_store_answer(gateway).await {
+                return BetterSource::Store;
+            }
         }
-        if gateway.now().since(started) > MIN_STABLE_FOLLOW {
-            candidates = seeds.to_vec();
-        } else {
-            // A seed that is lost again and again would keep this instance from the other seeds and from the
-            // store.
-            candidates.retain(|seed| *seed != address);
+        wait_for_store_state(gateway, &mut changes, false).await;
+    }
+}
+
+/// Waits until the instance that reads the store, directly or for this one, has lost it or not.
+async fn wait_for_store_state(gateway: &Gateway, changes: &mut watch::Receiver<u64>, is_lost: bool) {
+    loop {
+        changes.mark_unchanged();
+        if gateway.replica().status.is_store_lost == is_lost {
+            return;
         }
+        // The sender lives as long as the gateway, so waiting can't fail.
+        let _closed = changes.changed().await;
     }
 }
 
+/// Returns whether the store answers this instance now.
+async fn does_store_answer(gateway: &Gateway) -> bool {
+    let table = Table::Targets;
+    let Some(after) = gateway.replica().position(table) else { return false };
+    let request = ChangesRequest { table, after, wait: Duration::ZERO };
+    let answer = (gateway.platform.wait_for_changes)(request).await;
+    gateway.metrics.record_store_call(&table.to_string(), &answer);
+    // Whoever reads the table next learns that the history is gone.
+    matches!(answer, Ok(_) | Err(StoreError::HistoryGone))
+}
+
 /// Reads both tables and the suspects from the store until dropped.
 ///
 /// The routing table is read once the target table's first response arrives or the longest pause has passed,
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -56,6 +56,15 @@
 /// keeps them.
 const NAMES_RESEND_PERIOD: Duration = Duration::from_mins(1);
 
+/// Whether an instance that may be followed must have the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreAccess {
+    /// It must.
+    Needed,
+    /// It need not, as long as its replica is current.
+    Any,
+}
+
 /// Why following an instance ended.
 #[derive(Debug)]
 pub struct FollowError {
@@ -78,6 +87,7 @@
         was_current: false,
         era: StoreEra::default(),
         answered_since: None,
+        current_until: None,
     };
     let ended = session.run().await;
     ended.map_err(|e| FollowError { was_current: session.was_current, reason: e.to_string() })
@@ -88,14 +98,14 @@
 /// # Errors
 ///
 /// The link's error, or the reason why the instance can't be followed.
-pub async fn check(gateway: &Gateway, address: SocketAddr) -> Result<(), LinkError> {
+pub async fn check(gateway: &Gateway, address: SocketAddr, access: StoreAccess) -> Result<(), LinkError> {
     let mut states = StateReceiver::open(gateway, address).await?;
     let state = states.next().await?;
-    check_usable(gateway, states.era, &state).map(|_age| ())
+    check_usable(gateway, states.era, &state, access).map(|_age| ())
 }
 
-/// Waits until the instance at `address`, which was not current, is current enough to be followed. The link
-/// stays open meanwhile, so that this takes no longer than a message from the other instance.
+/// Waits until the instance at `address`, which was not current, is current enough to be followed and has the store.
+/// The link stays open meanwhile, so that this takes no longer than a message from the other instance.
 ///
 /// # Errors
 ///
@@ -105,7 +115,7 @@
     let mut was_current = true;
     loop {
         let state = states.next().await?;
-        let is_current = check_usable(gateway, states.era, &state).is_ok();
+        let is_current = check_usable(gateway, states.era, &state, StoreAccess::Needed).is_ok();
         match (was_current, is_current) {
             (true, true) => return Err("the instance is current already".into()),
             (false, true) => return Ok(()),
@@ -179,18 +189,28 @@
     }
 }
 
+/// Returns the age up to which the replica of another instance counts as current.
+fn max_age(gateway: &Gateway) -> Duration {
+    if gateway.is_seed() { SEED_MAX_CURRENT_AGE } else { MAX_CURRENT_AGE }
+}
+
 /// Returns the age of the sender's replica if it still counts as current, and an error otherwise. `era` is the
 /// era of the store that the sender has read last.
-fn check_usable(gateway: &Gateway, era: StoreEra, state: &StoreState) -> Result<Duration, LinkError> {
+fn check_usable(
+    gateway: &Gateway,
+    era: StoreEra,
+    state: &StoreState,
+    access: StoreAccess,
+) -> Result<Duration, LinkError> {
     let known_era = gateway.replica().era();
     if era < known_era {
         return Err(format!("replica not current: store era {era}, later one known: {known_era}").into());
     }
     let age = state.confirmed_age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
     let age = age.ok_or("the instance has not read the store yet")?;
-    let (limit, accepts_store_lost) =
-        if gateway.is_seed() { (SEED_MAX_CURRENT_AGE, false) } else { (MAX_CURRENT_AGE, true) };
-    if age > limit || state.distance > MAX_DISTANCE || (state.is_store_lost && !accepts_store_lost) {
+    let accepts_store_lost = access == StoreAccess::Any && !gateway.is_seed();
+    if age > max_age(gateway) || state.distance > MAX_DISTANCE || (state.is_store_lost && !accepts_store_lost)
+    {
         let StoreState { is_store_lost, distance, .. } = state;
         return Err(format!(
             "replica not current: age {age:?}, distance {distance}, store lost: {is_store_lost}"
@@ -257,6 +277,8 @@
     era: StoreEra,
     /// Time since which the store has answered, as the followed instance states; `None` if it doesn't.
     answered_since: Option<MonoTime>,
+    /// Time until which the replica counts as current unless it is confirmed again; `None` before the first state.
+    current_until: Option<MonoTime>,
 }
 
 impl FollowSession<'_> {
@@ -273,7 +295,15 @@
     async fn receive_frames(&mut self, recv_stream: &mut RecvStream) -> Result<(), LinkError> {
         let mut decoder = Decoder::default();
         loop {
-            match next_frame(recv_stream, &mut decoder).await? {
+            let frame = match self.current_until {
+                None => next_frame(recv_stream, &mut decoder).await?,
+                Some(until) => {
+                    let until = self.gateway.clock.instant(until);
+                    let frame = timeout_at(until, next_frame(recv_stream, &mut decoder)).await;
+                    frame.map_err(|_elapsed| "replica not current: age exceeded")??
+                }
+            };
+            match frame {
                 Frame::StoreEra(era) => self.era = era,
                 Frame::StoreAnsweredFor(ms) => {
                     let answered_for = Duration::from_millis(u64::from(ms));
@@ -293,7 +323,7 @@
 
     fn apply_state(&mut self, state: StoreState) -> Result<(), LinkError> {
         let gateway = self.gateway;
-        let age = check_usable(gateway, self.era, &state)?;
+        let age = check_usable(gateway, self.era, &state, StoreAccess::Any)?;
         let confirmed_at = gateway.now_minus(age);
         let previous = {
             let mut replica = gateway.replica();
@@ -310,6 +340,10 @@
             };
             std::mem::replace(&mut replica.status, status)
         };
+        self.current_until = Some(confirmed_at + max_age(gateway));
+        if previous.is_store_lost != state.is_store_lost {
+            gateway.notify_followers();
+        }
         gateway.known_instances().record_reported_count(gateway.now(), state.instances);
         if !self.was_current {
             self.was_current = true;
--- a/tests/gateway_store_refuses_seeds.rs
+++ b/tests/gateway_store_refuses_seeds.rs
@@ -79,6 +79,35 @@
     }
 }
 
+/// Time after which an instance hears of a change by another source, once the store turns its seeds away: their poll
+/// (0.6 s) and the delay before it looks for another source (0.375 s at most), with some time for a busy machine.
+const MAX_TURN_TIME: Duration = Duration::from_millis(1_200);
+
+// Guards against instances that wait until the copy of their seed is too old, although it says that it has lost the
+// store: up to 2.4 s passed until they read the store themselves.
+#[tokio::test]
+async fn an_instance_turns_to_the_store_when_its_seed_says_that_it_has_lost_it() {
+    let instances = RefusedSeeds::start().await;
+    let deployment = &instances.deployment;
+    let _stays = deployment.worker("i-stays").await;
+    for round in 0..6 {
+        let leaver = deployment.worker(&format!("i-{round}")).await;
+        let target = format!("target={}", leaver.id);
+        instances.logged_after(&["event=target-added", &target], Instant::now()).await;
+        tokio::time::sleep(Duration::from_millis(500 + 90 * round)).await;
+        instances.relay.set_fault(LinkFault::Down);
+        deployment.store.remove("servers", &leaver.id);
+        let took = instances.logged_after(&["event=target-removed", &target], Instant::now()).await;
+        assert!(took < MAX_TURN_TIME, "round {round}: {took:?}");
+        instances.relay.set_fault(LinkFault::None);
+        for follower in &instances.followers {
+            let sources = |words: &'static str| follower.log().iter().filter(|l| l.contains(words)).count();
+            let follows = || async { sources("distance=1") > sources("source=store") };
+            deployment.wait_until("it follows a seed again", follows).await;
+        }
+    }
+}
+
 // Guards against routes that come into force late at instances that the store serves, because they rely on seeds which
 // it turns away.
 #[tokio::test]
