Shorten the pauses between failed calls of instances that reach no seed

Cause: an instance that is not a seed pauses longer the more instances there are, 5.9 s at 117, so that an outage costs few calls. It relies on a seed to tell it of the store's return, and pauses as long if it reaches none.

Now such a pause lasts 1.5 s at most while no link to a seed is open, also if the last one ends within the pause. The longest way of a change is 0.6 s of the last failed call, the pause, 0.05 s for an answer and 0.8 s for 1 MB at 10 Mbit/s, in sum under the 3 s after which an instance is held to it. With a link to a seed nothing changes.

Tests: the sum, and the pause under paused time with, without and with a lost link; the code before had neither limit.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -26,6 +26,7 @@
     platform_adapter::{ChangesRequest, StoreError, Table},
     replica::{TableUpdate, UpdateResult},
     replication_client::{self, StoreAccess},
+    seed_links::SeedLinks,
     seeds, suspect_store,
 };
 use crate::units::MonoTime;
@@ -129,9 +130,10 @@
         }
         log::info!("event=source source=store");
         gateway.replica().status.distance = 0;
+        let links = SeedLinks::default();
         tokio::select! {
-            () = read_store(gateway) => {}
-            () = wait_for_current_seed(gateway, seeds) => {}
+            () = read_store(gateway, &links) => {}
+            () = wait_for_current_seed(gateway, seeds, &links) => {}
         }
     }
 }
@@ -150,9 +152,9 @@
 /// Waits until one of the seeds becomes current; forever if `seeds` is empty.
 ///
 /// A link to each seed stays open, so that the end of a store outage is known here as soon as it is there.
-async fn wait_for_current_seed(gateway: &Gateway, seeds: &[SocketAddr]) {
+async fn wait_for_current_seed(gateway: &Gateway, seeds: &[SocketAddr], links: &SeedLinks) {
     let wait = |address: SocketAddr| async move {
-        while let Err(e) = replication_client::wait_until_current(gateway, address).await {
+        while let Err(e) = replication_client::wait_until_current(gateway, address, links).await {
             log::debug!("event=source-unusable source={address} error={:?}", e.to_string());
             sleep(SEED_RETRY_PERIOD.mul_f64(rand::random_range(0.75..1.5))).await;
             if replication_client::check(gateway, address, StoreAccess::Needed).await.is_ok() {
@@ -393,13 +395,14 @@
 ///
 /// The routing table is read once the target table's first response arrives or the longest pause has passed,
 /// so that a failing store gets calls for one table only at first.
-async fn read_store(gateway: &Gateway) {
+async fn read_store(gateway: &Gateway, links: &SeedLinks) {
     let answered = Notify::new();
     let routing = async {
         let _answered_or_timeout = timeout(backoff(gateway).max_interval(), answered.notified()).await;
-        read_table(gateway, Table::Routing, &Notify::new()).await;
+        read_table(gateway, Table::Routing, links, &Notify::new()).await;
     };
-    tokio::join!(read_table(gateway, Table::Targets, &answered), routing, suspect_store::read(gateway));
+    let targets = read_table(gateway, Table::Targets, links, &answered);
+    tokio::join!(targets, routing, suspect_store::read(gateway));
 }
 
 fn backoff(gateway: &Gateway) -> Backoff {
@@ -410,7 +413,7 @@
     }
 }
 
-async fn read_table(gateway: &Gateway, table: Table, answered: &Notify) {
+async fn read_table(gateway: &Gateway, table: Table, links: &SeedLinks, answered: &Notify) {
     let mut pauses = backoff(gateway);
     // The first response comes without delay, so that followers soon see that this instance is current.
     let mut wait = Duration::ZERO;
@@ -457,7 +460,8 @@
                 record_store_lost(gateway, table, asked_at, &e);
                 wait = Duration::ZERO;
                 let took = gateway.now().since(asked_at);
-                sleep(pauses.next_pause(took, rand::random_range(JITTER))).await;
+                let pause = pauses.next_pause(took, rand::random_range(JITTER));
+                links.pause(pause, rand::random_range(JITTER)).await;
             }
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 pub mod replication_server;
 pub mod request_log;
 pub mod response;
+pub mod seed_links;
 pub mod seeds;
 pub mod serve;
 pub mod suspect_store;
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -19,6 +19,7 @@
     platform_adapter::{Table, TableRow, TableRows},
     rate_limits::{self, SentRateLimits},
     replica::{ReplicaStatus, TableUpdate, UpdateResult},
+    seed_links::SeedLinks,
     suspects::{self, SentSuspects},
 };
 use crate::{
@@ -105,22 +106,29 @@
 }
 
 /// Waits until the instance at `address`, which was not current, is current enough to be followed and has the store.
-/// The link stays open meanwhile, so that this takes no longer than a message from the other instance.
+/// The link stays open meanwhile and counts among `links`, so that this takes no longer than a message from the other
+/// instance.
 ///
 /// # Errors
 ///
 /// The link's error, or that the instance is current already.
-pub async fn wait_until_current(gateway: &Gateway, address: SocketAddr) -> Result<(), LinkError> {
+pub async fn wait_until_current(
+    gateway: &Gateway,
+    address: SocketAddr,
+    links: &SeedLinks,
+) -> Result<(), LinkError> {
     let mut states = StateReceiver::open(gateway, address).await?;
+    let mut state = states.next().await?;
+    let _link = links.track();
     let mut was_current = true;
     loop {
-        let state = states.next().await?;
         let is_current = check_usable(gateway, states.era, &state, StoreAccess::Needed).is_ok();
         match (was_current, is_current) {
             (true, true) => return Err("the instance is current already".into()),
             (false, true) => return Ok(()),
             (_, false) => was_current = false,
         }
+        state = states.next().await?;
     }
 }
 
--- a/tests/gateway_store_return.rs
+++ b/tests/gateway_store_return.rs
@@ -11,6 +11,7 @@
         backoff::{Backoff, JITTER},
         follow::MAX_CURRENT_AGE,
         replication_client::OPEN_TIMEOUT,
+        seed_links::{MAX_PAUSE_WITHOUT_SEED, SeedLinks},
     },
     platform::CHANGES_TIMEOUT,
 };
@@ -35,6 +36,47 @@
     assert!(sum < MAX_DELAY, "{sum:?}");
 }
 
+/// Time of the largest response of the store, 1 MB, over the slowest link of the users' platform, 10 Mbit/s.
+const LARGEST_TRANSFER: Duration = Duration::from_millis(800);
+
+// Guards against an instance that reaches no seed and pauses for longer the more instances there are: it had a change
+// up to 6 s after the return of the store.
+#[test]
+fn the_longest_way_of_a_change_to_an_instance_without_seeds_is_shorter_than_the_bound() {
+    // Its last call of the outage starts just before the return and gets no answer.
+    let pause = MAX_PAUSE_WITHOUT_SEED.mul_f64(JITTER.end);
+    let sum = CHANGES_TIMEOUT + pause + ANSWER + LARGEST_TRANSFER;
+    assert!(sum < IN_TOUCH_AFTER, "{sum:?}");
+}
+
+// Guards against the same, also if the last link to a seed ends within a pause.
+#[tokio::test(start_paused = true)]
+async fn a_pause_between_failed_calls_is_long_only_while_a_seed_is_reached() {
+    let length = Duration::from_secs(6);
+    let links = SeedLinks::default();
+    let timed = |link_time: Option<Duration>| {
+        let links = &links;
+        async move {
+            let start = tokio::time::Instant::now();
+            let hold = async {
+                let link = link_time.map(|time| (links.track(), time));
+                if let Some((_link, time)) = &link {
+                    tokio::time::sleep(*time).await;
+                }
+            };
+            tokio::join!(hold, links.pause(length, JITTER.end));
+            start.elapsed()
+        }
+    };
+    let limit = MAX_PAUSE_WITHOUT_SEED.mul_f64(JITTER.end) + Duration::from_millis(5);
+    let without = timed(None).await;
+    assert!(without <= limit, "{without:?}");
+    let with = timed(Some(length * 2)).await;
+    assert!(with >= length, "{with:?}");
+    let lost = timed(Some(Duration::from_millis(3_200))).await;
+    assert!(lost <= Duration::from_millis(3_200) + limit, "{lost:?}");
+}
+
 /// Returns the longest time from the return of the store until a seed knows of it: its last call of the outage
 /// starts just before the return and gets no answer.
 fn noticed_by_seed() -> Duration {
