Keep the latest routing table only in what followers are sent

Cause: a replica kept the latest 512 changes of each table, whole routing tables among them, 324 KB each with 1,480 routes: memory grew with the number of versions, a follower with an old position was sent all of them, and beyond 256 KB each follower read the store instead.

Now an earlier routing table is dropped when a later one comes. Changes of targets stay as they were: that a target was draining before its row was removed decides how long it is kept.

--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -91,7 +91,7 @@
 }
 
 impl TableReplica {
-    fn apply(&mut self, update: &TableUpdate) -> UpdateResult {
+    fn apply(&mut self, table: Table, update: &TableUpdate) -> UpdateResult {
         match update {
             TableUpdate::Snapshot(all) => {
                 if self.position.is_some_and(|known| known > all.position) {
@@ -110,7 +110,7 @@
                     return UpdateResult::SnapshotNeeded;
                 }
                 for row in &changed.rows {
-                    self.apply_row(row);
+                    self.apply_row(table, row);
                 }
                 self.position = self.position.max(Some(changed.position));
             }
@@ -118,7 +118,7 @@
         UpdateResult::Applied
     }
 
-    fn apply_row(&mut self, row: &TableRow) {
+    fn apply_row(&mut self, table: Table, row: &TableRow) {
         if self.rows.get(&row.key).is_some_and(|known| known.position >= row.position) {
             return;
         }
@@ -127,6 +127,11 @@
         } else {
             self.rows.remove(&row.key);
         }
+        // A routing table is large, and none that a later one has replaced is of use. What a target said before its row
+        // was removed is.
+        if table == Table::Routing {
+            self.recent.retain(|earlier| earlier.key != row.key);
+        }
         self.recent.push_back(row.clone());
         while self.recent.len() > MAX_RECENT_ROWS {
             let dropped = self.recent.pop_front();
@@ -176,7 +181,7 @@
             return UpdateResult::Outdated;
         }
         self.era = era;
-        self.table_mut(table).apply(update)
+        self.table_mut(table).apply(table, update)
     }
 
     /// Leaves the newest known routing table as the only one in an update, also if that has an older, an invalid or no
--- a/tests/store_restore.rs
+++ b/tests/store_restore.rs
@@ -125,6 +125,24 @@
     assert_eq!(replica.position(Table::Routing), None);
 }
 
+// Guards against a replica that keeps every version of a large routing table: hundreds of them are more than the memory of
+// a small machine, and a follower with an old position would get all of them.
+#[test]
+fn only_the_latest_routing_table_is_kept_and_passed_on() {
+    let mut replica = StoreReplica::default();
+    replica.apply(Table::Routing, &snapshot(position(1, 1), "v1"));
+    for version in 2..=600 {
+        let rows =
+            vec![table_row("a", position(1, version), "later"), table_row("b", position(1, 2), "other")];
+        let delta = TableUpdate::Delta(TableRows { rows, position: position(1, version) });
+        assert_eq!(replica.apply(Table::Routing, &delta), UpdateResult::Applied);
+    }
+    let update = replica.update_since(Table::Routing, Some(position(1, 1))).expect("there are changes");
+    let expected = vec![table_row("b", position(1, 2), "other"), table_row("a", position(1, 600), "later")];
+    assert_eq!(update, TableUpdate::Delta(TableRows { rows: expected, position: position(1, 600) }));
+    assert_eq!(replica.update_since(Table::Routing, Some(position(1, 600))), None);
+}
+
 fn routing_version(version: u64) -> RoutingVersion {
     RoutingVersion::from(version)
 }
