--- a/bench/src/relay.rs
+++ b/bench/src/relay.rs
@@ -40,7 +40,7 @@
     HoldResponses,
     /// Each chunk of data, in both directions, is forwarded after 60 ms.
     Delayed,
-    /// Response data is forwarded at [`LIMITED_BYTES_PER_S`].
+    /// Response data is forwarded at 10 Mbit/s.
     Limited,
     /// Data is dropped in both directions. A connection that lost data forwards nothing more in that
     /// direction, even after the fault ends.
