Take back that a seed says the store is lost while it can't read the routing table

Trace from its log: the seed read the targets again after the outage, and its routing table 0.17 s later; until then it said that the store was lost, so the follower applied the removal before it knew of the store's return (store-heard 0.17 s after target-removed), and held nothing back. The word about one table was used for both.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -377,18 +377,15 @@
     }
 }
 
-/// Returns whether the store answers this instance now about both tables. It may have lost a part of them for all.
+/// Returns whether the store answers this instance now.
 async fn does_store_answer(gateway: &Gateway) -> bool {
-    let is_answered = |table: Table| async move {
-        let Some(after) = gateway.replica().position(table) else { return false };
-        let request = ChangesRequest { table, after, wait: Duration::ZERO };
-        let answer = (gateway.platform.wait_for_changes)(request).await;
-        gateway.metrics.record_store_call(&table.to_string(), &answer);
-        // Whoever reads the table next reads it as a whole if the changes can't be had.
-        matches!(answer, Ok(_) | Err(StoreError::HistoryGone | StoreError::Incomplete { .. }))
-    };
-    let (routing, targets) = tokio::join!(is_answered(Table::Routing), is_answered(Table::Targets));
-    routing && targets
+    let table = Table::Targets;
+    let Some(after) = gateway.replica().position(table) else { return false };
+    let request = ChangesRequest { table, after, wait: Duration::ZERO };
+    let answer = (gateway.platform.wait_for_changes)(request).await;
+    gateway.metrics.record_store_call(&table.to_string(), &answer);
+    // Whoever reads the table next learns that the history is gone.
+    matches!(answer, Ok(_) | Err(StoreError::HistoryGone))
 }
 
 /// Reads both tables and the suspects from the store until dropped.
@@ -524,8 +521,6 @@
     let level = if was_lost { log::Level::Debug } else { log::Level::Warn };
     log::log!(level, "event=store-lost table={table} error={:?}", error.to_string());
     if table == Table::Routing {
-        drop(replica);
-        gateway.notify_followers();
         return;
     }
     let heard_at = replica.status.confirmed_at.unwrap_or_default();
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -69,13 +69,6 @@
     pub distance: u8,
 }
 
-impl ReplicaStatus {
-    /// Returns whether the store does not answer about one of the tables.
-    pub fn is_any_table_lost(&self) -> bool {
-        self.is_store_lost || self.routing_unread_since.is_some()
-    }
-}
-
 /// Replica of one table.
 #[derive(Debug, Clone, Default)]
 struct TableReplica {
--- a/src/gateway/replication_server.rs
+++ b/src/gateway/replication_server.rs
@@ -278,7 +278,7 @@
         let age = status.confirmed_at.map(|at| self.gateway.now().since(at));
         StoreState {
             confirmed_age_ms: age.map(millis),
-            is_store_lost: status.is_any_table_lost(),
+            is_store_lost: status.is_store_lost,
             distance: status.distance,
             instances: self.gateway.estimate_instance_count(),
         }
