Tell followers apart from the targets that the routing table can't be read

Callers of added or changed routes got 404 or the old routes from all instances behind a seed whose calls for the routing table fail while those for the targets succeed: the seed counts as current by its targets, so its followers stayed with it.

Cause: the state that an instance sends knows one store, not two tables.

Change: a frame of its own, which earlier builds skip, says for how long the routing table has not been read. It has no part in the grace for removals. Seeds don't follow a seed that lacks a table. An instance that can't read the routing table itself goes back to a seed that reads the targets, so that a table that nobody can read doesn't make all instances read the store.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -157,7 +157,8 @@
         while let Err(e) = replication_client::wait_until_current(gateway, address, links).await {
             log::debug!("event=source-unusable source={address} error={:?}", e.to_string());
             sleep(SEED_RETRY_PERIOD.mul_f64(rand::random_range(0.75..1.5))).await;
-            if replication_client::check(gateway, address, StoreAccess::Needed).await.is_ok() {
+            let access = replication_client::needed_access(gateway);
+            if replication_client::check(gateway, address, access).await.is_ok() {
                 return;
             }
         }
@@ -315,7 +316,7 @@
         }
         match better {
             Some(BetterSource::Store) => return SeedsEnd::StoreAnswers,
-            Some(BetterSource::Seed) => access = StoreAccess::Needed,
+            Some(BetterSource::Seed) => access = StoreAccess::BothTables,
             None if gateway.now().since(started) > MIN_STABLE_FOLLOW => {
                 (candidates, access) = (seeds.to_vec(), StoreAccess::Any);
                 continue;
@@ -329,7 +330,7 @@
     SeedsEnd::NoneCurrent
 }
 
-/// A source that has the store, while the followed seed has lost it.
+/// A source that reads both tables of the store, while the followed seed has lost one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[display(rename_all = "kebab-case")]
 enum BetterSource {
@@ -339,10 +340,11 @@
     Store,
 }
 
-/// Returns once the followed seed has lost the store and another source has it. The store may turn some instances away,
-/// seeds among them, and serve the others.
+/// Returns once the followed seed has lost a table of the store and another source reads both. The store may turn some
+/// instances away, seeds among them, and serve the others.
 ///
-/// Each loss is checked once, so that an outage of the whole store costs one call of each instance.
+/// A loss of both tables ends with the age of the replica before it is checked again, so that an outage of the whole
+/// store costs one call of each instance. Nothing else ends a loss of the routing table alone.
 async fn wait_for_better_source(
     gateway: &Gateway,
     seeds: &[SocketAddr],
@@ -353,23 +355,25 @@
     loop {
         wait_for_store_state(gateway, &mut changes, true).await;
         sleep(SOURCE_CHECK_DELAY.mul_f64(rand::random_range(JITTER))).await;
-        if gateway.replica().status.is_store_lost {
-            if first_current_seed(gateway, &others, StoreAccess::Needed).await.is_some() {
+        if gateway.replica().status.is_any_table_lost() {
+            if first_current_seed(gateway, &others, StoreAccess::BothTables).await.is_some() {
                 return BetterSource::Seed;
             }
             if does_store_answer(gateway).await {
                 return BetterSource::Store;
             }
         }
-        wait_for_store_state(gateway, &mut changes, false).await;
+        let next_check = backoff(gateway).max_interval().max(MAX_CURRENT_AGE);
+        let regained = wait_for_store_state(gateway, &mut changes, false);
+        let _regained_or_due = timeout(next_check.mul_f64(rand::random_range(JITTER)), regained).await;
     }
 }
 
-/// Waits until the instance that reads the store, directly or for this one, has lost it or not.
+/// Waits until the instance that reads the store, directly or for this one, has lost one of its tables or none.
 async fn wait_for_store_state(gateway: &Gateway, changes: &mut watch::Receiver<u64>, is_lost: bool) {
     loop {
         changes.mark_unchanged();
-        if gateway.replica().status.is_store_lost == is_lost {
+        if gateway.replica().status.is_any_table_lost() == is_lost {
             return;
         }
         // The sender lives as long as the gateway, so waiting can't fail.
@@ -377,15 +381,21 @@
     }
 }
 
-/// Returns whether the store answers this instance now.
+/// Returns whether the store answers this instance now about both tables.
 async fn does_store_answer(gateway: &Gateway) -> bool {
-    let table = Table::Targets;
-    let Some(after) = gateway.replica().position(table) else { return false };
+    // One after the other: a store that is away gets one call.
+    is_table_readable(gateway, Table::Targets).await && is_table_readable(gateway, Table::Routing).await
+}
+
+async fn is_table_readable(gateway: &Gateway, table: Table) -> bool {
+    let Some(after) = gateway.replica().position(table) else {
+        return read_from_store(gateway, table).await.is_ok();
+    };
     let request = ChangesRequest { table, after, wait: Duration::ZERO };
     let answer = (gateway.platform.wait_for_changes)(request).await;
     gateway.metrics.record_store_call(&table.to_string(), &answer);
-    // Whoever reads the table next learns that the history is gone.
-    matches!(answer, Ok(_) | Err(StoreError::HistoryGone))
+    // Whoever reads the table next reads it as a whole if the changes can't be had.
+    matches!(answer, Ok(_) | Err(StoreError::HistoryGone | StoreError::Incomplete { .. }))
 }
 
 /// Reads both tables and the suspects from the store until dropped.
@@ -486,6 +496,8 @@
         if let Some(since) = status.routing_unread_since.take() {
             let unread_ms = now.since(since).as_millis();
             log::info!("event=store-regained table={table} unread_ms={unread_ms}");
+            drop(replica);
+            gateway.notify_followers();
         }
         return;
     }
@@ -521,6 +533,8 @@
     let level = if was_lost { log::Level::Debug } else { log::Level::Warn };
     log::log!(level, "event=store-lost table={table} error={:?}", error.to_string());
     if table == Table::Routing {
+        drop(replica);
+        gateway.notify_followers();
         return;
     }
     let heard_at = replica.status.confirmed_at.unwrap_or_default();
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -60,8 +60,8 @@
     pub confirmed_at: Option<MonoTime>,
     /// Whether the store does not answer the instance that reads it.
     pub is_store_lost: bool,
-    /// Start of the first of the calls for the routing table that have failed since the last one that succeeded;
-    /// `None` if the latest one succeeded or this instance does not read the store.
+    /// Start of the first of the calls for the routing table that have failed at that instance since the last one that
+    /// succeeded; `None` if the latest one succeeded.
     pub routing_unread_since: Option<MonoTime>,
     /// Time since which the store has answered that instance, as far as it knows; `None` while unknown.
     pub answered_since: Option<MonoTime>,
@@ -69,6 +69,13 @@
     pub distance: u8,
 }
 
+impl ReplicaStatus {
+    /// Returns whether the store does not answer that instance about one of the tables.
+    pub fn is_any_table_lost(&self) -> bool {
+        self.is_store_lost || self.routing_unread_since.is_some()
+    }
+}
+
 /// Replica of one table.
 #[derive(Debug, Clone, Default)]
 struct TableReplica {
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -57,12 +57,14 @@
 /// keeps them.
 const NAMES_RESEND_PERIOD: Duration = Duration::from_mins(1);
 
-/// Whether an instance that may be followed must have the store.
+/// What an instance that may be followed must be able to read from the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreAccess {
-    /// It must.
-    Needed,
-    /// It need not, as long as its replica is current.
+    /// Both tables.
+    BothTables,
+    /// The directory of targets.
+    Targets,
+    /// Nothing, as long as its replica is current.
     Any,
 }
 
@@ -88,6 +90,7 @@
         was_current: false,
         era: StoreEra::default(),
         answered_since: None,
+        routing_unread_since: None,
         current_until: None,
     };
     let ended = session.run().await;
@@ -102,10 +105,11 @@
 pub async fn check(gateway: &Gateway, address: SocketAddr, access: StoreAccess) -> Result<(), LinkError> {
     let mut states = StateReceiver::open(gateway, address).await?;
     let state = states.next().await?;
-    check_usable(gateway, states.era, &state, access).map(|_age| ())
+    check_usable(gateway, states.era, &state, states.is_routing_unread, access).map(|_age| ())
 }
 
-/// Waits until the instance at `address`, which was not current, is current enough to be followed and has the store.
+/// Waits until the instance at `address`, which was not current, is current enough to be followed and reads what this
+/// instance reads from the store.
 /// The link stays open meanwhile and counts among `links`, so that this takes no longer than a message from the other
 /// instance.
 ///
@@ -122,7 +126,8 @@
     let _link = links.track();
     let mut was_current = true;
     loop {
-        let is_current = check_usable(gateway, states.era, &state, StoreAccess::Needed).is_ok();
+        let access = needed_access(gateway);
+        let is_current = check_usable(gateway, states.era, &state, states.is_routing_unread, access).is_ok();
         match (was_current, is_current) {
             (true, true) => return Err("the instance is current already".into()),
             (false, true) => return Ok(()),
@@ -132,6 +137,13 @@
     }
 }
 
+/// Returns what another instance must read to be followed instead of the store. As long as this instance can't read the
+/// routing table either, it need not make its calls for the targets; but a seed takes over from no seed that lacks a part.
+pub fn needed_access(gateway: &Gateway) -> StoreAccess {
+    let is_routing_unread = gateway.replica().status.routing_unread_since.is_some();
+    if is_routing_unread && !gateway.is_seed() { StoreAccess::Targets } else { StoreAccess::BothTables }
+}
+
 /// Returns the routing table of the instance at `address`, current or not, or `None` if it has none. Records the
 /// suspects that it sends before that.
 ///
@@ -153,6 +165,7 @@
             Frame::StoreState(_)
             | Frame::StoreRows(_)
             | Frame::StoreAnsweredFor(_)
+            | Frame::RoutingUnreadFor(_)
             | Frame::RateLimits(_) => {}
             Frame::Paths(entries) => peer_paths::receive(gateway, entries),
             Frame::IdentityKey(key) => suspects::receive_key(gateway, key.into(), false),
@@ -168,12 +181,14 @@
     decoder: Decoder,
     /// Era of the store that the other instance has read last.
     era: StoreEra,
+    /// Whether the other instance, or the one that it follows, can't read the routing table.
+    is_routing_unread: bool,
 }
 
 impl StateReceiver {
     async fn open(gateway: &Gateway, address: SocketAddr) -> Result<Self, LinkError> {
         let link = Link::open(gateway, address, false).await?;
-        Ok(Self { link, decoder: Decoder::default(), era: StoreEra::default() })
+        Ok(Self { link, decoder: Decoder::default(), era: StoreEra::default(), is_routing_unread: false })
     }
 
     async fn next(&mut self) -> Result<StoreState, LinkError> {
@@ -181,6 +196,7 @@
             match next_frame(&mut self.link.recv_stream, &mut self.decoder).await? {
                 Frame::StoreEra(era) => self.era = era,
                 Frame::StoreAnsweredFor(_) => {}
+                Frame::RoutingUnreadFor(unread_for) => self.is_routing_unread = unread_for.is_some(),
                 Frame::StoreState(state) => return Ok(state),
                 _ => return Err("unexpected frame type".into()),
             }
@@ -203,11 +219,12 @@
 }
 
 /// Returns the age of the sender's replica if it still counts as current, and an error otherwise. `era` is the
-/// era of the store that the sender has read last.
+/// era of the store that the sender has read last, `is_routing_unread` whether it can't read the routing table.
 fn check_usable(
     gateway: &Gateway,
     era: StoreEra,
     state: &StoreState,
+    is_routing_unread: bool,
     access: StoreAccess,
 ) -> Result<Duration, LinkError> {
     let known_era = gateway.replica().era();
@@ -216,12 +233,18 @@
     }
     let age = state.confirmed_age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
     let age = age.ok_or("the instance has not read the store yet")?;
-    let accepts_store_lost = access == StoreAccess::Any && !gateway.is_seed();
-    if age > max_age(gateway) || state.distance > MAX_DISTANCE || (state.is_store_lost && !accepts_store_lost)
-    {
+    // A seed that would follow another one without the store would keep the followers from it, too.
+    let access = if gateway.is_seed() { StoreAccess::BothTables } else { access };
+    let lacks_table = match access {
+        StoreAccess::BothTables => state.is_store_lost || is_routing_unread,
+        StoreAccess::Targets => state.is_store_lost,
+        StoreAccess::Any => false,
+    };
+    if age > max_age(gateway) || state.distance > MAX_DISTANCE || lacks_table {
         let StoreState { is_store_lost, distance, .. } = state;
         return Err(format!(
-            "replica not current: age {age:?}, distance {distance}, store lost: {is_store_lost}"
+            "replica not current: age {age:?}, distance {distance}, store lost: {is_store_lost}, \
+             routing unread: {is_routing_unread}"
         )
         .into());
     }
@@ -285,6 +308,8 @@
     era: StoreEra,
     /// Time since which the store has answered, as the followed instance states; `None` if it doesn't.
     answered_since: Option<MonoTime>,
+    /// Time since which the routing table can't be read, as the followed instance states; `None` if it can.
+    routing_unread_since: Option<MonoTime>,
     /// Time until which the replica counts as current unless it is confirmed again; `None` before the first state.
     current_until: Option<MonoTime>,
 }
@@ -317,6 +342,10 @@
                     let answered_for = Duration::from_millis(u64::from(ms));
                     self.answered_since = Some(self.gateway.now_minus(answered_for));
                 }
+                Frame::RoutingUnreadFor(ms) => {
+                    let unread_for = ms.map(|ms| Duration::from_millis(u64::from(ms)));
+                    self.routing_unread_since = unread_for.map(|time| self.gateway.now_minus(time));
+                }
                 Frame::StoreState(state) => self.apply_state(state)?,
                 Frame::StoreRows(rows) if rows.must_read => self.read_table(rows.of_targets).await?,
                 Frame::StoreRows(rows) => self.apply_rows(rows)?,
@@ -331,25 +360,24 @@
 
     fn apply_state(&mut self, state: StoreState) -> Result<(), LinkError> {
         let gateway = self.gateway;
-        let age = check_usable(gateway, self.era, &state, StoreAccess::Any)?;
+        let is_routing_unread = self.routing_unread_since.is_some();
+        let age = check_usable(gateway, self.era, &state, is_routing_unread, StoreAccess::Any)?;
         let confirmed_at = gateway.now_minus(age);
-        let previous = {
+        let (previous, status) = {
             let mut replica = gateway.replica();
-            let distance = state.distance + 1;
-            let answered_since = self.answered_since.or(replica.status.answered_since);
-            let is_store_lost = state.is_store_lost;
-            let confirmed_at = Some(confirmed_at);
             let status = ReplicaStatus {
-                confirmed_at,
-                is_store_lost,
-                routing_unread_since: None,
-                answered_since,
-                distance,
+                confirmed_at: Some(confirmed_at),
+                is_store_lost: state.is_store_lost,
+                routing_unread_since: self.routing_unread_since,
+                answered_since: self.answered_since.or(replica.status.answered_since),
+                distance: state.distance + 1,
             };
-            std::mem::replace(&mut replica.status, status)
+            (std::mem::replace(&mut replica.status, status), status)
         };
         self.current_until = Some(confirmed_at + max_age(gateway));
-        if previous.is_store_lost != state.is_store_lost {
+        if previous.is_store_lost != status.is_store_lost
+            || previous.routing_unread_since != status.routing_unread_since
+        {
             gateway.notify_followers();
         }
         gateway.known_instances().record_reported_count(gateway.now(), state.instances);
--- a/src/gateway/replication_server.rs
+++ b/src/gateway/replication_server.rs
@@ -18,7 +18,7 @@
     peer_paths::{self, SentPaths},
     platform_adapter::{Table, TableRow, TableRows},
     rate_limits::{self, SentRateLimits},
-    replica::TableUpdate,
+    replica::{ReplicaStatus, TableUpdate},
     suspects::{self, SentSuspects},
 };
 use crate::{
@@ -214,6 +214,7 @@
         period.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut sent_store_lost = false;
         let mut sent_answered_since = None;
+        let mut sent_routing_unread_since = None;
         loop {
             let is_heartbeat = tokio::select! {
                 biased;
@@ -247,11 +248,17 @@
             if has_new_era {
                 frames.push(Frame::StoreEra(era));
             }
-            let answered_since = self.gateway.replica().status.answered_since;
+            let ReplicaStatus { answered_since, routing_unread_since, .. } = self.gateway.replica().status;
             if let Some(since) = answered_since.filter(|_| answered_since != sent_answered_since) {
                 frames.push(Frame::StoreAnsweredFor(millis(self.gateway.now().since(since))));
                 sent_answered_since = answered_since;
             }
+            let has_new_routing_state = routing_unread_since != sent_routing_unread_since;
+            if has_new_routing_state {
+                let unread_for = routing_unread_since.map(|since| millis(self.gateway.now().since(since)));
+                frames.push(Frame::RoutingUnreadFor(unread_for));
+                sent_routing_unread_since = routing_unread_since;
+            }
             frames.push(Frame::StoreState(state));
             let frames_without_rows = frames.len();
             if self.wants_rows {
@@ -264,8 +271,10 @@
                 frames.extend(self.sent_limits.next_frames(self.gateway, place));
                 frames.extend(self.sent_paths.next_frames(self.gateway));
             }
-            let has_changes =
-                has_new_era || frames.len() > frames_without_rows || state.is_store_lost != sent_store_lost;
+            let has_changes = has_new_era
+                || has_new_routing_state
+                || frames.len() > frames_without_rows
+                || state.is_store_lost != sent_store_lost;
             if is_heartbeat || has_changes {
                 sent_store_lost = state.is_store_lost;
                 self.send(&frames).await?;
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -209,6 +209,9 @@
     /// Time in milliseconds for which the store has answered the instance that reads it. Precedes the state that
     /// it belongs to; instances that don't know it skip it.
     StoreAnsweredFor(u32),
+    /// Time in milliseconds for which the instance that reads the store has not been able to read the routing table;
+    /// `None` if it is. Precedes the state that it belongs to; instances that don't know it skip it.
+    RoutingUnreadFor(Option<u32>),
     /// Rate limits that targets stated. Instances that don't know it skip it.
     RateLimits(Vec<RateLimitEntry>),
     /// Key of the hashes that identify requests. Instances that don't know it skip it.
@@ -235,6 +238,7 @@
 const TAG_IDENTITY_KEY: u8 = 14;
 const TAG_SUSPECTS: u8 = 15;
 const TAG_PATHS: u8 = 16;
+const TAG_ROUTING_UNREAD_FOR: u8 = 17;
 
 /// Largest frame accepted from a peer, tag and body, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
@@ -290,6 +294,7 @@
         Frame::IdentityKey(key) => (TAG_IDENTITY_KEY, to_bytes(key)),
         Frame::Suspects(entries) => (TAG_SUSPECTS, to_bytes(entries)),
         Frame::Paths(entries) => (TAG_PATHS, to_bytes(entries)),
+        Frame::RoutingUnreadFor(ms) => (TAG_ROUTING_UNREAD_FOR, to_bytes(ms)),
     };
     encode_raw(tag, &body)
 }
@@ -388,6 +393,7 @@
         TAG_IDENTITY_KEY => Frame::IdentityKey(from_bytes(tag, &body)?),
         TAG_SUSPECTS => Frame::Suspects(from_bytes(tag, &body)?),
         TAG_PATHS => Frame::Paths(from_bytes(tag, &body)?),
+        TAG_ROUTING_UNREAD_FOR => Frame::RoutingUnreadFor(from_bytes(tag, &body)?),
         _ => return Ok(None),
     }))
 }
--- a/src/peer/receive.rs
+++ b/src/peer/receive.rs
@@ -139,7 +139,8 @@
             | Frame::RateLimits(_)
             | Frame::IdentityKey(_)
             | Frame::Suspects(_)
-            | Frame::Paths(_) => {}
+            | Frame::Paths(_)
+            | Frame::RoutingUnreadFor(_) => {}
         }
         Ok(())
     }
--- a/tests/gateway_routing_updates.rs
+++ b/tests/gateway_routing_updates.rs
@@ -109,6 +109,58 @@
     }
 }
 
+// Guards against followers that all read the store as soon as their seed can't read the routing table, although another
+// seed can.
+#[tokio::test]
+async fn followers_turn_to_a_seed_that_reads_the_routing_table() {
+    let deployment = TestDeployment::start().await;
+    let _worker = deployment.worker("i-1").await;
+    let mut seeds = Vec::new();
+    for name in ["s-1", "s-2"] {
+        let relay = Relay::start(deployment.store.server.address).await.expect("the relay starts");
+        let seed = deployment.gateway(name, &json!({"store_address": relay.address})).await;
+        seeds.push((seed, relay));
+    }
+    let addresses = json!({"peer_seeds": seeds.iter().map(|(seed, _)| seed.peers).collect::<Vec<_>>()});
+    let follower = deployment.gateway("f-1", &addresses).await;
+    let follows = || async { follower.logged(&["event=source ", "distance=1"]) };
+    deployment.wait_until("it follows a seed", follows).await;
+    let is_followed = |seed: &GatewayProcess| follower.logged(&[&format!("source={}", seed.peers)]);
+    let (_followed, relay) = seeds.iter().find(|(seed, _)| is_followed(seed)).expect("a seed is followed");
+    deployment.store.set_delay_at(relay.address, "op", Duration::from_mins(1));
+    deployment.put_routes(&[route("added", "/added/", "idempotent", "plan", 2_000)]);
+    let took = served_after(&deployment, &follower, "/added/", Instant::now()).await;
+    assert!(took < MAX_DELAY, "it took {took:?}");
+    assert!(!follower.logged(&["event=source", "source=store"]), "{:#?}", follower.log());
+}
+
+/// Time for which a routing table that nobody can read is watched, in which followers check for other sources at least
+/// twice.
+const UNREADABLE_TIME: Duration = Duration::from_secs(5);
+
+// Guards against followers that leave their seed for the store while nobody can read the routing table, and make their
+// calls for the targets, too; and against ones that then never ask again, while the seed alone still can't read it.
+#[tokio::test]
+async fn followers_stay_while_nobody_can_read_the_routing_table_and_leave_when_they_can() {
+    let deployment = TestDeployment::start().await;
+    let _worker = deployment.worker("i-1").await;
+    let relay = Relay::start(deployment.store.server.address).await.expect("the relay starts");
+    let seed = deployment.gateway("seed", &json!({"store_address": relay.address})).await;
+    let follower = deployment.gateway("one", &json!({"peer_seeds": [seed.peers]})).await;
+    let follows = || async { follower.logged(&["event=source ", "distance=1"]) };
+    deployment.wait_until("it follows the seed", follows).await;
+    deployment.store.set_delay_at(relay.address, "op", Duration::from_mins(1));
+    deployment.store.set_delay("op", Duration::from_mins(1));
+    tokio::time::sleep(UNREADABLE_TIME).await;
+    assert!(!follower.logged(&["event=source-lost"]), "{:#?}", follower.log());
+    deployment.store.set_delay("op", Duration::ZERO);
+    deployment.put_routes(&[route("added", "/added/", "idempotent", "plan", 2_000)]);
+    let since = Instant::now();
+    let took = served_after(&deployment, &follower, "/added/", since).await;
+    // The follower learns by its own next check that the store answers again.
+    assert!(took < MAX_DELAY * 2, "it took {took:?}");
+}
+
 /// Returns a route with one fault, by the name of the fault.
 fn invalid_routes() -> Vec<(&'static str, Value)> {
     let with = |field: &str, value: Value| {
--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -58,6 +58,7 @@
         }),
         Frame::StoreEra(StoreEra::from(3)),
         Frame::StoreAnsweredFor(1_200),
+        Frame::RoutingUnreadFor(Some(900)),
         Frame::RateLimits(vec![RateLimitEntry {
             target: "a-01".parse().expect("a name"),
             started_unix_ms: Some(1_780_000_000_000),
@@ -120,14 +121,15 @@
         Frame::StoreRows(_) => 9,
         Frame::StoreEra(_) => 10,
         Frame::StoreAnsweredFor(_) => 11,
-        Frame::RateLimits(_) => 12,
-        Frame::IdentityKey(_) => 13,
-        Frame::Suspects(_) => 14,
-        Frame::Paths(_) => 15,
+        Frame::RoutingUnreadFor(_) => 12,
+        Frame::RateLimits(_) => 13,
+        Frame::IdentityKey(_) => 14,
+        Frame::Suspects(_) => 15,
+        Frame::Paths(_) => 16,
     };
     let mut numbers = sample_frames().iter().map(number).collect::<Vec<_>>();
     numbers.dedup();
-    assert_eq!(numbers, (0..=15).collect::<Vec<_>>());
+    assert_eq!(numbers, (0..=16).collect::<Vec<_>>());
 }
 
 #[test]
