Read large tables beside the link to the followed instance

Targets that had left were used for up to 1.7 s longer than needed at an instance that was reading a large routing table, and one failed read ended the link to the seed.

Cause: a table that is too large for the link was read from the store within the loop that handles the link's frames, once for each version, and a failed read was an error of the link.

Change: a task beside the link reads such tables, one read at a time for each table. A read that has not begun serves all versions announced so far; none is made for a version that is there; a failed one is made again after a pause of 1.2 s at most, and not while the followed instance has lost the store, too. Changes that come after a version which is still to be read are read with it, so that the replica skips none.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 pub mod serve;
 pub mod suspect_store;
 pub mod suspects;
+pub mod table_reads;
 pub mod target_end;
 pub mod target_statements;
 
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -1,6 +1,6 @@
 //! Replicates the store's tables from another instance over an HTTP/2 stream.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures::future::poll_fn;
@@ -14,13 +14,14 @@
 use super::{
     Gateway,
     apply::{apply_update, record_store_heard},
-    follow::{MAX_CURRENT_AGE, SEED_MAX_CURRENT_AGE, read_from_store},
+    follow::{MAX_CURRENT_AGE, SEED_MAX_CURRENT_AGE},
     peer_paths::{self, SentPaths},
     platform_adapter::{Table, TableRow, TableRows},
     rate_limits::{self, SentRateLimits},
     replica::{ReplicaStatus, TableUpdate, UpdateResult},
     seed_links::SeedLinks,
     suspects::{self, SentSuspects},
+    table_reads::TableReads,
 };
 use crate::{
     peer::{
@@ -46,10 +47,6 @@
 /// Time without data after which the followed instance counts as lost: a little more than two heartbeats.
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 
-/// Longest random delay before a follower reads a large table from the store, so that not all followers read
-/// at once.
-const MAX_TABLE_READ_DELAY: Duration = Duration::from_millis(300);
-
 /// Time between two checks whether new instance names have to be sent to the followed instance.
 const NAMES_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
@@ -92,6 +89,7 @@
         answered_since: None,
         routing_unread_since: None,
         current_until: None,
+        reads: Arc::default(),
     };
     let ended = session.run().await;
     ended.map_err(|e| FollowError { was_current: session.was_current, reason: e.to_string() })
@@ -312,16 +310,19 @@
     routing_unread_since: Option<MonoTime>,
     /// Time until which the replica counts as current unless it is confirmed again; `None` before the first state.
     current_until: Option<MonoTime>,
+    /// Tables that are too large for the link.
+    reads: Arc<TableReads>,
 }
 
 impl FollowSession<'_> {
     async fn run(&mut self) -> Result<(), LinkError> {
-        let gateway = self.gateway;
+        let (gateway, reads) = (self.gateway, Arc::clone(&self.reads));
         let Link { mut recv_stream, send_stream, sent_revision, _connection } =
             Link::open(gateway, self.address, true).await?;
         tokio::select! {
             ended = self.receive_frames(&mut recv_stream) => ended,
             ended = send_updates(gateway, sent_revision, send_stream) => ended,
+            never = reads.run(gateway) => match never {},
         }
     }
 
@@ -347,7 +348,6 @@
                     self.routing_unread_since = unread_for.map(|time| self.gateway.now_minus(time));
                 }
                 Frame::StoreState(state) => self.apply_state(state)?,
-                Frame::StoreRows(rows) if rows.must_read => self.read_table(rows.of_targets).await?,
                 Frame::StoreRows(rows) => self.apply_rows(rows)?,
                 Frame::RateLimits(entries) => rate_limits::receive(self.gateway, entries),
                 Frame::IdentityKey(key) => suspects::receive_key(self.gateway, key.into(), true),
@@ -398,16 +398,13 @@
         Ok(())
     }
 
-    /// Reads from the store a table that is too large to be replicated over the link. A failure ends the
-    /// link; the next link requests the table again.
-    async fn read_table(&self, of_targets: bool) -> Result<(), LinkError> {
-        sleep(MAX_TABLE_READ_DELAY.mul_f64(rand::random_range(0.0..1.0))).await;
-        let table = if of_targets { Table::Targets } else { Table::Routing };
-        Ok(read_from_store(self.gateway, table).await?)
-    }
-
     fn apply_rows(&self, rows: StoreRows) -> Result<(), LinkError> {
         let table = if rows.of_targets { Table::Targets } else { Table::Routing };
+        let lacks_earlier = !rows.is_all && self.reads.is_wanted(self.gateway, table);
+        if rows.must_read || lacks_earlier {
+            self.reads.request(table, StorePosition { era: self.era, version: rows.version });
+            return Ok(());
+        }
         match apply_update(self.gateway, table, to_table_update(self.era, rows)) {
             // The next link requests the whole table.
             UpdateResult::SnapshotNeeded => Err("changes of a table that has not been received".into()),
