Pass the routing table on as a compressed patch

Beyond 256 KB each follower read every version of the routing table from the store: late, 116 times the bytes, and not at all while the store turned it away, though its seed had the version.

Cause: a link carried whole values only, so that a large one had to be left out.

Change: an instance describes the table by what it has in common with the one that the receiver has, compressed by flate2, made once for all followers with the same base. Size and digest are checked; what swells, is cut or gives another value closes the link. A frame before the subscription states that the receiver takes patches and which table it has; earlier builds skip it, and send and get whole rows. A patch of more than 256 KB is marked to be read from the store, as before.

a_table_too_large_to_be_passed_on_is_read_by_each now has random names, since the repeated ones can be compressed and would not be read by each.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 pub mod replication_server;
 pub mod request_log;
 pub mod response;
+pub mod routing_patches;
 pub mod seed_links;
 pub mod seeds;
 pub mod serve;
@@ -60,9 +61,10 @@
     identity::{IdentityKey, KeyInUse},
     known_instances::KnownInstances,
     metrics::Metrics,
-    platform_adapter::PlatformAdapter,
+    platform_adapter::{PlatformAdapter, Table},
     replica::StoreReplica,
     request_log::RequestLogLimiter,
+    routing_patches::{RoutingBase, RoutingPatches},
 };
 use crate::{
     decide::{
@@ -118,6 +120,8 @@
     known_instances: Mutex<KnownInstances>,
     /// Incremented when the replica or its status changes, so that followers may need an update.
     replica_changed: watch::Sender<u64>,
+    /// Patches of the routing table for the instances that follow this one.
+    pub routing_patches: RoutingPatches,
     /// Places of the instances that follow this one.
     pub follower_places: Arc<FollowerPlaces>,
     /// Incremented when a target's rate limit changes, so that other instances may need to hear of it.
@@ -178,6 +182,7 @@
             replica: Mutex::default(),
             known_instances: Mutex::new(KnownInstances::new(config.instance.clone())),
             replica_changed: watch::Sender::new(0),
+            routing_patches: RoutingPatches::default(),
             follower_places: Arc::default(),
             rate_limits_changed: watch::Sender::new(0),
             suspects: Mutex::default(),
@@ -264,6 +269,12 @@
         self.replica_changed.send_modify(|n| *n += 1);
     }
 
+    /// Returns the routing table that this instance would pass on.
+    pub fn routing_base(&self) -> Option<RoutingBase> {
+        let value = self.replica().value(Table::Routing, self.platform.routing_key)?;
+        Some(self.routing_patches.base(value))
+    }
+
     /// Returns a receiver that changes when followers may need an update.
     pub fn watch_replica(&self) -> watch::Receiver<u64> {
         self.replica_changed.subscribe()
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -4,6 +4,7 @@
 
 use std::collections::VecDeque;
 
+use bytes::Bytes;
 use derive_more::Display;
 
 use super::platform_adapter::{Table, TableRow, TableRows};
@@ -221,6 +222,11 @@
         self.table(table).position_in(self.era)
     }
 
+    /// Returns the value of a row.
+    pub fn value(&self, table: Table, key: &str) -> Option<Bytes> {
+        self.table(table).rows.get(key).and_then(|row| row.value.clone())
+    }
+
     /// Records that the changes of a table since its position can't be had any more.
     pub fn require_snapshot(&mut self, table: Table) {
         self.table_mut(table).needs_snapshot = true;
--- a/src/gateway/replication_client.rs
+++ b/src/gateway/replication_client.rs
@@ -19,6 +19,7 @@
     platform_adapter::{Table, TableRow, TableRows},
     rate_limits::{self, SentRateLimits},
     replica::{ReplicaStatus, TableUpdate, UpdateResult},
+    routing_patches::{self, RoutingBase},
     seed_links::SeedLinks,
     suspects::{self, SentSuspects},
     table_reads::TableReads,
@@ -26,7 +27,8 @@
 use crate::{
     peer::{
         frame::{
-            Decoder, Frame, PROTOCOL_VERSION, StoreRow, StoreRows, StoreState, StoreSubscription, encode,
+            Decoder, Frame, PROTOCOL_VERSION, RoutingRowPatch, StoreRow, StoreRows, StoreState,
+            StoreSubscription, encode,
         },
         link::{AbortOnDrop, LinkError, send_all},
     },
@@ -89,6 +91,7 @@
         answered_since: None,
         routing_unread_since: None,
         current_until: None,
+        routing_base: None,
         reads: Arc::default(),
     };
     let ended = session.run().await;
@@ -152,6 +155,7 @@
     let mut link = Link::open(gateway, address, true).await?;
     let mut decoder = Decoder::default();
     let mut era = StoreEra::default();
+    let mut routing_base = link.routing_base.take();
     loop {
         match next_frame(&mut link.recv_stream, &mut decoder).await? {
             Frame::StoreEra(stated) => era = stated,
@@ -159,6 +163,10 @@
             Frame::StoreRows(rows) if !rows.of_targets && !rows.must_read => {
                 return Ok(Some(to_table_update(era, rows)));
             }
+            Frame::RoutingRowPatch(patch) => {
+                let rows = receive_patch(address, patch, &mut routing_base)?;
+                return Ok(Some(to_table_update(era, rows)));
+            }
             Frame::StoreRows(rows) if rows.must_read => return Ok(None),
             Frame::StoreState(_)
             | Frame::StoreRows(_)
@@ -255,6 +263,8 @@
     send_stream: SendStream<Bytes>,
     /// Revision of the instance names that the first frame carried.
     sent_revision: u64,
+    /// Routing table that the first frames stated.
+    routing_base: Option<RoutingBase>,
     _connection: AbortOnDrop,
 }
 
@@ -282,10 +292,15 @@
             };
             (replica.era(), subscription)
         };
+        let routing_base = gateway.routing_base().filter(|_| wants_rows);
         send_all(&mut send_stream, encode(&Frame::StoreEra(era))).await?;
+        if wants_rows {
+            let digest = routing_base.as_ref().map(|(_, digest)| *digest);
+            send_all(&mut send_stream, encode(&Frame::KnownRouting(digest))).await?;
+        }
         send_all(&mut send_stream, encode(&Frame::StoreSubscription(subscription))).await?;
         let recv_stream = timeout_at(until, response).await??.into_body();
-        Ok(Self { recv_stream, send_stream, sent_revision, _connection: connection })
+        Ok(Self { recv_stream, send_stream, sent_revision, routing_base, _connection: connection })
     }
 }
 
@@ -310,6 +325,8 @@
     routing_unread_since: Option<MonoTime>,
     /// Time until which the replica counts as current unless it is confirmed again; `None` before the first state.
     current_until: Option<MonoTime>,
+    /// Base of the next patch.
+    routing_base: Option<RoutingBase>,
     /// Tables that are too large for the link.
     reads: Arc<TableReads>,
 }
@@ -317,8 +334,9 @@
 impl FollowSession<'_> {
     async fn run(&mut self) -> Result<(), LinkError> {
         let (gateway, reads) = (self.gateway, Arc::clone(&self.reads));
-        let Link { mut recv_stream, send_stream, sent_revision, _connection } =
+        let Link { mut recv_stream, send_stream, sent_revision, routing_base, _connection } =
             Link::open(gateway, self.address, true).await?;
+        self.routing_base = routing_base;
         tokio::select! {
             ended = self.receive_frames(&mut recv_stream) => ended,
             ended = send_updates(gateway, sent_revision, send_stream) => ended,
@@ -349,6 +367,10 @@
                 }
                 Frame::StoreState(state) => self.apply_state(state)?,
                 Frame::StoreRows(rows) => self.apply_rows(rows)?,
+                Frame::RoutingRowPatch(patch) => {
+                    let rows = receive_patch(self.address, patch, &mut self.routing_base)?;
+                    self.apply_rows(rows)?;
+                }
                 Frame::RateLimits(entries) => rate_limits::receive(self.gateway, entries),
                 Frame::IdentityKey(key) => suspects::receive_key(self.gateway, key.into(), true),
                 Frame::Suspects(entries) => suspects::receive(self.gateway, entries),
@@ -413,6 +435,19 @@
     }
 }
 
+/// Turns a patch from the instance at `address` into rows.
+fn receive_patch(
+    address: SocketAddr,
+    patch: RoutingRowPatch,
+    base: &mut Option<RoutingBase>,
+) -> Result<StoreRows, LinkError> {
+    let rows = routing_patches::to_rows(patch, base);
+    if let Err(e) = &rows {
+        log::warn!("event=patch-refused source={address} error={:?}", e.to_string());
+    }
+    Ok(rows?)
+}
+
 /// Converts received rows; their versions belong to `era`.
 fn to_table_update(era: StoreEra, rows: StoreRows) -> TableUpdate {
     let position = |version: u64| StorePosition { era, version };
--- a/src/gateway/replication_server.rs
+++ b/src/gateway/replication_server.rs
@@ -19,14 +19,17 @@
     platform_adapter::{Table, TableRow, TableRows},
     rate_limits::{self, SentRateLimits},
     replica::{ReplicaStatus, TableUpdate},
+    routing_patches::RoutingBase,
     suspects::{self, SentSuspects},
 };
 use crate::{
     peer::{
         frame::{
-            Decoder, Frame, PROTOCOL_VERSION, StoreRow, StoreRows, StoreState, StoreSubscription, encode,
+            Decoder, Frame, PROTOCOL_VERSION, RoutingRowPatch, StoreRow, StoreRows, StoreState,
+            StoreSubscription, encode,
         },
         link::{LinkError, send_all},
+        patch::Digest,
     },
     store_position::{StoreEra, StorePosition},
 };
@@ -43,7 +46,7 @@
 /// Time after which the link to a follower that accepts no data is closed.
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Largest update of a table, in bytes of its values, that is sent to followers. Sending this much to a
+/// Largest update of a table, in bytes of its values or of the patch, that is sent to followers. Sending this much to a
 /// hundred followers over a network link of 10 Mbit/s takes 20 s. For a larger update, each follower reads
 /// the table from the store.
 pub const MAX_UPDATE_BYTES: usize = 256 << 10;
@@ -84,7 +87,8 @@
     let (request, mut respond) = accepted?;
     let link = async {
         let mut receiver = FollowerReceiver { body: request.into_body(), decoder: Decoder::default() };
-        let (era, subscription) = timeout(OPEN_TIMEOUT, receiver.read_subscription()).await??;
+        let Opening { era, takes_patches, known_routing, subscription } =
+            timeout(OPEN_TIMEOUT, receiver.read_subscription()).await??;
         if subscription.protocol_version != PROTOCOL_VERSION {
             return Err(format!(
                 "unsupported protocol version {}, expected {PROTOCOL_VERSION}",
@@ -111,6 +115,8 @@
             routing: position(subscription.routing),
             targets: position(subscription.targets),
             wants_rows: subscription.wants_rows,
+            takes_patches,
+            routing_base: gateway.routing_base().filter(|(_, digest)| known_routing == Some(*digest)),
             sent_era: StoreEra::default(),
             place: subscription.wants_rows.then(|| gateway.follower_places.take()),
             sent_limits: SentRateLimits::default(),
@@ -130,6 +136,16 @@
     }
 }
 
+/// What a follower states when it opens a link.
+struct Opening {
+    /// Era of the versions in the subscription.
+    era: StoreEra,
+    takes_patches: bool,
+    /// Digest of the follower's routing table; `None` if it has none or takes no patches.
+    known_routing: Option<Digest>,
+    subscription: StoreSubscription,
+}
+
 /// The receiving side of a link to a follower.
 struct FollowerReceiver {
     body: RecvStream,
@@ -137,13 +153,16 @@
 }
 
 impl FollowerReceiver {
-    /// Receives the subscription, and the era of its versions if the follower states one.
-    async fn read_subscription(&mut self) -> Result<(StoreEra, StoreSubscription), LinkError> {
-        let mut era = StoreEra::default();
+    /// Receives the subscription and what the follower states before it.
+    async fn read_subscription(&mut self) -> Result<Opening, LinkError> {
+        let (mut era, mut takes_patches, mut known_routing) = (StoreEra::default(), false, None);
         loop {
             match self.next_frame().await? {
                 Some(Frame::StoreEra(stated)) => era = stated,
-                Some(Frame::StoreSubscription(subscription)) => return Ok((era, subscription)),
+                Some(Frame::KnownRouting(digest)) => (takes_patches, known_routing) = (true, digest),
+                Some(Frame::StoreSubscription(subscription)) => {
+                    return Ok(Opening { era, takes_patches, known_routing, subscription });
+                }
                 Some(_) => return Err("frame before the store subscription".into()),
                 None => return Err("stream ended before the store subscription".into()),
             }
@@ -194,6 +213,9 @@
     /// Position of the follower's target directory; `None` if it has none.
     targets: Option<StorePosition>,
     wants_rows: bool,
+    takes_patches: bool,
+    /// Base of the next patch.
+    routing_base: Option<RoutingBase>,
     /// Era to which the follower takes all versions on the link to belong.
     sent_era: StoreEra,
     /// Place of the follower, if it wants rows.
@@ -309,6 +331,10 @@
             return;
         }
         *known = Some(rows.position);
+        if let Some(patch) = self.routing_patch(table, is_all, &rows) {
+            frames.push(Frame::RoutingRowPatch(patch));
+            return;
+        }
         let bytes = rows.rows.iter().filter_map(|r| r.value.as_ref()).map(Bytes::len).sum::<usize>();
         let must_read = bytes > MAX_UPDATE_BYTES;
         let rows = if must_read { TableRows { rows: Vec::new(), position: rows.position } } else { rows };
@@ -322,6 +348,26 @@
         }));
     }
 
+    /// Returns rows as a patch if they are the routing table only, the follower takes patches, and the patch is small
+    /// enough.
+    fn routing_patch(&mut self, table: Table, is_all: bool, rows: &TableRows) -> Option<RoutingRowPatch> {
+        let [row] = rows.rows.as_slice() else { return None };
+        let is_routing = table == Table::Routing && row.key == self.gateway.platform.routing_key;
+        let value = row.value.as_ref().filter(|_| is_routing && self.takes_patches)?;
+        let patch = self.gateway.routing_patches.patch(self.routing_base.as_ref(), value)?;
+        if patch.compressed_bytes() > MAX_UPDATE_BYTES {
+            return None;
+        }
+        self.routing_base = Some((value.clone(), patch.digest));
+        Some(RoutingRowPatch {
+            is_all,
+            version: rows.position.version,
+            key: row.key.clone(),
+            row_version: row.position.version,
+            patch,
+        })
+    }
+
     async fn send(&mut self, frames: &[Frame]) -> Result<(), LinkError> {
         let mut bytes = BytesMut::new();
         for frame in frames {
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -7,6 +7,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
+use super::patch::{Digest, Patch};
 use crate::{
     store_position::StoreEra,
     units::{DataCentre, InstanceId, PlanVersion, RequestDigest, RunId, ServiceName, TargetId},
@@ -135,6 +136,21 @@
     pub value: Option<Bytes>,
 }
 
+/// A row of the routing table, described by what it has in common with the one before on the link.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutingRowPatch {
+    /// Whether the row is the whole table rather than only what has changed.
+    pub is_all: bool,
+    /// Version of the table at which the row was read.
+    pub version: u64,
+    /// Key of the row in the store.
+    pub key: String,
+    /// Version of the row in the store.
+    pub row_version: u64,
+    /// The value.
+    pub patch: Patch,
+}
+
 /// What the sender knows of one target's rate limit.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RateLimitEntry {
@@ -212,6 +228,11 @@
     /// Time in milliseconds for which the instance that reads the store has not been able to read the routing table;
     /// `None` if it is. Precedes the state that it belongs to; instances that don't know it skip it.
     RoutingUnreadFor(Option<u32>),
+    /// Digest of the sender's routing table; `None` if it has none. Precedes a subscription and states that the sender
+    /// takes patches; instances that don't know it skip it, and send whole rows.
+    KnownRouting(Option<Digest>),
+    /// The routing table, if the receiver takes patches.
+    RoutingRowPatch(RoutingRowPatch),
     /// Rate limits that targets stated. Instances that don't know it skip it.
     RateLimits(Vec<RateLimitEntry>),
     /// Key of the hashes that identify requests. Instances that don't know it skip it.
@@ -239,11 +260,13 @@
 const TAG_SUSPECTS: u8 = 15;
 const TAG_PATHS: u8 = 16;
 const TAG_ROUTING_UNREAD_FOR: u8 = 17;
+const TAG_KNOWN_ROUTING: u8 = 18;
+const TAG_ROUTING_ROW_PATCH: u8 = 19;
 
 /// Largest frame accepted from a peer, tag and body, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
 
-/// Largest frame of any type other than plans and store rows, tag and body, in bytes.
+/// Largest frame of any type other than plans, store rows and their patches, tag and body, in bytes.
 pub const MAX_SMALL_FRAME_BYTES: usize = 64 << 10;
 
 /// Length of the prefix that holds a frame's size, in bytes.
@@ -295,6 +318,8 @@
         Frame::Suspects(entries) => (TAG_SUSPECTS, to_bytes(entries)),
         Frame::Paths(entries) => (TAG_PATHS, to_bytes(entries)),
         Frame::RoutingUnreadFor(ms) => (TAG_ROUTING_UNREAD_FOR, to_bytes(ms)),
+        Frame::KnownRouting(digest) => (TAG_KNOWN_ROUTING, to_bytes(digest)),
+        Frame::RoutingRowPatch(patch) => (TAG_ROUTING_ROW_PATCH, to_bytes(patch)),
     };
     encode_raw(tag, &body)
 }
@@ -394,12 +419,17 @@
         TAG_SUSPECTS => Frame::Suspects(from_bytes(tag, &body)?),
         TAG_PATHS => Frame::Paths(from_bytes(tag, &body)?),
         TAG_ROUTING_UNREAD_FOR => Frame::RoutingUnreadFor(from_bytes(tag, &body)?),
+        TAG_KNOWN_ROUTING => Frame::KnownRouting(from_bytes(tag, &body)?),
+        TAG_ROUTING_ROW_PATCH => {
+            Frame::RoutingRowPatch(from_bytes_limited::<_, MAX_FRAME_BYTES>(tag, &body)?)
+        }
         _ => return Ok(None),
     }))
 }
 
 fn max_frame_bytes(tag: u8) -> usize {
-    if matches!(tag, TAG_PLAN | TAG_STORE_ROWS) { MAX_FRAME_BYTES } else { MAX_SMALL_FRAME_BYTES }
+    let is_large = matches!(tag, TAG_PLAN | TAG_STORE_ROWS | TAG_ROUTING_ROW_PATCH);
+    if is_large { MAX_FRAME_BYTES } else { MAX_SMALL_FRAME_BYTES }
 }
 
 fn from_bytes<T: DeserializeOwned>(tag: u8, body: &[u8]) -> Result<T, FrameError> {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,5 +6,6 @@
 pub mod frame;
 pub mod link;
 pub mod loads;
+pub mod patch;
 pub mod receive;
 pub mod state;
--- a/src/peer/receive.rs
+++ b/src/peer/receive.rs
@@ -140,7 +140,9 @@
             | Frame::IdentityKey(_)
             | Frame::Suspects(_)
             | Frame::Paths(_)
-            | Frame::RoutingUnreadFor(_) => {}
+            | Frame::RoutingUnreadFor(_)
+            | Frame::KnownRouting(_)
+            | Frame::RoutingRowPatch(_) => {}
         }
         Ok(())
     }
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -247,13 +247,15 @@
     deployment
         .wait_until("it follows the seed", || async { follower.logged(&["event=source", "distance=1"]) })
         .await;
-    // Long names make the table large without making it slow to decode.
-    let routes = (0..200).map(|i| {
-        let name = format!("r{i}-{}", "x".repeat(2_000));
+    // Long names make the table large without making it slow to decode; random ones can't be compressed to less than
+    // half of their length.
+    let part = |_| format!("{:016x}", rand::random::<u64>());
+    let routes = (0..300).map(|i| {
+        let name = format!("r{i}-{}", (0..125).map(part).collect::<Vec<_>>().concat());
         route(&name, &format!("/r{i}/"), "idempotent", "plan", 2_000)
     });
     let routes = routes.collect::<Vec<_>>();
-    assert!(manifest(1, &routes).to_string().len() > MAX_UPDATE_BYTES);
+    assert!(manifest(1, &routes).to_string().len() > MAX_UPDATE_BYTES * 2);
     deployment.put_routes(&routes);
     deployment
         .wait_until("the last route is served", || async {
--- a/tests/gateway_large_tables.rs
+++ b/tests/gateway_large_tables.rs
@@ -1,4 +1,4 @@
-//! Routing tables that are too large for the link between a seed and its followers.
+//! Large routing tables reach the followers of a seed in time, and hold up nothing else.
 
 mod gateway_env;
 
@@ -117,3 +117,58 @@
         assert!(took < MAX_DELAY, "round {round}: it took {took:?}");
     }
 }
+
+/// Returns a table of real size, most of which can be compressed.
+fn real_table(routes: usize, added: &str) -> Vec<Value> {
+    let prefixes = (0..routes).map(|number| format!("/padding-{number}/"));
+    let mut routes = prefixes.map(|p| route("padding", &p, "idempotent", "plan", 2_000)).collect::<Vec<_>>();
+    routes.push(route("added", added, "idempotent", "plan", 2_000));
+    assert!(json!(routes).to_string().len() > MAX_UPDATE_BYTES);
+    routes
+}
+
+// Guards against followers that each read every version of a large routing table from the store, and so get it late or,
+// while the store turns them away, not at all.
+#[tokio::test]
+async fn followers_get_large_tables_from_their_seed() {
+    let instances = Follower::start().await;
+    let deployment = &instances.deployment;
+    let _stays = deployment.worker("i-stays").await;
+    instances.relay.set_fault(LinkFault::Down);
+    for (version, routes) in [1_600, 3_200, 3_200].into_iter().enumerate() {
+        let version = deployment.put_routes(&real_table(routes, &format!("/added-{version}/")));
+        let words = ["event=routing-in-force", &format!("version={version:08x}")];
+        let took = instances.logged_after(&words, Instant::now()).await;
+        assert!(took < MAX_DELAY, "{routes} routes: it took {took:?}");
+    }
+    assert!(!instances.process.logged(&["event=source-lost"]), "{:#?}", instances.process.log());
+}
+
+/// Time between two versions of a series.
+const STORM_PERIOD: Duration = Duration::from_millis(330);
+
+// Guards against versions that come late when many follow each other and the link to the seed has little bandwidth.
+#[tokio::test]
+async fn a_series_of_large_tables_is_in_force_in_time_over_a_slow_link() {
+    let deployment = TestDeployment::start().await;
+    let _worker = deployment.worker("i-1").await;
+    let seed = deployment.gateway("seed", &json!({})).await;
+    let slow = Relay::start(seed.peers).await.expect("the relay starts");
+    slow.set_fault(LinkFault::Limited);
+    let store = Relay::start(deployment.store.server.address).await.expect("the relay starts");
+    let settings = json!({"peer_seeds": [slow.address], "store_address": store.address});
+    let follower = deployment.gateway("follower", &settings).await;
+    let follows = || async { follower.logged(&["event=source ", "distance=1"]) };
+    deployment.wait_until("it follows the seed", follows).await;
+    store.set_fault(LinkFault::Limited);
+    let mut last = (0, Instant::now());
+    for number in 0..12 {
+        tokio::time::sleep(STORM_PERIOD).await;
+        let routes = real_table(3_200, &format!("/added-{number}/"));
+        last = (deployment.put_routes(&routes), Instant::now());
+    }
+    let words = ["event=routing-in-force", &format!("version={:08x}", last.0)];
+    deployment.wait_until("the last version is in force", || async { follower.logged(&words) }).await;
+    let took = last.1.elapsed();
+    assert!(took < MAX_DELAY, "it took {took:?}");
+}
--- a/tests/gateway_store_states.rs
+++ b/tests/gateway_store_states.rs
@@ -19,7 +19,7 @@
 /// Time within which an instance must state a change.
 const MAX_DELAY: Duration = Duration::from_secs(5);
 
-/// A link that follows an instance without its rows.
+/// A link that follows an instance, as a build does that knows no patches.
 struct Subscriber {
     received: RecvStream,
     decoder: Decoder,
@@ -28,7 +28,7 @@
 }
 
 impl Subscriber {
-    async fn open(address: SocketAddr) -> Self {
+    async fn open(address: SocketAddr, wants_rows: bool) -> Self {
         let stream = TcpStream::connect(address).await.expect("the instance accepts links");
         let (sender, connection) = client::handshake(stream).await.expect("the handshake succeeds");
         let connection = tokio::spawn(async move {
@@ -42,7 +42,7 @@
             instance: "subscriber".parse().expect("a name"),
             routing: None,
             targets: None,
-            wants_rows: false,
+            wants_rows,
             instances: vec!["subscriber".parse().expect("a name")],
         };
         let frame = encode(&Frame::StoreSubscription(subscription));
@@ -87,7 +87,7 @@
     let deployment = TestDeployment::start().await;
     let relay = Relay::start(deployment.store.server.address).await.expect("the relay starts");
     let seed = deployment.gateway("seed", &json!({"store_address": relay.address})).await;
-    let mut subscriber = Subscriber::open(seed.peers).await;
+    let mut subscriber = Subscriber::open(seed.peers, false).await;
     subscriber.frames_until(|state| !state.is_store_lost && state.confirmed_age_ms.is_some()).await;
     deployment.store.set_delay_at(relay.address, "op", Duration::from_mins(1));
     relay.set_fault(LinkFault::Down);
@@ -108,7 +108,7 @@
     let deployment = TestDeployment::start().await;
     let relay = Relay::start(deployment.store.server.address).await.expect("the relay starts");
     let seed = deployment.gateway("seed", &json!({"store_address": relay.address})).await;
-    let mut subscriber = Subscriber::open(seed.peers).await;
+    let mut subscriber = Subscriber::open(seed.peers, false).await;
     let is_stated = |frames: &[Frame], is_unread: bool| {
         let stated = |f: &Frame| matches!(f, Frame::RoutingUnreadFor(time) if time.is_some() == is_unread);
         frames.iter().any(stated)
@@ -126,3 +126,25 @@
         timeout(MAX_DELAY, stated).await.expect("it is stated in time");
     }
 }
+
+// Guards against instances of an earlier build that get no routing table from one of this build: they skip frames that
+// they don't know.
+#[tokio::test]
+async fn who_takes_no_patches_gets_whole_rows() {
+    let deployment = TestDeployment::start().await;
+    let seed = deployment.gateway("seed", &json!({})).await;
+    let in_force = || async { seed.logged(&["event=routing-in-force"]) };
+    deployment.wait_until("routes are in force", in_force).await;
+    let mut subscriber = Subscriber::open(seed.peers, true).await;
+    let is_routing = |frame: &Frame| matches!(frame, Frame::StoreRows(rows) if !rows.of_targets);
+    let received = async {
+        loop {
+            let frame = subscriber.next_frame().await;
+            assert!(!matches!(frame, Frame::RoutingRowPatch(_)), "{frame:?}");
+            if is_routing(&frame) {
+                return;
+            }
+        }
+    };
+    timeout(MAX_DELAY, received).await.expect("the routing table comes in time");
+}
--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -1,10 +1,13 @@
 //! Tests of the peer protocol's decoder with malformed, random and mutated bytes.
 
 use arbutusshelf::{
-    peer::frame::{
-        Decoder, DrainNotice, Frame, FrameError, Heartbeat, Hello, LoadCount, Loads, MAX_SMALL_FRAME_BYTES,
-        PROTOCOL_VERSION, PathEntry, RateLimitEntry, StoreRow, StoreRows, StoreState, StoreSubscription,
-        SuspectEntry, encode, encode_raw,
+    peer::{
+        frame::{
+            Decoder, DrainNotice, Frame, FrameError, Heartbeat, Hello, LoadCount, Loads,
+            MAX_SMALL_FRAME_BYTES, PROTOCOL_VERSION, PathEntry, RateLimitEntry, RoutingRowPatch, StoreRow,
+            StoreRows, StoreState, StoreSubscription, SuspectEntry, encode, encode_raw,
+        },
+        patch::{Digest, Patch},
     },
     store_position::StoreEra,
     units::RunId,
@@ -59,6 +62,14 @@
         Frame::StoreEra(StoreEra::from(3)),
         Frame::StoreAnsweredFor(1_200),
         Frame::RoutingUnreadFor(Some(900)),
+        Frame::KnownRouting(Some(Digest::of(b"{}"))),
+        Frame::RoutingRowPatch(RoutingRowPatch {
+            is_all: true,
+            version: 9,
+            key: "a-01".to_owned(),
+            row_version: 8,
+            patch: Patch::new(None, &Bytes::from_static(b"{}"), Digest::of(b"{}")).expect("a patch"),
+        }),
         Frame::RateLimits(vec![RateLimitEntry {
             target: "a-01".parse().expect("a name"),
             started_unix_ms: Some(1_780_000_000_000),
@@ -122,14 +133,16 @@
         Frame::StoreEra(_) => 10,
         Frame::StoreAnsweredFor(_) => 11,
         Frame::RoutingUnreadFor(_) => 12,
-        Frame::RateLimits(_) => 13,
-        Frame::IdentityKey(_) => 14,
-        Frame::Suspects(_) => 15,
-        Frame::Paths(_) => 16,
+        Frame::KnownRouting(_) => 13,
+        Frame::RoutingRowPatch(_) => 14,
+        Frame::RateLimits(_) => 15,
+        Frame::IdentityKey(_) => 16,
+        Frame::Suspects(_) => 17,
+        Frame::Paths(_) => 18,
     };
     let mut numbers = sample_frames().iter().map(number).collect::<Vec<_>>();
     numbers.dedup();
-    assert_eq!(numbers, (0..=16).collect::<Vec<_>>());
+    assert_eq!(numbers, (0..=18).collect::<Vec<_>>());
 }
 
 #[test]
