Install signal handlers before the settings are read

Change: the handlers are installed first. A signal that comes while the settings are read is handled when the instance runs. A signal before the program's own first statement still ends the process; that is for whoever starts it to wait for.

Measured: a_hangup_while_the_settings_are_read_for_the_first_time_ends_nothing failed before ("the process has ended") and passes.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -4,7 +4,7 @@
 
 use tokio::{
     net::{TcpListener, TcpSocket},
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     time::{sleep, sleep_until, timeout_at},
 };
 
@@ -35,6 +35,8 @@
 /// are invalid, and [`ErrorKind::File`] if the settings file can't be read or the signal handlers can't be
 /// installed.
 pub async fn serve(path: &Path) -> Result<()> {
+    // Before anything that takes time: a signal without a handler ends the process.
+    let signals = Signals::listen()?;
     let loaded = Config::load(path)?;
     let mut config = loaded.clone();
     logging::start(config.log_lines_per_s, config.log_level, &BTreeMap::new())?;
@@ -56,7 +58,7 @@
         tokio::spawn(listen::listen(Arc::clone(&gateway), listener, Audience::Instances));
     }
     tokio::spawn(listen::listen(Arc::clone(&gateway), callers, Audience::Callers));
-    wait_for_shutdown_signal(&gateway, path, loaded).await?;
+    wait_for_shutdown_signal(&gateway, path, loaded, signals).await;
     shut_down(&gateway).await;
     logging::flush();
     Ok(())
@@ -105,17 +107,32 @@
     }
 }
 
+/// Signals that the process handles.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn listen() -> Result<Self> {
+        let listen = |kind| signal(kind).map_err(|e| Error::new(ErrorKind::File, format!("signals: {e}")));
+        Ok(Self {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+            hangup: listen(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Waits for SIGTERM or SIGINT; reloads changed settings meanwhile.
-async fn wait_for_shutdown_signal(gateway: &Gateway, path: &Path, loaded: Config) -> Result<()> {
-    let listen = |kind| signal(kind).map_err(|e| Error::new(ErrorKind::File, format!("signals: {e}")));
-    let (mut terminate, mut interrupt) = (listen(SignalKind::terminate())?, listen(SignalKind::interrupt())?);
-    let hangup = listen(SignalKind::hangup())?;
+async fn wait_for_shutdown_signal(gateway: &Gateway, path: &Path, loaded: Config, signals: Signals) {
+    let Signals { mut terminate, mut interrupt, hangup } = signals;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
         () = reload::run(gateway, path, loaded, hangup) => {}
     }
-    Ok(())
 }
 
 /// Shuts down gracefully: waits until the ingress notices, closes idle caller connections, and waits for
