Take an error without identifier on a used connection for no answer

Cause: a target may send an answer twice, and the second one arrives where the next answer is expected. Answers state the identifier of their request; those to probes have none. An error without identifier and proof counted as the target's own, also on a connection that had carried a probe.

Change: on a used connection, an answer without identifier and proof is no answer to the request, whatever its status. The request is repeated if that is allowed, and its outcome is unknown otherwise.

Measured: the_answer_to_a_probe_is_not_taken_for_that_of_the_next_request failed before (503 for a charge that had run) and passes.

--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -19,7 +19,7 @@
 
 use crate::caller_cuts::CallerCuts;
 
-/// How a worker handles requests; health probes are always answered with 200.
+/// How a worker handles requests; health probes are answered with 200 unless a mode says otherwise.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum WorkerMode {
     /// Executes them and responds with 200.
@@ -51,6 +51,9 @@
         /// Whether the refusals state the identifier of the request that was refused.
         with_id: bool,
     },
+    /// Answers health probes with 503. Sends that answer once more when the next request has arrived on the
+    /// connection, and executes that one.
+    RepeatProbe,
     /// Executes them and closes the connection after that many bytes of the response's head.
     CutHead(usize),
 }
@@ -279,6 +282,7 @@
 ) -> std::io::Result<()> {
     let mut buffer = Vec::new();
     let mut last_refusal = None;
+    let mut last_probe = None;
     let caller_cuts = lock(state).caller_cuts.clone();
     if !caller_cuts.admit(&stream).await {
         return Ok(());
@@ -299,10 +303,16 @@
         };
         if request.head.contains(" /healthz ") {
             lock(state).probes.push(Instant::now());
-            let response = format!("HTTP/1.1 200 OK\r\n{load_headers}Content-Length: 0\r\n\r\n");
+            let repeats = lock(state).mode == WorkerMode::RepeatProbe;
+            let status = if repeats { "503 Service Unavailable" } else { "200 OK" };
+            let response = format!("HTTP/1.1 {status}\r\n{load_headers}Content-Length: 0\r\n\r\n");
             stream.write_all(response.as_bytes()).await?;
+            last_probe = repeats.then_some(response);
             continue;
         }
+        if let Some(probe) = last_probe.take() {
+            stream.write_all(probe.as_bytes()).await?;
+        }
         let mode = lock(state).mode;
         if let WorkerMode::RepeatRefusal { with_id } = mode {
             if let Some(refusal) = last_refusal.take() {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -268,7 +268,10 @@
         let now = call.gateway.now();
         call.gateway.service_pools().record_reading(now, &guard.listing.service, &guard.listing.id, reading);
     }
+    let is_reused = guard.connection.as_ref().is_some_and(Connection::is_reused);
     let states_id = headers.contains_key(&names.request_id);
+    // The connection may have carried a probe or a request that the target answers twice.
+    let may_be_of_earlier = is_reused && !states_id && !call.request_id.is_empty();
     // A target that rejects a request meant for another one does not execute it, even without the not-run
     // header.
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
@@ -276,9 +279,7 @@
         rate_limits::record(&call.gateway, &guard.listing, headers);
     }
     if is_misdirected || headers.contains_key(&names.not_run) {
-        let is_reused = guard.connection.as_ref().is_some_and(Connection::is_reused);
-        if is_reused && !states_id && !call.request_id.is_empty() {
-            // It may be that of an earlier request on the connection.
+        if may_be_of_earlier {
             guard.report(HealthSignal::Failed);
             return SendResult::Lost(ProcessState::Listening);
         }
@@ -292,7 +293,7 @@
     let is_authentic =
         headers.contains_key(&names.authenticity_proof) && !headers.contains_key(header::CONTENT_ENCODING);
     let is_error = !is_authentic || response.status().is_server_error();
-    if response.status().is_success() && !is_authentic {
+    if !is_authentic && (response.status().is_success() || may_be_of_earlier) {
         guard.report(HealthSignal::Failed);
         return SendResult::Lost(ProcessState::Listening);
     }
--- a/tests/gateway_faulty_targets.rs
+++ b/tests/gateway_faulty_targets.rs
@@ -12,6 +12,11 @@
 /// Longest head of a response that the stand-in sends, in bytes.
 const MAX_HEAD_BYTES: usize = 220;
 
+/// Requests at least, and at most until the target has repeated a refusal: it does so only for the second request on a
+/// connection that was not probed before the first one.
+const MIN_REQUESTS: usize = 20;
+const MAX_REQUESTS: usize = 200;
+
 // Guards against a refusal that belongs to an earlier request on the connection: the caller would be told that its
 // request was not executed although it was.
 #[tokio::test]
@@ -21,7 +26,7 @@
         let worker = deployment.worker("i-1").await;
         worker.set_mode(WorkerMode::RepeatRefusal { with_id });
         let gateway = deployment.gateway("one", &json!({})).await;
-        for number in 0..20 {
+        for number in 0..MAX_REQUESTS {
             let id = format!("a{number}");
             let response = deployment.send(gateway.callers, Method::POST, "/charge/x", &id).await;
             let executed = worker.executed_requests();
@@ -29,11 +34,34 @@
             assert!(executions <= 1, "{id} was executed {executions} times");
             let status = response.map(|r| r.status).unwrap_or_default();
             assert!(executions == 0 || ![408, 421, 429, 503].contains(&status), "{id}: {status}");
+            if number >= MIN_REQUESTS && !executed.is_empty() {
+                break;
+            }
         }
         assert!(!worker.executed_requests().is_empty(), "no refusal was repeated");
     }
 }
 
+// Guards against a charge that is answered with the 503 of a health probe, which its target sends twice: the caller would
+// be told that the charge was not executed although it was.
+#[tokio::test]
+async fn the_answer_to_a_probe_is_not_taken_for_that_of_the_next_request() {
+    let deployment = TestDeployment::start().await;
+    let worker = deployment.worker("i-1").await;
+    worker.set_mode(WorkerMode::RepeatProbe);
+    let gateway = deployment.gateway("one", &json!({})).await;
+    for number in 0..20 {
+        let id = format!("a{number}");
+        let response = deployment.send(gateway.callers, Method::POST, "/charge/x", &id).await;
+        let executed = worker.executed_requests();
+        let executions = executed.iter().filter(|r| r.header("x-attempt-id") == Some(&id)).count();
+        assert!(executions <= 1, "{id} was executed {executions} times");
+        let status = response.map(|r| r.status).unwrap_or_default();
+        assert!(executions == 0 || ![408, 421, 429, 503].contains(&status), "{id}: {status}");
+    }
+    assert!(!worker.executed_requests().is_empty(), "no answer was repeated");
+}
+
 // Guards against a success with an empty or short body, when the target has closed the connection in the head of its
 // response.
 #[tokio::test]
