Don't pass on rows of targets that are known to have left

Cause: the directory remembers what has left, but the replica, from which an instance that starts gets its rows, had the copy's row as if it were good.

Change: rows that the directory refuses, since their target left after it wrote them, are left out of the replica. What the target writes from then on counts again, everywhere.

Measured: an_instance_that_starts_after_a_restore_does_not_use_a_target_that_has_left failed before and passes; store_restore 8 of 8, store_restore_model 1 of 1, gateway_restore 4 of 4, once each.

--- a/src/decide/directory.rs
+++ b/src/decide/directory.rs
@@ -247,6 +247,13 @@
         changes
     }
 
+    /// Returns whether a row lists a target that has been removed and has not written the row since: the store came back
+    /// from an older copy.
+    pub fn is_known_removed(&self, row: &DirectoryRow) -> bool {
+        let listing = row.listing.as_ref();
+        listing.is_some_and(|listing| self.was_removed_after(&row.key, row.position, listing))
+    }
+
     /// Removes the targets whose grace period is over.
     pub fn expire(&mut self, now: MonoTime) -> Vec<DirectoryChange> {
         let is_expired = |e: &Entry| e.expires_at.is_some_and(|at| at <= now);
--- a/src/gateway/apply.rs
+++ b/src/gateway/apply.rs
@@ -94,19 +94,21 @@
     }
 }
 
-fn apply_targets(gateway: &Gateway, update: TableUpdate) -> UpdateResult {
+fn apply_targets(gateway: &Gateway, mut update: TableUpdate) -> UpdateResult {
+    let decode = |row: &TableRow| decode_row(gateway, row.clone());
+    let decoded = update.rows().rows.iter().map(decode).collect::<Vec<_>>();
+    drop_known_removed(gateway, &decoded, &mut update);
     let result = apply_to_replica(gateway, Table::Targets, &update);
     if result != UpdateResult::Applied {
         return result;
     }
     let now = gateway.now();
-    let decode = |rows: Vec<TableRow>| rows.into_iter().map(|row| decode_row(gateway, row)).collect();
     let mut service_pools = gateway.service_pools();
     let changes = match update {
-        TableUpdate::Snapshot(TableRows { rows, position }) => {
-            service_pools.directory.replace(now, decode(rows), position)
+        TableUpdate::Snapshot(TableRows { position, .. }) => {
+            service_pools.directory.replace(now, decoded, position)
         }
-        TableUpdate::Delta(TableRows { rows, .. }) => service_pools.directory.apply(now, decode(rows)),
+        TableUpdate::Delta(_) => service_pools.directory.apply(now, decoded),
     };
     service_pools.apply_changes(now, &changes);
     drop(service_pools);
@@ -117,6 +119,24 @@
     UpdateResult::Applied
 }
 
+/// Drops rows whose targets are known to have left, so that they are not passed on to instances that don't know it. The
+/// directory of this instance doesn't use them anyway.
+fn drop_known_removed(gateway: &Gateway, decoded: &[DirectoryRow], update: &mut TableUpdate) {
+    let service_pools = gateway.service_pools();
+    let is_known_removed = |row: &DirectoryRow| service_pools.directory.is_known_removed(row);
+    match update {
+        TableUpdate::Snapshot(all) => {
+            let mut decoded = decoded.iter();
+            all.rows.retain(|_| !decoded.next().is_some_and(is_known_removed));
+        }
+        TableUpdate::Delta(changed) => {
+            for (row, _) in changed.rows.iter_mut().zip(decoded).filter(|(_, row)| is_known_removed(row)) {
+                row.value = None;
+            }
+        }
+    }
+}
+
 fn decode_row(gateway: &Gateway, row: TableRow) -> DirectoryRow {
     let decoded = row.value.map(|value| (gateway.platform.decode_listing)(&row.key, &value));
     let listing = match decoded {
--- a/tests/gateway_restore.rs
+++ b/tests/gateway_restore.rs
@@ -116,3 +116,35 @@
     assert_eq!(status(&deployment, &waiting, "/new/x", "a2").await, 200);
     assert!(!waiting.logged(&["event=routing-in-force", "version=00000003"]));
 }
+
+// Guards against targets that are used after they have left, by an instance that starts once the store has come back from
+// a copy which still lists them: the seeds know better, and passed the copy's rows on.
+#[tokio::test]
+async fn an_instance_that_starts_after_a_restore_does_not_use_a_target_that_has_left() {
+    let deployment = TestDeployment::start().await;
+    let (leaving, _staying) = (deployment.worker("i-1").await, deployment.worker("i-2").await);
+    let [seed_address, _] = seed_addresses(8_133);
+    let seeds = json!([seed_address]);
+    let seed = deployment.gateway("one", &json!({"peers_address": seed_address, "peer_seeds": seeds})).await;
+    let knows = || async { seed.logged(&["event=target-added", "target=i-1"]) };
+    deployment.wait_until("the target is known", knows).await;
+    let copy = deployment.store.copy();
+    deployment.store.remove("servers", "i-1");
+    let is_removed = || async { seed.logged(&["event=target-removed", "target=i-1"]) };
+    deployment.wait_until("the target is removed", is_removed).await;
+    let before = leaving.executed_requests().len();
+    deployment.store.restore(copy);
+    let is_restored = || async { seed.logged(&["event=store-restored"]) };
+    deployment.wait_until("the restore is seen", is_restored).await;
+    let started = deployment.gateway("two", &json!({"peer_seeds": seeds})).await;
+    let follows = || async { started.logged(&["event=source ", "distance=1"]) };
+    deployment.wait_until("it follows the seed", follows).await;
+    for number in 0..20 {
+        assert_eq!(status(&deployment, &started, "/read/x", &format!("a{number}")).await, 200);
+    }
+    assert_eq!(leaving.executed_requests().len(), before);
+    // What the target writes from now on counts again, there, too.
+    deployment.store.put_json("servers", "i-1", &entry_with_sequence(&leaving, "ready", 4));
+    let is_back = || async { started.logged(&["event=target-added", "target=i-1"]) };
+    deployment.wait_until("it is back", is_back).await;
+}
