Let the soak see manifests that are late, invalid or large

Change: a rule Denied, without excuses. The summary has the answers about changed routes, those that count, and the open descriptors of the soak. What the operator does with the manifest moved into a module of its own.

--- a/bench/src/soak/callers.rs
+++ b/bench/src/soak/callers.rs
@@ -115,6 +115,14 @@
     send(context, caller, instance, SoakRequest { id, kind, method, path, body, leave_after }).await
 }
 
+/// Sends a request to one instance and records it.
+pub async fn ask(context: &CallerContext, instance: usize, path: String, id: String) {
+    let kind = AttemptKind::Idempotent;
+    let request = SoakRequest { id, kind, method: Method::GET, path, body: Vec::new(), leave_after: None };
+    let attempt = send(context, &Caller::default(), instance, request).await;
+    context.attempts.lock().unwrap_or_else(PoisonError::into_inner).push(attempt);
+}
+
 /// Sends a request that ends workers again and again, to any instance.
 pub async fn run_fatal_caller(context: Arc<CallerContext>, kind: FatalKind, seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed);
--- a/bench/src/soak/checker.rs
+++ b/bench/src/soak/checker.rs
@@ -47,6 +47,9 @@
 /// instance may precede or follow a request and still explain its missing response, in milliseconds.
 const SLACK_MS: u64 = 500;
 
+/// Statuses by which requests are turned away as faulty.
+const DENYING_STATUSES: [u16; 6] = [400, 401, 403, 404, 413, 431];
+
 /// Number of requests that may violate an invariant before a finding is reported, for invariants that
 /// tolerate some.
 const TOLERATED_COUNT: usize = 3;
@@ -84,6 +87,9 @@
     /// A process does not return to an older version of the routes.
     #[display("Regress")]
     RoutesNotReverted,
+    /// Requests to routes that are always there are not turned away as faulty.
+    #[display("Denied")]
+    ProperNotDenied,
     /// Each request ends by its deadline.
     #[display("Deadline")]
     EndsByDeadline,
@@ -141,6 +147,38 @@
     arrivals: HashMap<&'a str, Vec<&'a Arrival>>,
 }
 
+/// Answers to requests for added and removed routes after the time within which changes are in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct RouteAnswers {
+    /// Number of all.
+    pub all: usize,
+    /// Number of those that instances gave which were in touch, so that they count.
+    pub counted: usize,
+}
+
+/// Counts the answers that can show that a change of the routes was late.
+pub fn route_answers(history: &History, bounds: &Bounds) -> RouteAnswers {
+    let checker = Checker { history, bounds, arrivals: HashMap::default() };
+    let mut answers = RouteAnswers::default();
+    for route in &history.routes {
+        let line_prefix = format!("GET {}", route.prefix);
+        for attempt in history.attempts.iter().filter(|a| a.request_line.starts_with(&line_prefix)) {
+            let is_answered = matches!(attempt.result, AttemptResult::Answered { .. });
+            let changed_ms = match route.removed_ms {
+                Some(removed_ms) if attempt.ended_ms >= removed_ms => removed_ms,
+                _ => route.added_ms,
+            };
+            if !is_answered || attempt.sent_ms <= changed_ms + bounds.route_apply_ms {
+                continue;
+            }
+            answers.all += 1;
+            let counts = checker.is_undisturbed(attempt.instance, changed_ms, attempt.sent_ms);
+            answers.counted += usize::from(counts);
+        }
+    }
+    answers
+}
+
 /// Returns a finding for every violation of an invariant.
 pub fn check(history: &History, bounds: &Bounds) -> Vec<Finding> {
     let mut arrivals = HashMap::<&str, Vec<&Arrival>>::default();
@@ -218,6 +256,13 @@
                 report(findings, Invariant::OwnCompleteResponse, detail);
             }
         }
+        if let AttemptResult::Answered { status, .. } = attempt.result
+            && DENYING_STATUSES.contains(&status)
+            && !self.is_of_temporary_route(attempt)
+        {
+            let detail = format!("{id} was answered {status} by instance {}", attempt.instance);
+            report(findings, Invariant::ProperNotDenied, detail);
+        }
         let due_ms = attempt.sent_ms + attempt.timeout_ms + SLACK_MS;
         let is_late = attempt.result != AttemptResult::CallerLeft && attempt.ended_ms > due_ms;
         if is_late && self.is_undisturbed(attempt.instance, attempt.sent_ms, due_ms) {
@@ -230,6 +275,10 @@
         }
     }
 
+    fn is_of_temporary_route(&self, attempt: &Attempt) -> bool {
+        self.history.routes.iter().any(|r| attempt.request_line.contains(&r.prefix))
+    }
+
     fn check_runs_as_sent(&self, findings: &mut Vec<Finding>) {
         let attempts = self.history.attempts.iter().map(|a| (a.id.as_str(), a)).collect::<HashMap<_, _>>();
         for arrival in self.history.arrivals.iter().filter(|a| a.was_run) {
@@ -581,7 +630,7 @@
                     && a.result != AttemptResult::CallerLeft
                     && self.is_undisturbed(a.instance, a.sent_ms, a.ended_ms)
                     && !a.request_line.contains(FATAL_MARKER)
-                    && !self.history.routes.iter().any(|r| a.request_line.contains(&r.prefix))
+                    && !self.is_of_temporary_route(a)
             };
             let calm = self.history.attempts.iter().collect::<Vec<_>>();
             let calm = calm.iter().filter(is_calm).copied();
@@ -622,8 +671,7 @@
     fn check_recovery(&self, findings: &mut Vec<Finding>) {
         let from_ms = self.history.undisturbed_from_ms + self.bounds.settle_ms;
         let is_due = |a: &&Attempt| {
-            let is_temporary_route = self.history.routes.iter().any(|r| a.request_line.contains(&r.prefix));
-            a.sent_ms >= from_ms && a.result != AttemptResult::CallerLeft && !is_temporary_route
+            a.sent_ms >= from_ms && a.result != AttemptResult::CallerLeft && !self.is_of_temporary_route(a)
         };
         let due = self.history.attempts.iter().filter(is_due).collect::<Vec<_>>();
         let served =
--- a/bench/src/soak/cluster.rs
+++ b/bench/src/soak/cluster.rs
@@ -9,19 +9,19 @@
 };
 
 use arbutusshelf::error::{Error, ErrorKind, Result};
+use futures::future::join_all;
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
 
 use super::{
-    callers::{CallerContext, FATAL_MARKER, ROUTE_HOST, ROUTE_TIMEOUT_MS, run_fatal_caller},
+    callers::{CallerContext, FATAL_MARKER, run_fatal_caller},
     checker::Bounds,
     history::{
-        Arrival, Disturbance, Drain, History, ProcessRun, RateLimitPeriod, RouteLifetime, Scope, WorkerCut,
-        WorkerEnd,
+        Arrival, Disturbance, Drain, History, ProcessRun, RateLimitPeriod, Scope, WorkerCut, WorkerEnd,
     },
     instance::{Addresses, Launch, Process},
-    schedule::{Action, Step},
+    schedule::{Action, SoakSize, Step},
 };
 use crate::{
     caller_cuts::{CallerCut, CallerCuts},
@@ -78,9 +78,6 @@
 /// Time after a restore in which operators and workers have written again what was lost.
 const REWRITE_DELAY: Duration = Duration::from_secs(1);
 
-/// Time for which callers still send requests to a removed route.
-const REMOVED_ROUTE_CALL_TIME: Duration = Duration::from_secs(5);
-
 /// Returns the limits that follow from the users' settings, with additional retries for each instance.
 pub fn bounds(instances: usize) -> Bounds {
     Bounds {
@@ -118,16 +115,19 @@
     store: Relay,
 }
 
+/// What changes in the course of a soak.
 #[derive(Debug)]
-struct State {
+pub(super) struct State {
     instances: Vec<Instance>,
     workers: Vec<WorkerStandIn>,
     /// Workers that were drained, kept for the requests that they received.
     retired_workers: Vec<WorkerStandIn>,
-    history: History,
-    manifest_version: u32,
+    pub(super) history: History,
+    pub(super) manifest_version: u32,
+    /// Routes besides those that are used.
+    pub(super) padding_routes: usize,
     /// Number of the last worker or added route.
-    next_number: usize,
+    pub(super) next_number: usize,
 }
 
 /// A running deployment with its operator.
@@ -135,11 +135,13 @@
 pub struct Cluster {
     /// State that all callers share.
     pub callers: Arc<CallerContext>,
-    store: RowStoreStandIn,
+    pub(super) store: RowStoreStandIn,
     relays: Vec<Relays>,
     caller_cuts: CallerCuts,
     /// Callers of requests that end workers; they go on until the end of the soak.
     fatal_callers: Mutex<JoinSet<()>>,
+    /// Held while the store has a version that must not be used: if all instances lost power then, none could know better.
+    pub(super) invalid_manifest: tokio::sync::Mutex<()>,
     state: Mutex<State>,
 }
 
@@ -178,12 +180,7 @@
     /// # Errors
     ///
     /// When a part can't be started or an instance is not ready in time.
-    pub async fn start(
-        binary: PathBuf,
-        directory: PathBuf,
-        instances: usize,
-        workers: usize,
-    ) -> Result<Self> {
+    pub async fn start(binary: PathBuf, directory: PathBuf, size: &SoakSize) -> Result<Self> {
         let io = |e: std::io::Error| unavailable(&e);
         let store = RowStoreStandIn::start().await.map_err(io)?;
         // The reachable seed with the lowest address reads the store, and an instance knows itself by its own
@@ -191,7 +188,7 @@
         // instances alternate, all instances sort the seeds in the same order.
         let mut relays = Vec::new();
         let mut addresses = Vec::new();
-        for number in 0..instances {
+        for number in 0..size.instances {
             let (relay_host, instance_host) = (2 * number, 2 * number + 1);
             let [callers, ready, metrics, peers] = PORTS.map(|port| address(instance_host, port));
             relays.push(Relays {
@@ -225,6 +222,7 @@
             retired_workers: Vec::new(),
             history: History::default(),
             manifest_version: 0,
+            padding_routes: size.routes,
             next_number: 0,
         };
         let cluster = Self {
@@ -233,10 +231,11 @@
             relays,
             caller_cuts: CallerCuts::default(),
             fatal_callers: Mutex::default(),
+            invalid_manifest: tokio::sync::Mutex::default(),
             state: Mutex::new(state),
         };
         cluster.write_manifest();
-        for _ in 0..workers {
+        for _ in 0..size.workers {
             let worker = cluster.start_worker(ANY_PORT).await?;
             cluster.lock().workers.push(worker);
         }
@@ -247,11 +246,11 @@
         Ok(cluster)
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn now_ms(&self) -> u64 {
+    pub(super) fn now_ms(&self) -> u64 {
         self.callers.now_ms()
     }
 
@@ -355,12 +354,12 @@
             Action::RestoreStore => {
                 self.restore_store(length).await;
             }
-            Action::AddRoute => {
-                self.add_route();
-            }
-            Action::RemoveRoute => {
-                self.remove_route().await;
-            }
+            Action::AddRoute => self.add_route_and_ask().await,
+            Action::RemoveRoute => self.remove_route().await,
+            Action::RouteStorm => self.add_routes_in_series().await,
+            Action::GrowManifest => self.grow_manifest().await,
+            Action::InvalidManifest(fault) => self.write_invalid_manifest(fault, length).await,
+            Action::PowerLoss(delay_ms) => self.lose_power(Duration::from_millis(delay_ms)).await?,
             Action::Worker(number, mode) => {
                 self.disturb_worker(number, "worker", length, |worker, is_active| {
                     worker.set_mode(if is_active { mode } else { WorkerMode::Serve });
@@ -556,6 +555,20 @@
         }
     }
 
+    /// Kills all instances at once, `delay` after a change of the routes, and starts them again.
+    async fn lose_power(&self, delay: Duration) -> Result<()> {
+        let valid = self.invalid_manifest.lock().await;
+        let route = self.add_route();
+        tokio::time::sleep(delay).await;
+        let restarts = (0..self.relays.len()).map(|number| self.restart(number, Signal::KILL));
+        for restarted in join_all(restarts).await {
+            restarted?;
+        }
+        drop(valid);
+        self.ask_for_added(&[route]).await;
+        Ok(())
+    }
+
     /// Restarts processes that exited without a signal, and records them as crashes, and the memory of all; never returns without an
     /// error.
     ///
@@ -652,57 +665,6 @@
         Ok(())
     }
 
-    fn add_route(&self) {
-        let prefix = {
-            let mut state = self.lock();
-            state.next_number += 1;
-            format!("/route-{}/", state.next_number)
-        };
-        // The route is recorded first, since the manifest is written from the recorded routes. Callers use
-        // the route as soon as the store has it, before instances have applied it.
-        let lifetime = RouteLifetime { prefix: prefix.clone(), added_ms: u64::MAX / 2, removed_ms: None };
-        let index = {
-            let mut state = self.lock();
-            state.history.routes.push(lifetime);
-            state.history.routes.len() - 1
-        };
-        self.write_manifest();
-        let added_ms = self.now_ms();
-        self.lock().history.routes[index].added_ms = added_ms;
-        self.callers.route_prefixes.lock().unwrap_or_else(PoisonError::into_inner).push(prefix);
-    }
-
-    async fn remove_route(&self) {
-        let index = self.lock().history.routes.iter().position(|r| r.removed_ms.is_none());
-        let Some(index) = index else { return };
-        let (before_ms, prefix) = (self.now_ms(), self.lock().history.routes[index].prefix.clone());
-        self.lock().history.routes[index].removed_ms = Some(before_ms);
-        self.write_manifest();
-        let removed_ms = self.now_ms();
-        self.lock().history.routes[index].removed_ms = Some(removed_ms);
-        tokio::time::sleep(REMOVED_ROUTE_CALL_TIME).await;
-        self.callers.route_prefixes.lock().unwrap_or_else(PoisonError::into_inner).retain(|p| *p != prefix);
-    }
-
-    /// Writes the manifest, the store's row that lists all current routes.
-    fn write_manifest(&self) {
-        let mut state = self.lock();
-        state.manifest_version += 1;
-        let live = state.history.routes.iter().filter(|r| r.removed_ms.is_none());
-        let mut resources =
-            vec![route("read", "/read/", "idempotent"), route("charge", "/charge/", "non_idempotent")];
-        resources.extend(live.map(|r| route(r.prefix.trim_matches('/'), &r.prefix, "idempotent")));
-        resources.push(json!({"resourceKind": "services", "metadata": {"name": "plan"}, "spec": {
-            "healthPath": "/healthz", "maxConns": 220, "protocol": "h1", "tls": false,
-        }}));
-        resources.push(json!({"resourceKind": "limits", "metadata": {}, "spec": {
-            "maxHeaderBytes": 16_384, "maxBodyBytes": 67_108_864, "headerTimeoutS": 3, "idleTimeoutS": 15,
-        }}));
-        let version = format!("{:08x}", state.manifest_version);
-        // Written under the lock, so that versions reach the store in ascending order.
-        self.store.put_json("op", "config", &json!({"version": version, "resources": resources}));
-    }
-
     /// Kills all processes and returns the history.
     pub fn finish(self, undisturbed_from_ms: u64) -> History {
         let start = self.callers.start;
@@ -761,13 +723,6 @@
     })
 }
 
-fn route(name: &str, prefix: &str, kind: &str) -> Value {
-    json!({"resourceKind": "routes", "metadata": {"name": name}, "spec": {
-        "host": ROUTE_HOST, "prefix": prefix, "kind": kind, "service": "plan", "priority": 1,
-        "timeoutS": ROUTE_TIMEOUT_MS as f64 / 1_000.0, "objectiveS": 0.3, "maxAttempts": 2,
-    }})
-}
-
 fn server_row(address: SocketAddr, state: &str) -> Value {
     json!({
         "address": address,
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -8,6 +8,7 @@
 pub mod cluster;
 pub mod history;
 pub mod instance;
+mod routes;
 pub mod schedule;
 
 use std::{
@@ -22,7 +23,7 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 
 use self::{
-    checker::Finding,
+    checker::{Finding, RouteAnswers},
     cluster::Cluster,
     history::{AttemptResult, History},
     schedule::SoakSize,
@@ -59,6 +60,10 @@
     /// number of concurrent callers
     #[argh(option, default = "16")]
     pub callers: usize,
+    /// number of routes besides those that are used; with some, the manifest changes in storms, grows, is invalid at
+    /// times, and all instances lose power after a change
+    #[argh(option, default = "0")]
+    pub routes: usize,
     /// directory for logs; the logs of seeds without findings are removed
     #[argh(option, default = "std::env::temp_dir().join(\"arbutusshelf-soak\")")]
     pub logs: PathBuf,
@@ -76,7 +81,7 @@
     let mut all = Vec::new();
     for seed in args.seed..args.seed + args.seeds {
         let (history, findings) = run_seed(args, seed).await?;
-        println!("{}", summary(seed, &history, &findings));
+        println!("{}", summary(seed, &history, &findings, args.instances));
         for finding in &findings {
             println!("  {finding}");
         }
@@ -85,7 +90,7 @@
     Ok(all)
 }
 
-fn summary(seed: u64, history: &History, findings: &[Finding]) -> String {
+fn summary(seed: u64, history: &History, findings: &[Finding], instances: usize) -> String {
     let answered = |is: fn(u16) -> bool| {
         let ends = history.attempts.iter().map(|a| &a.result);
         ends.filter(|e| matches!(e, AttemptResult::Answered { status, .. } if is(*status))).count()
@@ -95,18 +100,26 @@
     let worker_ends = history.worker_ends.len();
     let stops = history.process_runs.iter().filter(|r| r.exited_ms.is_some()).count();
     let peak_mb = history.process_runs.iter().map(|r| r.peak_resident_bytes).max().unwrap_or(0) / 1_000_000;
+    let RouteAnswers { all: asked, counted } = checker::route_answers(history, &cluster::bounds(instances));
     format!(
         "seed={seed} findings={} requests={} served={} refused={} unknown={} lost={lost} disturbances={} stops={stops} \
-         drains={drains} routes={routes} limits={limits} worker_ends={worker_ends} peak_mb={peak_mb}",
+         drains={drains} routes={routes} limits={limits} worker_ends={worker_ends} route_answers={asked} counted={counted} peak_mb={peak_mb} \
+         descriptors={}",
         findings.len(),
         history.attempts.len(),
         answered(|s| s == 200),
         answered(|s| s == 429 || s == 503),
         answered(|s| s == 502 || s == 504),
         history.disturbances.len(),
+        open_descriptors(),
     )
 }
 
+/// Returns the number of descriptors that this process has open; those of a seed are closed after it.
+fn open_descriptors() -> usize {
+    fs::read_dir("/proc/self/fd").map_or(0, Iterator::count)
+}
+
 async fn run_seed(args: &Args, seed: u64) -> Result<(History, Vec<Finding>)> {
     let directory = args.logs.join(format!("seed-{seed}"));
     let file_error = |e: std::io::Error| Error::new(ErrorKind::File, format!("{}: {e}", directory.display()));
@@ -118,10 +131,11 @@
         Some(binary) => binary.clone(),
         None => std::env::current_exe().map_err(file_error)?.with_file_name("arbutusshelf"),
     };
-    let cluster = Cluster::start(binary, directory.clone(), args.instances, args.workers).await?;
-    let start_ms = cluster.callers.now_ms();
     let disturbed_ms = (args.minutes * 60_000.0) as u64;
-    let size = SoakSize { instances: args.instances, workers: args.workers, disturbed_ms };
+    let size =
+        SoakSize { instances: args.instances, workers: args.workers, disturbed_ms, routes: args.routes };
+    let cluster = Cluster::start(binary, directory.clone(), &size).await?;
+    let start_ms = cluster.callers.now_ms();
     let undisturbed_from_ms = start_ms + disturbed_ms + LONGEST_STEP_MS;
     cluster.callers.until_ms.store(undisturbed_from_ms + RECOVERY_MS, Ordering::Release);
     let callers = (0..args.callers)
--- a/bench/src/soak/schedule.rs
+++ b/bench/src/soak/schedule.rs
@@ -51,6 +51,35 @@
     AddRoute,
     /// Removes the oldest added route.
     RemoveRoute,
+    /// Adds one route after the other in quick succession.
+    RouteStorm,
+    /// Adds many routes that nobody uses.
+    GrowManifest,
+    /// Writes a version that must not be used, and a valid one at the end of the step.
+    InvalidManifest(ManifestFault),
+    /// Kills all instances at once, this many milliseconds after a route was added.
+    PowerLoss(u64),
+}
+
+/// Why a version of the manifest must not be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ManifestFault {
+    /// The text ends too soon.
+    CutShort,
+    /// A route has a prefix without its last slash.
+    BarePrefix,
+    /// A route leads to a service that is not there.
+    UnknownService,
+    /// A route allows no attempt.
+    NoAttempts,
+    /// The version is lower than that in force, and added routes are missing.
+    OldVersion,
+}
+
+impl ManifestFault {
+    /// All faults.
+    pub const ALL: [Self; 5] =
+        [Self::CutShort, Self::BarePrefix, Self::UnknownService, Self::NoAttempts, Self::OldVersion];
 }
 
 /// How a request that ends workers comes.
@@ -84,6 +113,8 @@
     pub workers: usize,
     /// Time within which all steps start, in milliseconds.
     pub disturbed_ms: u64,
+    /// Routes of the manifest besides those that are used; without any, changes of the manifest are small and single.
+    pub routes: usize,
 }
 
 /// Mean time between the starts of two series, in milliseconds.
@@ -138,6 +169,15 @@
 /// Number that is mixed into the seed of these cuts.
 const CUT_SEED: u64 = 0xc07_0ff;
 
+/// Mean time between two changes of a manifest of real size, in milliseconds.
+const MANIFEST_GAP_MS: u64 = 5_000;
+
+/// Number that is mixed into the seed of these changes.
+const MANIFEST_SEED: u64 = 0x3a91_fe57;
+
+/// Range of the time between a change and a power loss, in milliseconds.
+const POWER_LOSS_DELAY_MS: std::ops::Range<u64> = 5..400;
+
 /// Generates the schedule of a seed, sorted by start.
 pub fn generate_schedule(seed: u64, size: &SoakSize) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -179,6 +219,15 @@
         let (first, count) = (rng.random_range(0..size.instances), rng.random_range(1..=size.instances));
         Action::CutFromWorkers(first, count, cuts[rng.random_range(0..cuts.len())])
     }));
+    if size.routes > 0 {
+        steps.extend(regular_steps(
+            seed ^ MANIFEST_SEED,
+            MANIFEST_GAP_MS,
+            STEP_LENGTH_MS,
+            size,
+            manifest_action,
+        ));
+    }
     steps.retain(|step| step.at_ms < size.disturbed_ms);
     steps.sort_by_key(|step| step.at_ms);
     steps
@@ -204,6 +253,15 @@
     steps
 }
 
+fn manifest_action(rng: &mut SmallRng) -> Action {
+    match rng.random_range(0..8) {
+        0 | 1 => Action::RouteStorm,
+        2 => Action::GrowManifest,
+        3 => Action::PowerLoss(rng.random_range(POWER_LOSS_DELAY_MS)),
+        _ => Action::InvalidManifest(ManifestFault::ALL[rng.random_range(0..ManifestFault::ALL.len())]),
+    }
+}
+
 /// Returns the action applied to the instance or worker that is `number` places after that of `action`.
 fn for_next_in_series(action: Action, number: u64, size: &SoakSize) -> Action {
     let next = |i: usize| (i + number as usize) % size.instances;
--- a/bench/tests/soak_checker.rs
+++ b/bench/tests/soak_checker.rs
@@ -2,7 +2,7 @@
 //! which it must not report.
 
 use arbutusshelf_bench::soak::{
-    checker::{Bounds, Invariant, check},
+    checker::{Bounds, Invariant, RouteAnswers, check, route_answers},
     cluster::bounds,
     history::{
         Arrival, Attempt, AttemptKind, AttemptResult, Disturbance, Drain, History, ProcessRun,
@@ -213,6 +213,28 @@
     assert_eq!(violated(&restarted), []);
 }
 
+#[test]
+fn a_proper_request_that_is_turned_away_as_faulty_is_found() {
+    for (status, expected) in [(404, vec![Invariant::ProperNotDenied]), (429, vec![]), (503, vec![])] {
+        let mut history = healthy_history();
+        // No disturbance excuses it.
+        add_disturbance(&mut history, Scope::Store, 9_000, 20_000);
+        history.attempts.push(attempt("denied", AttemptKind::Idempotent, 12_000, answered(status)));
+        assert_eq!(violated(&history), expected, "{status}");
+    }
+    // Such an answer on a route that was added is for another invariant.
+    assert_eq!(violated(&with_route(None, &[(10_100, 404)])), []);
+}
+
+#[test]
+fn answers_about_changed_routes_count_when_the_instance_was_in_touch() {
+    let history = with_route(None, &[(11_900, 404), (12_100, 200), (13_000, 200)]);
+    assert_eq!(route_answers(&history, &BOUNDS), RouteAnswers { all: 2, counted: 2 });
+    let mut disturbed = history;
+    add_disturbance(&mut disturbed, Scope::Store, 12_500, 12_600);
+    assert_eq!(route_answers(&disturbed, &BOUNDS), RouteAnswers { all: 2, counted: 1 });
+}
+
 #[test]
 fn an_answer_after_its_deadline_is_found() {
     for (took_ms, expected) in [(2_001, vec![Invariant::EndsByDeadline]), (1_999, vec![])] {
@@ -319,7 +341,7 @@
 quickcheck! {
     /// A seed always gives the same sorted schedule, whose steps start within the disturbed time.
     fn a_seed_gives_one_plan(seed: u64) -> bool {
-        let size = SoakSize { instances: 5, workers: 8, disturbed_ms: 18_000 };
+        let size = SoakSize { instances: 5, workers: 8, disturbed_ms: 18_000, routes: 1_500 };
         let schedule = generate_schedule(seed, &size);
         schedule == generate_schedule(seed, &size)
             && schedule.iter().all(|s| s.at_ms < 18_000)
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,13 +2,16 @@
 
 use arbutusshelf_bench::soak::{self, Args};
 
-/// Seeds of each run, and why each is included. Seeds that once failed are kept here.
-const SEEDS: [(u64, &str); 2] =
-    [(7, "initial seed"), (1200, "requests that end their workers were sent on as long as they came")];
+/// Seeds of each run, with the number of unused routes, and why each is included. Seeds that once failed are kept here.
+const SEEDS: [(u64, usize, &str); 3] = [
+    (7, 0, "initial seed"),
+    (1200, 0, "requests that end their workers were sent on as long as they came"),
+    (5302, 300, "a manifest that grows, changes in storms and is invalid at times, and a loss of all power"),
+];
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_through_seeded_disturbances() {
-    for (seed, reason) in SEEDS {
+    for (seed, routes, reason) in SEEDS {
         let args = Args {
             seed,
             seeds: 1,
@@ -16,6 +19,7 @@
             instances: 4,
             workers: 6,
             callers: 8,
+            routes,
             logs: std::env::temp_dir().join(format!("arbutusshelf-soak-test-{}", std::process::id())),
             binary: Some(env!("CARGO_BIN_EXE_arbutusshelf").into()),
         };
