--- a/bench/src/endless_cost.rs
+++ b/bench/src/endless_cost.rs
@@ -185,7 +185,7 @@
         "probes_per_target_per_s": 60.0,
     });
     let binary = binary.with_file_name("arbutusshelf");
-    Process::start(&Launch { binary, settings, directory, name: "gateway-0".to_owned() })
+    Process::start(&Launch { binaries: vec![binary], settings, directory, name: "gateway-0".to_owned() })
 }
 
 fn entry(address: SocketAddr, service: &str) -> Value {
--- a/bench/src/soak/cluster.rs
+++ b/bench/src/soak/cluster.rs
@@ -180,7 +180,7 @@
     /// # Errors
     ///
     /// When a part can't be started or an instance is not ready in time.
-    pub async fn start(binary: PathBuf, directory: PathBuf, size: &SoakSize) -> Result<Self> {
+    pub async fn start(binaries: Vec<PathBuf>, directory: PathBuf, size: &SoakSize) -> Result<Self> {
         let io = |e: std::io::Error| unavailable(&e);
         let store = RowStoreStandIn::start().await.map_err(io)?;
         // The reachable seed with the lowest address reads the store, and an instance knows itself by its own
@@ -213,7 +213,7 @@
             }
             let name = format!("gateway-{number}");
             let settings = settings(&name, addresses, &seeds, relays[number].store.address, relays.len());
-            let launch = Launch { binary: binary.clone(), settings, directory: directory.clone(), name };
+            let launch = Launch { binaries: binaries.clone(), settings, directory: directory.clone(), name };
             Instance { addresses: *addresses, launch, process: None, is_restarting: false }
         });
         let state = State {
--- a/bench/src/soak/instance.rs
+++ b/bench/src/soak/instance.rs
@@ -27,8 +27,8 @@
 /// Parameters with which an instance's process is started.
 #[derive(Debug, Clone)]
 pub struct Launch {
-    /// Path of the executable.
-    pub binary: PathBuf,
+    /// Paths of the executables; each start takes one at random.
+    pub binaries: Vec<PathBuf>,
     /// Settings, written to a file that the process reads.
     pub settings: serde_json::Value,
     /// Directory for the settings file and the log.
@@ -68,9 +68,10 @@
         let log = launch.directory.join(format!("{}.log", launch.name));
         let log: File =
             OpenOptions::new().create(true).append(true).open(&log).map_err(|e| file_error(&log, &e))?;
-        let mut command = Command::new(&launch.binary);
+        let binary = &launch.binaries[rand::random_range(0..launch.binaries.len())];
+        let mut command = Command::new(binary);
         command.arg("gateway").arg("--settings").arg(&settings).stdin(Stdio::null()).stdout(log);
-        let child = command.spawn().map_err(|e| file_error(&launch.binary, &e))?;
+        let child = command.spawn().map_err(|e| file_error(binary, &e))?;
         Ok(Self { child, settings })
     }
 
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -67,9 +67,10 @@
     /// directory for logs; the logs of seeds without findings are removed
     #[argh(option, default = "std::env::temp_dir().join(\"arbutusshelf-soak\")")]
     pub logs: PathBuf,
-    /// executable of the load balancer, by default the one next to this executable
+    /// executable of the load balancer, by default the one next to this executable; if given more than once, each
+    /// process starts at random as one of them, as builds do side by side in an upgrade
     #[argh(option)]
-    pub binary: Option<PathBuf>,
+    pub binary: Vec<PathBuf>,
 }
 
 /// Runs all seeds, prints a summary line and the findings of each, and returns all findings.
@@ -127,14 +128,15 @@
         fs::remove_dir_all(&directory).map_err(file_error)?;
     }
     fs::create_dir_all(&directory).map_err(file_error)?;
-    let binary = match &args.binary {
-        Some(binary) => binary.clone(),
-        None => std::env::current_exe().map_err(file_error)?.with_file_name("arbutusshelf"),
+    let binaries = if args.binary.is_empty() {
+        vec![std::env::current_exe().map_err(file_error)?.with_file_name("arbutusshelf")]
+    } else {
+        args.binary.clone()
     };
     let disturbed_ms = (args.minutes * 60_000.0) as u64;
     let size =
         SoakSize { instances: args.instances, workers: args.workers, disturbed_ms, routes: args.routes };
-    let cluster = Cluster::start(binary, directory.clone(), &size).await?;
+    let cluster = Cluster::start(binaries, directory.clone(), &size).await?;
     let start_ms = cluster.callers.now_ms();
     let undisturbed_from_ms = start_ms + disturbed_ms + LONGEST_STEP_MS;
     cluster.callers.until_ms.store(undisturbed_from_ms + RECOVERY_MS, Ordering::Release);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -21,7 +21,7 @@
             callers: 8,
             routes,
             logs: std::env::temp_dir().join(format!("arbutusshelf-soak-test-{}", std::process::id())),
-            binary: Some(env!("CARGO_BIN_EXE_arbutusshelf").into()),
+            binary: vec![env!("CARGO_BIN_EXE_arbutusshelf").into()],
         };
         let findings = soak::run(&args).await.expect("the deployment starts");
         let findings = findings.iter().map(ToString::to_string).collect::<Vec<_>>();
