Put the fault of an invalid manifest into a route that is in force

The soak's invalid versions had a faulty route besides those in use, so that a build which takes such a version in part passed.

--- a/bench/src/soak/checker.rs
+++ b/bench/src/soak/checker.rs
@@ -193,6 +193,7 @@
     checker.check_runs_as_sent(&mut findings);
     checker.check_drains(&mut findings);
     checker.check_routes(&mut findings);
+    checker.check_invalid_versions(&mut findings);
     checker.check_unanswered(&mut findings);
     checker.check_budget(&mut findings);
     checker.check_rate_limits(&mut findings);
@@ -276,7 +277,23 @@
     }
 
     fn is_of_temporary_route(&self, attempt: &Attempt) -> bool {
-        self.history.routes.iter().any(|r| attempt.request_line.contains(&r.prefix))
+        let mut added = self.history.routes.iter().map(|r| &r.prefix).chain(&self.history.invalid_prefixes);
+        added.any(|prefix| attempt.request_line.contains(prefix))
+    }
+
+    /// Checks that no route is served that only an invalid version has. No disturbance excuses it.
+    fn check_invalid_versions(&self, findings: &mut Vec<Finding>) {
+        let is_invalid =
+            |a: &&Attempt| self.history.invalid_prefixes.iter().any(|p| a.request_line.contains(p));
+        for attempt in self.history.attempts.iter().filter(is_invalid) {
+            if matches!(attempt.result, AttemptResult::Answered { status: 200, .. }) {
+                let detail = format!(
+                    "{}: instance {} serves a route of an invalid version",
+                    attempt.id, attempt.instance
+                );
+                report(findings, Invariant::RoutesApplied, detail);
+            }
+        }
     }
 
     fn check_runs_as_sent(&self, findings: &mut Vec<Finding>) {
--- a/bench/src/soak/history.rs
+++ b/bench/src/soak/history.rs
@@ -182,6 +182,8 @@
     pub worker_cuts: Vec<WorkerCut>,
     /// Routes that were added during the soak.
     pub routes: Vec<RouteLifetime>,
+    /// Prefixes of routes that only versions of the manifest have which must not be used.
+    pub invalid_prefixes: Vec<String>,
     /// Processes of instances, in the order of their starts.
     pub process_runs: Vec<ProcessRun>,
     /// Time from which on no fault was injected any more.
--- a/bench/src/soak/routes.rs
+++ b/bench/src/soak/routes.rs
@@ -114,43 +114,33 @@
     pub(super) fn write_manifest(&self) {
         let mut state = self.lock();
         state.manifest_version += 1;
-        let manifest = manifest(state.manifest_version, &state, &[]);
+        let manifest = manifest(state.manifest_version, &state);
         // Written under the lock, so that versions reach the store in ascending order.
         self.store.put_json("op", "config", &manifest);
     }
 
     /// Writes a version that no instance may use, and a valid one after `length`. Meanwhile all routes must be served as
-    /// before.
+    /// before, and the one that only this version has must not be.
     pub(super) async fn write_invalid_manifest(&self, fault: ManifestFault, length: Duration) {
         let _invalid = self.invalid_manifest.lock().await;
-        {
+        let prefix = {
             let mut state = self.lock();
             state.manifest_version += 1;
-            let version = state.manifest_version;
-            let with = |extra: Value| manifest(version, &state, &[extra]).to_string();
-            let text = match fault {
-                ManifestFault::CutShort => {
-                    let mut text = manifest(version, &state, &[]).to_string();
-                    text.truncate(text.len() / 2);
-                    text
-                }
-                ManifestFault::BarePrefix => with(route("bare", "/bare", "idempotent")),
-                ManifestFault::UnknownService => with(with_field("service", &json!("elsewhere"))),
-                ManifestFault::NoAttempts => with(with_field("maxAttempts", &json!(0))),
-                ManifestFault::OldVersion => {
-                    let old = version.saturating_sub(2).max(1);
-                    json!({"version": format!("{old:08x}"), "resources": permanent_resources()}).to_string()
-                }
-            };
+            state.next_number += 1;
+            let prefix = format!("/invalid-{}/", state.next_number);
+            state.history.invalid_prefixes.push(prefix.clone());
+            let text = invalid_manifest(&state, fault, &prefix);
             self.store.put_bytes("op", "config", text.as_bytes());
-        }
+            prefix
+        };
         tokio::time::sleep(length).await;
+        self.ask_all(&prefix).await;
         self.write_manifest();
     }
 }
 
-/// Returns a manifest with the routes in force and `extra` resources.
-fn manifest(version: u32, state: &State, extra: &[Value]) -> Value {
+/// Returns a manifest with the routes in force.
+fn manifest(version: u32, state: &State) -> Value {
     let live = state.history.routes.iter().filter(|r| r.removed_ms.is_none());
     let mut resources = permanent_resources();
     resources.extend(live.map(|r| route(r.prefix.trim_matches('/'), &r.prefix, "idempotent")));
@@ -158,10 +148,33 @@
     resources.extend(
         padding.map(|n| route(&format!("padding-{n}"), &format!("/padding/{n}/of-the-hall/"), "idempotent")),
     );
-    resources.extend_from_slice(extra);
     json!({"version": format!("{version:08x}"), "resources": resources})
 }
 
+/// Returns the text of a manifest with a fault in a route that is in force, and a route that no other version has.
+fn invalid_manifest(state: &State, fault: ManifestFault, prefix: &str) -> String {
+    let mut manifest = manifest(state.manifest_version, state);
+    if let Some(resources) = manifest["resources"].as_array_mut() {
+        resources.push(route("invalid", prefix, "idempotent"));
+    }
+    let in_force = &mut manifest["resources"][0]["spec"];
+    match fault {
+        ManifestFault::CutShort => {}
+        ManifestFault::BarePrefix => in_force["prefix"] = json!("/read"),
+        ManifestFault::UnknownService => in_force["service"] = json!("elsewhere"),
+        ManifestFault::NoAttempts => in_force["maxAttempts"] = json!(0),
+        ManifestFault::OldVersion => {
+            let old = state.manifest_version.saturating_sub(2).max(1);
+            manifest["version"] = json!(format!("{old:08x}"));
+        }
+    }
+    let mut text = manifest.to_string();
+    if fault == ManifestFault::CutShort {
+        text.truncate(text.len() / 2);
+    }
+    text
+}
+
 /// Returns the routes that are always there, and the service and the limits.
 fn permanent_resources() -> Vec<Value> {
     vec![
@@ -182,9 +195,3 @@
         "timeoutS": ROUTE_TIMEOUT_MS as f64 / 1_000.0, "objectiveS": 0.3, "maxAttempts": 2,
     }})
 }
-
-fn with_field(field: &str, value: &Value) -> Value {
-    let mut faulty = route("faulty", "/faulty/", "idempotent");
-    faulty["spec"][field] = value.clone();
-    faulty
-}
--- a/bench/src/soak/schedule.rs
+++ b/bench/src/soak/schedule.rs
@@ -72,7 +72,7 @@
     UnknownService,
     /// A route allows no attempt.
     NoAttempts,
-    /// The version is lower than that in force, and added routes are missing.
+    /// The version is lower than that in force.
     OldVersion,
 }
 
--- a/bench/tests/soak_checker.rs
+++ b/bench/tests/soak_checker.rs
@@ -226,6 +226,19 @@
     assert_eq!(violated(&with_route(None, &[(10_100, 404)])), []);
 }
 
+#[test]
+fn a_route_of_an_invalid_version_that_is_served_is_found() {
+    for (status, expected) in [(200, vec![Invariant::RoutesApplied]), (404, vec![])] {
+        let mut history = healthy_history();
+        history.invalid_prefixes.push("/invalid-7/".to_owned());
+        let mut asked = attempt("asked", AttemptKind::Idempotent, 12_000, answered(status));
+        asked.request_line = "GET /invalid-7/asked".to_owned();
+        history.arrivals.extend((status == 200).then(|| arrival(&asked, "w-1", 12_010)));
+        history.attempts.push(asked);
+        assert_eq!(violated(&history), expected, "{status}");
+    }
+}
+
 #[test]
 fn answers_about_changed_routes_count_when_the_instance_was_in_touch() {
     let history = with_route(None, &[(11_900, 404), (12_100, 200), (13_000, 200)]);
