--- a/tests/gateway_endless_answers.rs
+++ b/tests/gateway_endless_answers.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use arbutusshelf_bench::endless::{EndlessPart, EndlessTarget};
-use gateway_env::{GatewayProcess, TestDeployment, entry};
+use gateway_env::{TestDeployment, entry};
 use hyper::Method;
 use serde_json::json;
 
@@ -21,13 +21,6 @@
 /// response.
 const MAX_GROWTH_BYTES: u64 = 4 * (256 << 10);
 
-async fn resident_bytes(deployment: &TestDeployment, gateway: &GatewayProcess) -> u64 {
-    let page = deployment.caller.get(gateway.metrics, "/metrics").await.expect("the metrics");
-    let text = String::from_utf8(page.body.to_vec()).expect("text");
-    let value = text.lines().find_map(|l| l.strip_prefix("arbutusshelf_gateway_resident_bytes "));
-    value.expect("the gauge").parse().expect("a number")
-}
-
 async fn endless_target(deployment: &TestDeployment, id: &str, part: EndlessPart) -> EndlessTarget {
     let target = EndlessTarget::start(id, part).await.expect("the target starts");
     deployment.store.put_json("servers", id, &entry(target.address, "plan", "ready"));
@@ -55,7 +48,7 @@
         // Opens all connections and fills the allocator's reserves before memory is compared.
         let _warm_up = send(Method::GET, "/read/x", "a0").await;
         expect_closed(&deployment, &target, part).await;
-        let before = resident_bytes(&deployment, &gateway).await;
+        let before = deployment.resident_bytes(&gateway).await;
         for (method, path, id) in [
             (Method::GET, "/read/x", "a1"),
             (Method::POST, "/charge/x", "a2"),
@@ -77,7 +70,7 @@
             }
             expect_closed(&deployment, &target, part).await;
         }
-        let growth = resident_bytes(&deployment, &gateway).await.saturating_sub(before);
+        let growth = deployment.resident_bytes(&gateway).await.saturating_sub(before);
         assert!(growth <= MAX_GROWTH_BYTES, "{part:?}: memory grew by {growth} bytes");
     }
 }
--- a/tests/gateway_env/mod.rs
+++ b/tests/gateway_env/mod.rs
@@ -139,6 +139,14 @@
         gateway
     }
 
+    /// Returns the memory that a gateway states to use.
+    pub async fn resident_bytes(&self, gateway: &GatewayProcess) -> u64 {
+        let page = self.caller.get(gateway.metrics, "/metrics").await.expect("the metrics");
+        let text = String::from_utf8(page.body.to_vec()).expect("text");
+        let value = text.lines().find_map(|l| l.strip_prefix("arbutusshelf_gateway_resident_bytes "));
+        value.expect("the gauge").parse().expect("a number")
+    }
+
     /// Writes the settings file of a gateway and returns its path; `extra` overrides single settings.
     pub fn write_settings(&self, name: &str, extra: &Value) -> String {
         let mut settings = json!({
