Judge changed routes at the moment of the request, and close the soak's connections

Change: an instance is in touch if it was undisturbed for 3 s when the request was sent, as the users' rules say; what the store took during a disturbance must be in force then. This is stricter. Workers end with the soak.

--- a/bench/src/soak/checker.rs
+++ b/bench/src/soak/checker.rs
@@ -172,8 +172,7 @@
                 continue;
             }
             answers.all += 1;
-            let counts = checker.is_undisturbed(attempt.instance, changed_ms, attempt.sent_ms);
-            answers.counted += usize::from(counts);
+            answers.counted += usize::from(checker.is_in_touch(attempt));
         }
     }
     answers
@@ -232,6 +231,12 @@
             && !history.process_runs.iter().any(restarts)
     }
 
+    /// Returns whether an instance had been undisturbed for [`Bounds::settle_ms`] when it was sent a request. What the
+    /// store took in an earlier disturbance must be in force then, too.
+    fn is_in_touch(&self, attempt: &Attempt) -> bool {
+        self.is_undisturbed(attempt.instance, attempt.sent_ms, attempt.sent_ms)
+    }
+
     /// Returns whether no disturbance affected a worker between two times.
     fn is_worker_undisturbed(&self, worker: &str, from_ms: u64, to_ms: u64) -> bool {
         let overlaps = |d: &super::history::Disturbance| d.from_ms <= to_ms && d.to_ms >= from_ms;
@@ -337,10 +342,7 @@
                 let applied_ms = route.added_ms + self.bounds.route_apply_ms;
                 let is_live =
                     attempt.sent_ms > applied_ms && route.removed_ms.is_none_or(|at| attempt.ended_ms < at);
-                if is_live
-                    && status == 404
-                    && self.is_undisturbed(attempt.instance, route.added_ms, attempt.sent_ms)
-                {
+                if is_live && status == 404 && self.is_in_touch(attempt) {
                     let after_ms = attempt.sent_ms - route.added_ms;
                     let detail =
                         format!("{}: 404 {after_ms} ms after {} was added", attempt.id, route.prefix);
@@ -348,10 +350,7 @@
                 }
                 let Some(removed_ms) = route.removed_ms else { continue };
                 let is_over = attempt.sent_ms > removed_ms + self.bounds.route_apply_ms;
-                if is_over
-                    && status == 200
-                    && self.is_undisturbed(attempt.instance, removed_ms, attempt.sent_ms)
-                {
+                if is_over && status == 200 && self.is_in_touch(attempt) {
                     let after_ms = attempt.sent_ms - removed_ms;
                     let detail =
                         format!("{}: served {after_ms} ms after {} was removed", attempt.id, route.prefix);
--- a/bench/src/soak/cluster.rs
+++ b/bench/src/soak/cluster.rs
@@ -676,6 +676,8 @@
         history.attempts =
             std::mem::take(&mut *self.callers.attempts.lock().unwrap_or_else(PoisonError::into_inner));
         for worker in state.workers.iter().chain(&state.retired_workers) {
+            // Connections on which it would never answer would stay open.
+            worker.end();
             let executed = worker.executed_requests().into_iter().map(|request| (request, true));
             let all = executed.chain(worker.refused_requests().into_iter().map(|request| (request, false)));
             history
--- a/bench/tests/soak_checker.rs
+++ b/bench/tests/soak_checker.rs
@@ -195,6 +195,12 @@
     assert_eq!(violated(&with_route(None, &[(11_900, 404), (12_500, 200)])), []);
     assert_eq!(violated(&with_route(Some(20_000), &[(22_100, 200)])), [Invariant::RoutesApplied]);
     assert_eq!(violated(&with_route(Some(20_000), &[(21_900, 200), (22_100, 404)])), []);
+    // A disturbance excuses requests for 3 s after its end, and not what was changed in that time for good.
+    for (sent_ms, expected) in [(12_400, vec![]), (12_600, vec![Invariant::RoutesApplied])] {
+        let mut disturbed = with_route(None, &[(sent_ms, 404)]);
+        add_disturbance(&mut disturbed, Scope::Store, 9_000, 9_500);
+        assert_eq!(violated(&disturbed), expected, "{sent_ms}");
+    }
 }
 
 #[test]
