--- a/tests/gateway_faulty_targets.rs
+++ b/tests/gateway_faulty_targets.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use arbutusshelf_bench::worker::WorkerMode;
-use gateway_env::{TestDeployment, entry};
+use arbutusshelf_bench::worker::{WorkerMode, WorkerStandIn};
+use gateway_env::{GatewayProcess, TestDeployment, entry};
 use hyper::Method;
 use serde_json::{Value, json};
 
@@ -17,6 +17,22 @@
 const MIN_REQUESTS: usize = 20;
 const MAX_REQUESTS: usize = 200;
 
+/// Sends a charge, and checks that it was executed once at most, and not at all if its caller is told so.
+async fn send_charge(
+    deployment: &TestDeployment,
+    gateway: &GatewayProcess,
+    worker: &WorkerStandIn,
+    number: usize,
+) {
+    let id = format!("a{number}");
+    let response = deployment.send(gateway.callers, Method::POST, "/charge/x", &id).await;
+    let executed = worker.executed_requests();
+    let executions = executed.iter().filter(|r| r.header("x-attempt-id") == Some(&id)).count();
+    assert!(executions <= 1, "{id} was executed {executions} times");
+    let status = response.map(|r| r.status).unwrap_or_default();
+    assert!(executions == 0 || ![408, 421, 429, 503].contains(&status), "{id}: {status}");
+}
+
 // Guards against a refusal that belongs to an earlier request on the connection: the caller would be told that its
 // request was not executed although it was.
 #[tokio::test]
@@ -27,14 +43,8 @@
         worker.set_mode(WorkerMode::RepeatRefusal { with_id });
         let gateway = deployment.gateway("one", &json!({})).await;
         for number in 0..MAX_REQUESTS {
-            let id = format!("a{number}");
-            let response = deployment.send(gateway.callers, Method::POST, "/charge/x", &id).await;
-            let executed = worker.executed_requests();
-            let executions = executed.iter().filter(|r| r.header("x-attempt-id") == Some(&id)).count();
-            assert!(executions <= 1, "{id} was executed {executions} times");
-            let status = response.map(|r| r.status).unwrap_or_default();
-            assert!(executions == 0 || ![408, 421, 429, 503].contains(&status), "{id}: {status}");
-            if number >= MIN_REQUESTS && !executed.is_empty() {
+            send_charge(&deployment, &gateway, &worker, number).await;
+            if number >= MIN_REQUESTS && !worker.executed_requests().is_empty() {
                 break;
             }
         }
@@ -51,13 +61,7 @@
     worker.set_mode(WorkerMode::RepeatProbe);
     let gateway = deployment.gateway("one", &json!({})).await;
     for number in 0..20 {
-        let id = format!("a{number}");
-        let response = deployment.send(gateway.callers, Method::POST, "/charge/x", &id).await;
-        let executed = worker.executed_requests();
-        let executions = executed.iter().filter(|r| r.header("x-attempt-id") == Some(&id)).count();
-        assert!(executions <= 1, "{id} was executed {executions} times");
-        let status = response.map(|r| r.status).unwrap_or_default();
-        assert!(executions == 0 || ![408, 421, 429, 503].contains(&status), "{id}: {status}");
+        send_charge(&deployment, &gateway, &worker, number).await;
     }
     assert!(!worker.executed_requests().is_empty(), "no answer was repeated");
 }
