--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -82,14 +82,28 @@
 
 static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
-fn signal_process(pid: u32, name: &str) {
-    let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).stderr(Stdio::null()).status();
+/// Signals that a case sends to processes that it has started; their numbers are those of Linux.
+#[derive(Clone, Copy, Debug)]
+pub enum Signal {
+    Kill = 9,
+    Terminate = 15,
+    Continue = 18,
+    Stop = 19,
+}
+
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
+fn signal_process(process: u32, signal: Signal) {
+    // SAFETY: `kill` takes any numbers. The process is a child that has not been waited for.
+    let _status = unsafe { kill(process as i32, signal as i32) };
 }
 
 fn end_processes() {
     for pid in PROCESSES.lock().unwrap().drain(..) {
-        signal_process(pid, "CONT");
-        signal_process(pid, "KILL");
+        signal_process(pid, Signal::Continue);
+        signal_process(pid, Signal::Kill);
     }
 }
 
@@ -244,15 +258,15 @@
         self.record.line(format!("gateway {} ready", self.settings.instance));
     }
 
-    /// Sends a signal, for example `TERM`, `KILL`, `STOP` or `CONT`.
-    pub fn signal(&self, name: &str) {
-        self.record.line(format!("gateway {} gets SIG{name}", self.settings.instance));
-        signal_process(self.child.id(), name);
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        self.record.line(format!("gateway {} gets signal {signal:?}", self.settings.instance));
+        signal_process(self.child.id(), signal);
     }
 
     /// Kills the process and starts it again with the same settings.
     pub fn restart(&mut self) {
-        self.signal("KILL");
+        self.signal(Signal::Kill);
         let _ = self.child.wait();
         PROCESSES.lock().unwrap().retain(|pid| *pid != self.child.id());
         let next = Self::start(&self.record, self.settings.clone());
