Log the status of a target's response with the end of its send

The line `send-ended` said `failed` or `answered`, and `request-ended` the status that the caller got. For a charge that is told as not run although it has run, that leaves four explanations apart only by guessing: the target's own status was passed on, an error of this instance replaced it, it was the late response to an earlier request, or it came from another instance.

`send-ended` and `forward-ended` now have the status of the response and whether it bears the target's proof.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -185,12 +185,13 @@
     call.record(RequestEvent::Sent { target: target.clone(), reading, rate_limit, rounds });
     let result = send(call, listing).await;
     let outcome = result.outcome();
+    let response = result.response_summary(&call.gateway.platform.headers);
     call.gateway.metrics.record_send(outcome);
     let process = if let SendResult::Lost(process) = result { Some(process) } else { None };
     let failure = if let SendResult::Unsent(failure) = result { failure } else { None };
     if let Some(process) = process {
         call.gateway.metrics.record_lost_send(process);
     }
-    call.record(RequestEvent::SendEnded { target, outcome, process, failure });
+    call.record(RequestEvent::SendEnded { target, outcome, response, process, failure });
     result
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,8 +20,16 @@
 use tokio::time::timeout;
 
 use super::{
-    Gateway, call_context::CallContext, passed_body::BodyGuard, path_check, rate_limits,
-    request_log::SendOutcome, response::ResponseBody, suspects::SendWatch, target_end, target_statements,
+    Gateway,
+    call_context::CallContext,
+    passed_body::BodyGuard,
+    path_check,
+    platform_adapter::CallHeaders,
+    rate_limits,
+    request_log::{ResponseSummary, SendOutcome},
+    response::ResponseBody,
+    suspects::SendWatch,
+    target_end, target_statements,
 };
 use crate::{
     decide::{directory::Listing, probed_target::HealthSignal, unconfirmed_ends::ProcessState},
@@ -83,6 +91,13 @@
             Self::Lost(_) => SendOutcome::Lost,
         }
     }
+
+    /// Returns what logs say of the response, if there is one to forward.
+    pub fn response_summary(&self, names: &CallHeaders) -> Option<ResponseSummary> {
+        let (Self::Answered(response) | Self::Failed(response)) = self else { return None };
+        let has_proof = response.head.headers.contains_key(&names.authenticity_proof);
+        Some(ResponseSummary { status: response.head.status.as_u16(), has_proof })
+    }
 }
 
 /// A send in progress; reports its end to the target selection exactly once, at the latest when dropped.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -115,12 +115,12 @@
         };
         call.record(RequestEvent::Forwarded { instance: instance.clone() });
         let offer = offer(call, guard, connection, address).await?;
-        let outcome = match &offer {
-            Offer::Taken(result) => result.outcome(),
-            Offer::NotTaken => SendOutcome::NotRun,
+        let (outcome, response) = match &offer {
+            Offer::Taken(result) => (result.outcome(), result.response_summary(&gateway.platform.headers)),
+            Offer::NotTaken => (SendOutcome::NotRun, None),
         };
         gateway.metrics.record_forward(outcome);
-        call.record(RequestEvent::ForwardEnded { instance, outcome });
+        call.record(RequestEvent::ForwardEnded { instance, outcome, response });
         if let Offer::Taken(result) = offer {
             return Some(result);
         }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -58,6 +58,15 @@
     Late,
 }
 
+/// What the head of a target's response says, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResponseSummary {
+    /// Status that the target gave.
+    pub status: u16,
+    /// Whether the response bears the target's proof.
+    pub has_proof: bool,
+}
+
 /// A decision on a request, or the end of a send.
 #[derive(Debug, Clone)]
 pub enum RequestEvent {
@@ -78,6 +87,8 @@
         target: TargetId,
         /// Result of the send.
         outcome: SendOutcome,
+        /// The target's response, if it was read further than to a refusal.
+        response: Option<ResponseSummary>,
         /// What is known of the target's process after a lost send.
         process: Option<ProcessState>,
         /// Why there was no connection for a send that was not made.
@@ -94,6 +105,8 @@
         instance: InstanceId,
         /// What became of the offer.
         outcome: SendOutcome,
+        /// The other instance's response to a call that it has taken.
+        response: Option<ResponseSummary>,
     },
     /// The request should be sent again.
     Repeat {
@@ -255,25 +268,29 @@
                         rate_limits::display(*rate_limit)
                     )
                 }
-                RequestEvent::SendEnded { target, outcome, process, failure } => {
+                RequestEvent::SendEnded { target, outcome, response, process, failure } => {
                     let head = "event=send-ended";
+                    let response = response.map(|response| response.to_string()).unwrap_or_default();
                     let process = process.map(|process| format!(" process={process}")).unwrap_or_default();
                     let failure = failure.map(|failure| format!(" connect={failure}")).unwrap_or_default();
                     write!(
                         line,
-                        "{head} request={request} after_ms={after_ms} target={target} outcome={outcome}{process}\
-                         {failure}"
+                        "{head} request={request} after_ms={after_ms} target={target} outcome={outcome}{response}\
+                         {process}{failure}"
                     )
                 }
                 RequestEvent::Forwarded { instance } => write!(
                     line,
                     "event=request-forwarded request={request} after_ms={after_ms} instance={instance}"
                 ),
-                RequestEvent::ForwardEnded { instance, outcome } => write!(
-                    line,
-                    "event=forward-ended request={request} after_ms={after_ms} instance={instance} \
-                     outcome={outcome}"
-                ),
+                RequestEvent::ForwardEnded { instance, outcome, response } => {
+                    let response = response.map(|response| response.to_string()).unwrap_or_default();
+                    write!(
+                        line,
+                        "event=forward-ended request={request} after_ms={after_ms} instance={instance} \
+                         outcome={outcome}{response}"
+                    )
+                }
                 RequestEvent::Repeat { cause, within_budget } => write!(
                     line,
                     "event=request-repeat request={request} after_ms={after_ms} cause={cause} \
@@ -295,6 +312,12 @@
     }
 }
 
+impl std::fmt::Display for ResponseSummary {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, " status={} proof={}", self.status, self.has_proof)
+    }
+}
+
 /// A load reading in the format of log lines.
 struct DisplayReading(Option<(LoadReading, Duration)>);
 
