Don't pass on a status that promises "not run" for a charge that may have run

What callers saw: a target in trouble runs a charge and answers 503.

Cause: read_response decides whether a response is the target's and whether it is whole, but not whether a status that promises something is covered by the header in which targets state that they have not executed a request.

Change: decide::target_response says what the head of a response means, from the kind of the route, the status, and whether the response states that the request was not executed. A refusal that is not stated becomes SendResult::Unusable: the target counts as failed, the caller gets 502, cause refusal-unconfirmed, without the target's seal, and the log line of the send has the target's status. A pause that such a 503 asks for holds as before. Requests that may be repeated keep the target's status and seal. discard() now tells a body that broke off from one that is too long, so that the end of a target's process is still looked for.

--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -19,6 +19,9 @@
 
 use crate::caller_cuts::CallerCuts;
 
+/// Header line by which a response states that it is the worker's own.
+const SEAL: &str = "X-Response-Seal: 3e1b.07\r\n";
+
 /// How a worker handles requests; health probes are answered with 200 unless a mode says otherwise.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum WorkerMode {
@@ -56,6 +59,51 @@
     RepeatProbe,
     /// Executes them and closes the connection after that many bytes of the response's head.
     CutHead(usize),
+    /// Executes them and responds as stated.
+    Respond(StatedResponse),
+}
+
+/// How the end of a response's body is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// By a length in the head.
+    Length,
+    /// By the last chunk.
+    Chunks,
+    /// By closing the connection.
+    Close,
+}
+
+/// A response to an executed request that another status than 200 may begin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StatedResponse {
+    /// Status, written with three digits; it may be none that HTTP knows.
+    pub status: u16,
+    /// Whether it bears the seal.
+    pub has_seal: bool,
+    /// Length of its body.
+    pub body_bytes: usize,
+    /// How the end of its body is marked.
+    pub end: BodyEnd,
+}
+
+impl StatedResponse {
+    /// Writes the response after a head's fields `headers`; returns whether the connection stays open.
+    async fn write(self, stream: &mut TcpStream, headers: &str) -> std::io::Result<bool> {
+        let Self { status, has_seal, body_bytes, end } = self;
+        let seal = if has_seal { SEAL } else { "" };
+        let framing = match end {
+            BodyEnd::Length => format!("Content-Length: {body_bytes}\r\n"),
+            BodyEnd::Chunks => "Transfer-Encoding: chunked\r\n".to_owned(),
+            BodyEnd::Close => "Connection: close\r\n".to_owned(),
+        };
+        let head = format!("HTTP/1.1 {status:03} Stated\r\n{headers}{seal}{framing}\r\n");
+        let body = "x".repeat(body_bytes);
+        let body =
+            if end == BodyEnd::Chunks { format!("{body_bytes:x}\r\n{body}\r\n0\r\n\r\n") } else { body };
+        stream.write_all((head + &body).as_bytes()).await?;
+        Ok(end != BodyEnd::Close)
+    }
 }
 
 /// One request that a worker received, whether it executed or refused it.
@@ -87,7 +135,7 @@
     reported_pace_percent: u32,
     /// Value of the header by which all responses state that it leaves.
     leaving: Option<String>,
-    /// Value of `Retry-After` in its refusals with 503.
+    /// Value of `Retry-After` in its refusals with 503 and in the responses of [`WorkerMode::Respond`].
     retry_after: Option<String>,
     /// Callers that it is cut off from.
     caller_cuts: CallerCuts,
@@ -197,7 +245,8 @@
         lock(&self.state).leaving = value.map(str::to_owned);
     }
 
-    /// Sets the value of `Retry-After` in its refusals with 503; `None` for no such header.
+    /// Sets the value of `Retry-After` in its refusals with 503 and in the responses of [`WorkerMode::Respond`]; `None`
+    /// for no such header.
     pub fn set_retry_after(&self, value: Option<&str>) {
         lock(&self.state).retry_after = value.map(str::to_owned);
     }
@@ -434,7 +483,9 @@
     }
     let caller_cuts = lock(state).caller_cuts.clone();
     caller_cuts.pass(stream).await?;
-    write_response(stream, mode, request, load_headers).await
+    let retry_after = lock(state).retry_after.as_ref().map(|value| format!("Retry-After: {value}\r\n"));
+    let headers = (load_headers, retry_after.unwrap_or_default());
+    write_response(stream, mode, request, headers).await
 }
 
 /// Writes the response to an executed request as the mode sets; returns whether the connection stays open.
@@ -442,11 +493,14 @@
     stream: &mut TcpStream,
     mode: WorkerMode,
     request: &WorkerRequest,
-    load_headers: &str,
+    (load_headers, retry_after): (&str, String),
 ) -> std::io::Result<bool> {
     let id = request.header("x-attempt-id").unwrap_or_default();
     let body = format!("body of {id}");
-    let seal = if mode == WorkerMode::MissingSeal { "" } else { "X-Response-Seal: 3e1b.07\r\n" };
+    if let WorkerMode::Respond(response) = mode {
+        return response.write(stream, &format!("X-Attempt-Id: {id}\r\n{load_headers}{retry_after}")).await;
+    }
+    let seal = if mode == WorkerMode::MissingSeal { "" } else { SEAL };
     let status = match mode {
         WorkerMode::Fail => "500 Internal Server Error",
         WorkerMode::NotFound => "404 Not Found",
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -29,6 +29,7 @@
 pub mod suspects;
 pub mod target;
 pub mod target_paths;
+pub mod target_response;
 pub mod timer;
 pub mod unconfirmed_ends;
 pub mod wait_queue;
--- a/src/error.rs
+++ b/src/error.rs
@@ -63,6 +63,8 @@
     ConnectionLost,
     /// The target's answer ended before its body was complete.
     BodyCut,
+    /// The target's answer has a status that means that the request did not run, but does not state so; it may have run.
+    RefusalUnconfirmed,
     /// An earlier request with the same `Idempotency-Key` may have run, and its answer is not stored.
     KeyUnsettled,
     /// The settings file is invalid.
@@ -130,7 +132,9 @@
             Self::AddressUnavailable | Self::AdminUnreachable | Self::File => answer(500, NotRun, None),
             Self::AnswerTimeout => answer(504, Unknown, None),
             Self::KeyUnsettled => answer(504, Unknown, Some(5)),
-            Self::ConnectionLost | Self::BodyCut | Self::PlanUnknown => answer(502, Unknown, None),
+            Self::ConnectionLost | Self::BodyCut | Self::RefusalUnconfirmed | Self::PlanUnknown => {
+                answer(502, Unknown, None)
+            }
             Self::PlanUnconfirmed => answer(202, Outcome::Ran, None),
         }
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -308,6 +308,9 @@
                     return None;
                 }
             }
+            AttemptResult::Sent(SendResult::Unusable(_, kind)) => {
+                self.executed_error = Some(kind);
+            }
             AttemptResult::Sent(SendResult::NotRun) => {
                 if self.try_repeat(RepeatCause::NotRun) {
                     return None;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Response, StatusCode,
     body::Incoming,
@@ -32,7 +32,13 @@
     target_end, target_statements,
 };
 use crate::{
-    decide::{directory::Listing, probed_target::HealthSignal, unconfirmed_ends::ProcessState},
+    decide::{
+        directory::Listing,
+        probed_target::HealthSignal,
+        target_response::{Meaning, interpret},
+        unconfirmed_ends::ProcessState,
+    },
+    error::ErrorKind,
     kernel::in_progress::RequestGuard,
     plan::RequestKind,
     proxy::{
@@ -74,6 +80,9 @@
     Failed(Box<TargetResponse>),
     /// The target states that it did not execute the request.
     NotRun,
+    /// The target responded, and its response can't be forwarded; the target may have executed the request. Holds what
+    /// the caller is told instead.
+    Unusable(ResponseSummary, ErrorKind),
     /// Nothing was sent to the target. Holds why, if it is for lack of a connection.
     Unsent(Option<ConnectFailure>),
     /// No valid response came; the target may have executed the request. Holds what is known of its process.
@@ -87,16 +96,21 @@
             Self::Answered(_) => SendOutcome::Answered,
             Self::Failed(_) => SendOutcome::Failed,
             Self::NotRun => SendOutcome::NotRun,
+            Self::Unusable(..) => SendOutcome::Unusable,
             Self::Unsent(_) => SendOutcome::Unsent,
             Self::Lost(_) => SendOutcome::Lost,
         }
     }
 
-    /// Returns what logs say of the response, if there is one to forward.
+    /// Returns what logs say of the response, if there is one other than a refusal.
     pub fn response_summary(&self, names: &CallHeaders) -> Option<ResponseSummary> {
-        let (Self::Answered(response) | Self::Failed(response)) = self else { return None };
-        let has_proof = response.head.headers.contains_key(&names.authenticity_proof);
-        Some(ResponseSummary { status: response.head.status.as_u16(), has_proof })
+        match self {
+            Self::Answered(response) | Self::Failed(response) => {
+                Some(ResponseSummary::new(response.head.status, &response.head.headers, names))
+            }
+            Self::Unusable(summary, _) => Some(*summary),
+            Self::NotRun | Self::Unsent(_) | Self::Lost(_) => None,
+        }
     }
 }
 
@@ -293,12 +307,14 @@
     if !is_misdirected {
         rate_limits::record(&call.gateway, &guard.listing, headers);
     }
-    if is_misdirected || headers.contains_key(&names.not_run) {
+    let states_not_run = is_misdirected || headers.contains_key(&names.not_run);
+    let meaning = interpret(call.route.spec.kind, response.status().as_u16(), states_not_run);
+    if meaning == Meaning::NotRun {
         if may_be_of_earlier {
             guard.report(HealthSignal::Failed);
             return SendResult::Lost(ProcessState::Listening);
         }
-        if discard(response.into_body()).await {
+        if discard(response.into_body()).await == DiscardedBody::Complete {
             guard.return_connection();
         }
         call.record_not_executed();
@@ -312,6 +328,16 @@
         guard.report(HealthSignal::Failed);
         return SendResult::Lost(ProcessState::Listening);
     }
+    if meaning == Meaning::UnconfirmedRefusal {
+        let summary = ResponseSummary::new(response.status(), headers, names);
+        match discard(response.into_body()).await {
+            DiscardedBody::BrokenOff => return SendResult::Lost(guard.lost().await),
+            DiscardedBody::Complete if !may_be_of_earlier => guard.return_connection(),
+            DiscardedBody::Complete | DiscardedBody::Unread => {}
+        }
+        guard.report(HealthSignal::Failed);
+        return SendResult::Unusable(summary, ErrorKind::RefusalUnconfirmed);
+    }
     let (mut head, body) = response.into_parts();
     headers::strip_non_forwardable(&mut head.headers);
     for name in [&names.load, &names.target_id] {
@@ -337,10 +363,25 @@
     }
 }
 
-/// Reads a body that nobody needs. Returns whether it was complete, so that its connection can be reused.
-pub async fn discard(body: Incoming) -> bool {
+/// How far a body was read that nobody needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DiscardedBody {
+    /// To its end, so that its connection can be reused.
+    Complete,
+    /// To the limit of its size or time.
+    Unread,
+    /// Its connection ended before the body did.
+    BrokenOff,
+}
+
+/// Reads a body that nobody needs, up to a limit.
+pub async fn discard(body: Incoming) -> DiscardedBody {
     let read = Limited::new(body, MAX_DISCARDED_BYTES).collect();
-    timeout(DISCARD_TIMEOUT, read).await.is_ok_and(|read| read.is_ok())
+    match timeout(DISCARD_TIMEOUT, read).await {
+        Ok(Ok(_complete)) => DiscardedBody::Complete,
+        Ok(Err(e)) if !e.is::<LengthLimitError>() => DiscardedBody::BrokenOff,
+        Ok(Err(_)) | Err(_) => DiscardedBody::Unread,
+    }
 }
 
 /// A response body after buffering.
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Gateway,
-    exchange::{connect, discard},
+    exchange::{DiscardedBody, connect, discard},
     path_check, rate_limits, target_statements,
 };
 use crate::{
@@ -89,7 +89,7 @@
     }
     let Ok(request) = probe_request(gateway, listing) else { return true };
     let ExchangeResult::Answered(response) = connection.send(request).await else { return false };
-    if discard(response.into_body()).await {
+    if discard(response.into_body()).await == DiscardedBody::Complete {
         connection.release();
     }
     true
@@ -121,7 +121,7 @@
     let unreported = LoadReading { running: 0, waiting: 0, slots: listing.slots, slowdown: 1.0 };
     let load_header = headers.get(&names.load);
     let reading = load_header.map_or(Some(unreported), gateway.platform.decode_load);
-    if discard(response.into_body()).await {
+    if discard(response.into_body()).await == DiscardedBody::Complete {
         connection.release();
     }
     reading.ok_or(ProbeFailure::Invalid)
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -7,8 +7,9 @@
 };
 
 use derive_more::Display;
+use hyper::{HeaderMap, StatusCode};
 
-use super::rate_limits;
+use super::{platform_adapter::CallHeaders, rate_limits};
 use crate::{
     decide::{probed_target::LoadReading, suspects::RequestIdentity, unconfirmed_ends::ProcessState},
     error::ErrorKind,
@@ -40,6 +41,8 @@
     NotRun,
     /// Nothing was sent to the target.
     Unsent,
+    /// The target's response can't be forwarded; the target may have executed the request.
+    Unusable,
     /// No valid response came; the target may have executed the request.
     Lost,
 }
@@ -312,6 +315,13 @@
     }
 }
 
+impl ResponseSummary {
+    /// Summarizes a response with `status` and `headers`.
+    pub fn new(status: StatusCode, headers: &HeaderMap, names: &CallHeaders) -> Self {
+        Self { status: status.as_u16(), has_proof: headers.contains_key(&names.authenticity_proof) }
+    }
+}
+
 impl std::fmt::Display for ResponseSummary {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, " status={} proof={}", self.status, self.has_proof)
