Don't pass on such a status from an instance of an earlier release

Related path of the same failure: an instance without a path to targets lets another one handle its charges and passes on what that one responds. While builds run side by side, the other one may still pass on a 503 of a target that has run the charge. It bears neither the outcome header, which only an instance can set, nor anything else that states that the charge was not run.

Change: the response of another instance is interpreted like that of a target; what states "not run" is the outcome header. Otherwise 408, 421, 429 and 503 to a charge become 502, cause refusal-unconfirmed. An instance's own refusals are passed on as before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,11 +13,14 @@
     call_context::CallContext,
     exchange::{SendResult, TargetResponse},
     passed_body::BodyGuard,
-    request_log::{RequestEvent, SendOutcome},
+    request_log::{RequestEvent, ResponseSummary, SendOutcome},
     response::ResponseBody,
 };
 use crate::{
-    decide::unconfirmed_ends::ProcessState,
+    decide::{
+        target_response::{Meaning, interpret},
+        unconfirmed_ends::ProcessState,
+    },
     error::{ErrorKind, Outcome},
     kernel::in_progress::RequestGuard,
     peer::forward::{FORWARD, FORWARDED_TO, ForwardHeader},
@@ -188,8 +191,15 @@
         guard.avoid_instance("unexpected-response");
         return Offer::Taken(SendResult::Lost(ProcessState::Unknown));
     }
-    let is_not_run = fields.get(headers::OUTCOME).is_some_and(|text| *text == Outcome::NotRun.to_string());
-    if is_not_run {
+    let states_not_run =
+        fields.get(headers::OUTCOME).is_some_and(|text| *text == Outcome::NotRun.to_string());
+    let meaning = interpret(call.route.spec.kind, head.status.as_u16(), states_not_run);
+    if meaning == Meaning::UnconfirmedRefusal {
+        // Instances of earlier releases forward such responses of their targets.
+        let summary = ResponseSummary::new(head.status, fields, &call.gateway.platform.headers);
+        return Offer::Taken(SendResult::Unusable(summary, ErrorKind::RefusalUnconfirmed));
+    }
+    if meaning == Meaning::NotRun {
         call.record_not_executed();
         let cause = fields.get(headers::CAUSE);
         let is_of_instance =
