Test two-step refusals of charges, and what the mode serve tells of them

- A charge that one target refuses in the stated way is sent to another one.
- The mode serve states the outcome in a header of its own.
A 408, 421, 429 or 503 of a target is told as "ran", short or long, for a request without a kind and for a charge with a key, which runs once if it is sent twice.
Only 503 with Retry-After means "not run", where the plan says so.

--- a/tests/gateway_unconfirmed_refusals.rs
+++ b/tests/gateway_unconfirmed_refusals.rs
@@ -132,6 +132,36 @@
     check_charges(&deployment.deployment, &deployment.cut_off, &deployment.workers, 10).await;
 }
 
+// Guards against a charge that is told as not executed by the refusal of one target, although another one has executed
+// it.
+#[tokio::test]
+async fn a_charge_that_one_target_refuses_and_another_executes_is_told_as_unknown() {
+    for response in responses().into_iter().filter(|response| response.end == BodyEnd::Length) {
+        let deployment = TestDeployment::start().await;
+        let workers = [deployment.worker("i-1").await, deployment.worker("i-2").await];
+        workers[0].set_mode(WorkerMode::Shed);
+        workers[1].set_mode(WorkerMode::Respond(response));
+        let gateway = deployment.gateway("one", &json!({})).await;
+        let mut sent_to_both = 0;
+        for number in 0..12 {
+            let id = format!("a{number}");
+            let answer = deployment.send(gateway.callers, Method::POST, "/charge/x", &id).await;
+            let answer = answer.expect("a whole response");
+            let refused = workers[0].refused_requests();
+            let is_refused = refused.iter().any(|r| r.header("x-attempt-id") == Some(&id));
+            match executions(&workers, &id) {
+                0 => assert!(PROMISES.contains(&answer.status), "{response:?}: {}", answer.status),
+                runs => {
+                    assert_eq!(runs, 1, "{response:?}");
+                    assert_told_unknown(&format!("{response:?}"), &answer);
+                    sent_to_both += usize::from(is_refused);
+                }
+            }
+        }
+        assert!(sent_to_both > 0, "no charge was refused by one and executed by the other: {response:?}");
+    }
+}
+
 // Guards against a target that fails each charge and keeps its share of them, since its responses count as good ones.
 #[tokio::test]
 async fn a_target_that_refuses_what_it_has_executed_is_avoided() {
--- a/tests/proxy_outcomes.rs
+++ b/tests/proxy_outcomes.rs
@@ -143,6 +143,37 @@
     assert!(!response.headers.contains_key("arbutusshelf-stored"));
 }
 
+// Guards against a request that is told as not run although its target has run it and answered with a status that other
+// gateways take for a refusal: only the statement in the plan counts, 503 with `Retry-After`.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_status_that_others_take_for_a_refusal_is_told_as_run() {
+    for (status, field) in [(408, "x: y"), (421, "x: y"), (429, "retry-after: 1"), (503, "x: y")] {
+        for bytes in [12, 400_000] {
+            let head = format!("HTTP/1.1 {status} S\r\n{field}\r\ncontent-length: {bytes}\r\n\r\n");
+            let response = Bytes::from(head + &"x".repeat(bytes));
+            let script = move |_| ScriptedResponse { bytes: response.clone(), close: false };
+            let target = ScriptedTarget::start(script).await.expect("loopback has a free port");
+            let (kernel, task) = start_instance(&TestInstanceOptions::default(), &[target.address])
+                .await
+                .expect("the instance starts");
+            let instance = TestInstance { kernel, task, targets: Vec::new() };
+            let what = format!("{status} with {bytes} bytes");
+            let unstated = call(&instance, Method::POST, "x").await;
+            assert_eq!((unstated.status, unstated.outcome()), (status, "ran"), "{what}");
+            assert_eq!(target.requests(), 1, "{what}");
+            let path = format!("/{SERVICE}/once");
+            for _ in 0..2 {
+                let key = Some("key-1");
+                let charge =
+                    Caller::default().call(Method::POST, instance.callers(), &path, key, Bytes::new()).await;
+                let charge = charge.expect("a response");
+                assert_eq!((charge.status, charge.outcome()), (status, "ran"), "{what}");
+                assert_eq!(target.requests(), 2, "the charge runs once: {what}");
+            }
+        }
+    }
+}
+
 /// A truncated body, short or long, must end with an error on every protocol and framing.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_cut_body_never_ends_cleanly() {
