Let the soak's workers run requests and answer with statuses that promise otherwise

The soak's checker has judged such answers since it exists (Refused), but no worker of the soak gave one.

--- a/bench/src/soak/schedule.rs
+++ b/bench/src/soak/schedule.rs
@@ -4,7 +4,11 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::{
-    caller_cuts::CallerCut, endless::EndlessPart, relay::LinkFault, rows::RowStoreFault, worker::WorkerMode,
+    caller_cuts::CallerCut,
+    endless::EndlessPart,
+    relay::LinkFault,
+    rows::RowStoreFault,
+    worker::{BodyEnd, StatedResponse, WorkerMode},
 };
 
 /// An operator action or an injected fault. Instances and workers are given by number.
@@ -154,6 +158,18 @@
 /// Number that is mixed into the seed of those workers.
 const ENDLESS_SEED: u64 = 0xe4d1_e550;
 
+/// Mean time between two workers that execute requests and respond with a wrong status, in milliseconds.
+const RESPONSE_GAP_MS: u64 = 3_000;
+
+/// Statuses of these responses. Most promise that the request was not executed.
+const RESPONSE_STATUSES: [u16; 4] = [408, 429, 500, 503];
+
+/// Lengths of their bodies in bytes: one that a gateway buffers, and one that it passes on while it arrives.
+const RESPONSE_BODY_BYTES: [usize; 2] = [12, 400_000];
+
+/// Number that is mixed into the seed of these workers.
+const RESPONSE_SEED: u64 = 0x5a75_0503;
+
 /// Mean time between two requests that end workers, in milliseconds.
 const FATAL_GAP_MS: u64 = 6_000;
 
@@ -210,6 +226,10 @@
     steps.extend(regular_steps(seed ^ ENDLESS_SEED, ENDLESS_GAP_MS, STEP_LENGTH_MS, size, |rng| {
         Action::EndlessWorker(EndlessPart::ALL[rng.random_range(0..EndlessPart::ALL.len())])
     }));
+    steps.extend(regular_steps(seed ^ RESPONSE_SEED, RESPONSE_GAP_MS, STEP_LENGTH_MS, size, |rng| {
+        let worker = rng.random_range(0..size.workers);
+        Action::Worker(worker, WorkerMode::Respond(random_response(rng)))
+    }));
     steps.extend(regular_steps(seed ^ FATAL_SEED, FATAL_GAP_MS, STEP_LENGTH_MS, size, |rng| {
         let kinds = [FatalKind::Read, FatalKind::VaryingRead, FatalKind::Charge];
         Action::FatalRequest(kinds[rng.random_range(0..kinds.len())])
@@ -313,6 +333,16 @@
     faults[rng.random_range(0..faults.len())]
 }
 
+fn random_response(rng: &mut SmallRng) -> StatedResponse {
+    let ends = [BodyEnd::Length, BodyEnd::Chunks, BodyEnd::Close];
+    StatedResponse {
+        status: RESPONSE_STATUSES[rng.random_range(0..RESPONSE_STATUSES.len())],
+        has_seal: rng.random_bool(0.5),
+        body_bytes: RESPONSE_BODY_BYTES[rng.random_range(0..RESPONSE_BODY_BYTES.len())],
+        end: ends[rng.random_range(0..ends.len())],
+    }
+}
+
 fn random_worker_mode(rng: &mut SmallRng) -> WorkerMode {
     use WorkerMode::{
         CloseDelimited, DuplicateResponse, Fail, Misdirected, MissingSeal, NoResponse, ResetConnection, Shed,
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,9 +3,10 @@
 use arbutusshelf_bench::soak::{self, Args};
 
 /// Seeds of each run, with the number of unused routes, and why each is included. Seeds that once failed are kept here.
-const SEEDS: [(u64, usize, &str); 3] = [
+const SEEDS: [(u64, usize, &str); 4] = [
     (7, 0, "initial seed"),
     (1200, 0, "requests that end their workers were sent on as long as they came"),
+    (9101, 0, "charges that had run were answered with the 429 or 503 of their targets"),
     (5302, 300, "a manifest that grows, changes in storms and is invalid at times, and a loss of all power"),
 ];
 
