Don't pass on a status that no final response has

Cause: the status of a target's response was not checked. The HTTP library refuses those below 100; 101 and those from 600 to 999 were passed on as the answer, to charges and to reads, with whatever else the response had.

Ruled out: 000 itself, which is answered 502 before and after.

Change: 200 to 599 are the statuses of final responses (RFC 9110, section 15; 1xx are interim, and no switch of protocols is asked for). Any other ends the send as unusable: 502, outcome unknown, cause status-invalid; the target counts as failed, nothing that the response states is recorded, its connection is closed, and a read is sent to another target. The same for what an instance of an earlier release passes on.

--- a/src/error.rs
+++ b/src/error.rs
@@ -65,6 +65,8 @@
     BodyCut,
     /// The target's answer has a status that means that the request did not run, but does not state so; it may have run.
     RefusalUnconfirmed,
+    /// The target's answer has a status that no final answer has; the request may have run.
+    StatusInvalid,
     /// An earlier request with the same `Idempotency-Key` may have run, and its answer is not stored.
     KeyUnsettled,
     /// The settings file is invalid.
@@ -132,9 +134,11 @@
             Self::AddressUnavailable | Self::AdminUnreachable | Self::File => answer(500, NotRun, None),
             Self::AnswerTimeout => answer(504, Unknown, None),
             Self::KeyUnsettled => answer(504, Unknown, Some(5)),
-            Self::ConnectionLost | Self::BodyCut | Self::RefusalUnconfirmed | Self::PlanUnknown => {
-                answer(502, Unknown, None)
-            }
+            Self::ConnectionLost
+            | Self::BodyCut
+            | Self::RefusalUnconfirmed
+            | Self::StatusInvalid
+            | Self::PlanUnknown => answer(502, Unknown, None),
             Self::PlanUnconfirmed => answer(202, Outcome::Ran, None),
         }
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -310,6 +310,9 @@
             }
             AttemptResult::Sent(SendResult::Unusable(_, kind)) => {
                 self.executed_error = Some(kind);
+                if may_repeat && self.try_repeat(RepeatCause::Failed) {
+                    return None;
+                }
             }
             AttemptResult::Sent(SendResult::NotRun) => {
                 if self.try_repeat(RepeatCause::NotRun) {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -287,6 +287,17 @@
 async fn read_response(call: &CallContext, mut guard: SendGuard, response: Response<Incoming>) -> SendResult {
     let names = &call.gateway.platform.headers;
     let headers = response.headers();
+    // A target that rejects a request meant for another one does not execute it, even without the not-run
+    // header.
+    let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    let states_not_run = is_misdirected || headers.contains_key(&names.not_run);
+    let meaning = interpret(call.route.spec.kind, response.status().as_u16(), states_not_run);
+    if meaning == Meaning::InvalidStatus {
+        // Nothing else in it is relied on, nor the connection used again.
+        guard.report(HealthSignal::Failed);
+        let summary = ResponseSummary::new(response.status(), headers, names);
+        return SendResult::Unusable(summary, ErrorKind::StatusInvalid);
+    }
     target_statements::record(&call.gateway, &guard.listing, response.status(), headers);
     if headers.get(&names.request_id).is_some_and(|id| *id != call.request_id) {
         // This is the late response to an earlier request on the connection.
@@ -301,14 +312,9 @@
     let states_id = headers.contains_key(&names.request_id);
     // The connection may have carried a probe or a request that the target answers twice.
     let may_be_of_earlier = is_reused && !states_id && !call.request_id.is_empty();
-    // A target that rejects a request meant for another one does not execute it, even without the not-run
-    // header.
-    let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
     if !is_misdirected {
         rate_limits::record(&call.gateway, &guard.listing, headers);
     }
-    let states_not_run = is_misdirected || headers.contains_key(&names.not_run);
-    let meaning = interpret(call.route.spec.kind, response.status().as_u16(), states_not_run);
     if meaning == Meaning::NotRun {
         if may_be_of_earlier {
             guard.report(HealthSignal::Failed);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -194,10 +194,15 @@
     let states_not_run =
         fields.get(headers::OUTCOME).is_some_and(|text| *text == Outcome::NotRun.to_string());
     let meaning = interpret(call.route.spec.kind, head.status.as_u16(), states_not_run);
-    if meaning == Meaning::UnconfirmedRefusal {
-        // Instances of earlier releases forward such responses of their targets.
+    // Instances of earlier releases forward such responses of their targets.
+    let unusable = match meaning {
+        Meaning::UnconfirmedRefusal => Some(ErrorKind::RefusalUnconfirmed),
+        Meaning::InvalidStatus => Some(ErrorKind::StatusInvalid),
+        Meaning::Final | Meaning::NotRun => None,
+    };
+    if let Some(kind) = unusable {
         let summary = ResponseSummary::new(head.status, fields, &call.gateway.platform.headers);
-        return Offer::Taken(SendResult::Unusable(summary, ErrorKind::RefusalUnconfirmed));
+        return Offer::Taken(SendResult::Unusable(summary, kind));
     }
     if meaning == Meaning::NotRun {
         call.record_not_executed();
--- a/tests/gateway_earlier_instances.rs
+++ b/tests/gateway_earlier_instances.rs
@@ -112,3 +112,17 @@
     assert_eq!((told.status, &told.headers["retry-after"]), (429, &"0.2".parse().expect("a value")));
     assert_eq!(told.headers["arbutusshelf-outcome"], "not-run");
 }
+
+// Guards against a status that no final response has, which the other instance passes on.
+#[tokio::test]
+async fn an_invalid_status_that_another_instance_passes_on_is_not_told() {
+    let instance = EarlierInstance::start().await;
+    for status in ["101 Switching Protocols", "600 Beyond", "999 Beyond"] {
+        for body_bytes in [2, 400_000] {
+            let fields = "X-Response-Seal: 3e1b.07\r\n";
+            let told = instance.charge(response(status, fields, body_bytes)).await;
+            assert_eq!(told.status, 502, "{status} {body_bytes}");
+            assert_eq!(told.headers["arbutusshelf-cause"], "status-invalid");
+        }
+    }
+}
