Take no load from a probe's response with a status that no final response has

Cause: the status of a response to a probe was not looked at. A target that answers probes with 101 or 600 was taken for sound by the load that it states, and for one that leaves or pauses by its other fields.

Change: such a response is invalid, like one of another target; nothing in it is recorded, and its connection is closed.

Measured: a_probe_with_an_invalid_status_shows_nothing failed before (no probe had failed after 30 s) and holds now, for 101, 600 and 999.

--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -14,7 +14,7 @@
     path_check, rate_limits, target_statements,
 };
 use crate::{
-    decide::{directory::Listing, probed_target::LoadReading},
+    decide::{directory::Listing, probed_target::LoadReading, target_response::is_final},
     proxy::{
         connection::{ConnectFailure, ExchangeResult, ReusePolicy},
         upload::RequestBody,
@@ -112,7 +112,7 @@
     // A late duplicate response to an earlier request may arrive instead of the probe's.
     let is_probe_response =
         !headers.contains_key(&names.request_id) && !headers.contains_key(&names.authenticity_proof);
-    if !is_expected_target || !is_probe_response {
+    if !is_final(response.status().as_u16()) || !is_expected_target || !is_probe_response {
         return Err(ProbeFailure::Invalid);
     }
     target_statements::record(gateway, listing, response.status(), headers);
--- a/tests/gateway_invalid_statuses.rs
+++ b/tests/gateway_invalid_statuses.rs
@@ -117,6 +117,26 @@
     assert!(workers[0].executed_requests().len() > executed_before, "the failing target got no request");
 }
 
+// Guards against a target that is taken for sound, or for one that leaves, by what it states in a response to a probe
+// that is none.
+#[tokio::test]
+async fn a_probe_with_an_invalid_status_shows_nothing() {
+    for status in ["101 Switching Protocols", "600 Beyond", "999 Beyond"] {
+        let deployment = TestDeployment::start().await;
+        let fields = "X-Worker-Load: 0,0,3\r\nX-Worker-Id: i-1\r\nServer-Leaving: 5\r\nContent-Length: 0\r\n";
+        let bytes = format!("HTTP/1.1 {status}\r\n{fields}\r\n");
+        let script = move |_| ScriptedResponse { bytes: bytes.clone().into(), close: false };
+        let target = ScriptedTarget::start(script).await.expect("loopback has a free port");
+        deployment.store.put_json("servers", "i-1", &entry(target.address, "plan", "ready"));
+        let gateway = deployment.gateway("one", &json!({})).await;
+        let answer = deployment.send(gateway.callers, Method::GET, "/read/x", "a1").await;
+        assert_eq!(answer.expect("a response").status, 502, "{status}");
+        let is_invalid = || async { gateway.logged(&["event=probe-failed", "cause=invalid"]) };
+        deployment.wait_until("a probe has failed", is_invalid).await;
+        assert!(!gateway.logged(&["event=target-leaving"]), "{status}: {:?}", gateway.log());
+    }
+}
+
 // Guards against an interim response that is taken for the final one, or passed on in its place.
 #[tokio::test]
 async fn a_final_response_after_interim_ones_is_passed_on() {
