Don't pass on a status that no final response has in the mode serve

Cause: as in the mode for the platform, the status of a target's response was not checked. A caller got 101, 600 or 999 with the outcome "ran".

Change: such a response is none, like one whose end can't be told: its connection is closed, and a request that may be repeated is. The log names the target and the status.

--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -19,7 +19,7 @@
     upload::{RequestBody, RequestParts, UploadProgress, UploadState},
 };
 use crate::{
-    decide::{Attempt, AttemptEnd, Event, LoadReport},
+    decide::{Attempt, AttemptEnd, Event, LoadReport, target_response::is_final},
     kernel::{in_progress::RequestGuard, pools::ServicePool},
     plan::{RequestKind, TargetSpec},
     units::{CallId, TargetId},
@@ -293,6 +293,11 @@
     mut guard: AttemptGuard,
     response: Response<Incoming>,
 ) -> AttemptResult {
+    if !is_final(response.status().as_u16()) {
+        log::info!("event=status-invalid target={target} status={}", response.status().as_str());
+        guard.end(AttemptEnd::Lost);
+        return AttemptResult::NoResponse;
+    }
     if is_delimited_by_close(&response) {
         // Such a body ends the same way whether it is complete or truncated.
         guard.end(AttemptEnd::Lost);
--- a/tests/proxy_outcomes.rs
+++ b/tests/proxy_outcomes.rs
@@ -174,6 +174,37 @@
     }
 }
 
+// Guards against a status that no final response has and that a caller gets as the target's answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_invalid_status_is_no_answer() {
+    for status in ["000", "099", "101", "600", "999"] {
+        for bytes in [12, 400_000] {
+            let head = format!("HTTP/1.1 {status} S\r\ncontent-length: {bytes}\r\n\r\n");
+            let response = Bytes::from(head + &"x".repeat(bytes));
+            let script = move |_| ScriptedResponse { bytes: response.clone(), close: false };
+            let target = ScriptedTarget::start(script).await.expect("loopback has a free port");
+            let (kernel, task) = start_instance(&TestInstanceOptions::default(), &[target.address])
+                .await
+                .expect("the instance starts");
+            let instance = TestInstance { kernel, task, targets: Vec::new() };
+            let what = format!("{status} with {bytes} bytes");
+            for (method, requests) in [(Method::POST, 1..=1), (Method::GET, 2..=10)] {
+                let requests_before = target.requests();
+                let response = call(&instance, method.clone(), "x").await;
+                assert_eq!((response.status, response.outcome()), (502, "unknown"), "{method} {what}");
+                let sent = target.requests() - requests_before;
+                assert!(requests.contains(&sent), "{method} {what}: sent {sent} times");
+            }
+            let path = format!("/{SERVICE}/once");
+            let key = Some("key-1");
+            let charge =
+                Caller::default().call(Method::POST, instance.callers(), &path, key, Bytes::new()).await;
+            let charge = charge.expect("a response");
+            assert_eq!((charge.status, charge.outcome()), (502, "unknown"), "{what}");
+        }
+    }
+}
+
 /// A truncated body, short or long, must end with an error on every protocol and framing.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_cut_body_never_ends_cleanly() {
