Let the soak's workers answer with statuses that no final response has

Cause: neither the workers nor the checker knew a status outside 200 to 599, so no soak could find one that is passed on.

Change: the workers that run requests and answer with a wrong status also send 000, 101, 600 and 999; any response to a caller whose status is not one of 200 to 599 breaks Mixed, whatever disturbs the instance at that time.

The forged histories (101, 199, 600, 999) were not found before the rule; 599 is none.

--- a/bench/src/soak/checker.rs
+++ b/bench/src/soak/checker.rs
@@ -72,7 +72,8 @@
     /// At-most-once requests that are answered with 408, 421, 429 or 503 have not run.
     #[display("Refused")]
     RefusedNotRun,
-    /// A response with status 2xx is the complete response that a worker gave to this request.
+    /// A response with status 2xx is the complete response that a worker gave to this request, and each response has
+    /// a status of 200 to 599.
     #[display("Mixed")]
     OwnCompleteResponse,
     /// Workers run only requests that callers sent, unchanged.
@@ -261,6 +262,10 @@
                 );
                 report(findings, Invariant::OwnCompleteResponse, detail);
             }
+            if !(200..600).contains(&status) {
+                let detail = format!("{id} was answered {status}, which no final response has");
+                report(findings, Invariant::OwnCompleteResponse, detail);
+            }
         }
         if let AttemptResult::Answered { status, .. } = attempt.result
             && DENYING_STATUSES.contains(&status)
--- a/bench/src/soak/schedule.rs
+++ b/bench/src/soak/schedule.rs
@@ -161,8 +161,8 @@
 /// Mean time between two workers that execute requests and respond with a wrong status, in milliseconds.
 const RESPONSE_GAP_MS: u64 = 3_000;
 
-/// Statuses of these responses. Most promise that the request was not executed.
-const RESPONSE_STATUSES: [u16; 4] = [408, 429, 500, 503];
+/// Statuses of these responses. Some promise that the request was not executed, and some no final response has.
+const RESPONSE_STATUSES: [u16; 8] = [0, 101, 408, 429, 500, 503, 600, 999];
 
 /// Lengths of their bodies in bytes: one that a gateway buffers, and one that it passes on while it arrives.
 const RESPONSE_BODY_BYTES: [usize; 2] = [12, 400_000];
--- a/bench/tests/soak_checker.rs
+++ b/bench/tests/soak_checker.rs
@@ -140,6 +140,25 @@
     }
 }
 
+#[test]
+fn a_status_that_no_final_response_has_is_found() {
+    for (status, expected) in [
+        (101, vec![Invariant::OwnCompleteResponse]),
+        (199, vec![Invariant::OwnCompleteResponse]),
+        (600, vec![Invariant::OwnCompleteResponse]),
+        (999, vec![Invariant::OwnCompleteResponse]),
+        (599, vec![]),
+    ] {
+        let mut history = healthy_history();
+        let answered = attempt("x", AttemptKind::Idempotent, 20_000, answered(status));
+        history.arrivals.push(arrival(&answered, "i-1", 20_005));
+        history.attempts.push(answered);
+        // A disturbance is no excuse.
+        add_disturbance(&mut history, Scope::Instance(0), 19_000, 21_000);
+        assert_eq!(violated(&history), expected, "{status}");
+    }
+}
+
 #[test]
 fn a_run_of_something_else_is_found() {
     let mut history = healthy_history();
