Don't pass on the version of a target's response

Cause: the head of a response went to the caller with the version of the target's connection. In HTTP/1.0 a body of unknown length has no mark of its end but that of the connection, so a long one that broke off looked complete.

Ruled out: the body's end itself. With HTTP/1.1 in the target's first line the last chunk was left out, as it has to be.

Change: make_forwardable sets the version with the fields that belong to one connection, for responses of targets, of other instances and in the mode serve.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -345,7 +345,7 @@
         return SendResult::Unusable(summary, ErrorKind::RefusalUnconfirmed);
     }
     let (mut head, body) = response.into_parts();
-    headers::strip_non_forwardable(&mut head.headers);
+    headers::make_forwardable(&mut head);
     for name in [&names.load, &names.target_id] {
         head.headers.remove(name);
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -215,7 +215,7 @@
         }
     }
     let own_fields = [headers::OUTCOME, headers::CAUSE].map(|name| (fields.get(&name).cloned(), name));
-    headers::strip_non_forwardable(&mut head.headers);
+    headers::make_forwardable(&mut head);
     for (value, name) in own_fields {
         if let Some(value) = value {
             head.headers.insert(name, value);
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -3,7 +3,7 @@
 use hyper::{
     HeaderMap, Method, Response, Version,
     header::{self, HeaderName, HeaderValue},
-    http::request::Parts,
+    http::{request::Parts, response},
 };
 
 use crate::{
@@ -69,6 +69,13 @@
     }
 }
 
+/// Makes a response's head one that can be forwarded: without what applies to the connection that it came on.
+pub fn make_forwardable(head: &mut response::Parts) {
+    // In another version a body of unknown length could be forwarded only without a mark of its end.
+    head.version = Version::HTTP_11;
+    strip_non_forwardable(&mut head.headers);
+}
+
 /// Returns the remaining time that the caller states, in milliseconds.
 ///
 /// # Errors
--- a/src/proxy/response.rs
+++ b/src/proxy/response.rs
@@ -37,7 +37,7 @@
 impl CallerResponse {
     /// Creates the response that forwards a target's response.
     pub fn from_target(mut head: Parts, body: ResponseBody) -> Self {
-        headers::strip_non_forwardable(&mut head.headers);
+        headers::make_forwardable(&mut head);
         Self::new(Outcome::Ran, Response::from_parts(head, body))
     }
 
