Notice that a caller has left whatever is unread of its body

Cause: of a body 256 KB are read before a target is chosen. The HTTP library notices a close by reading, so one that lies behind the unread rest was not noticed while the request waited for a slot, and it was sent long after.

Ruled out: the queue itself. With bodies of up to 262,144 bytes the waiting request ends with its connection.

Change: requests of whose bodies a part may stay unread watch the state of the socket, which tells of a close whatever lies before it, every 100 ms while unread bytes are there. Connections between instances are closed by a reset, as an orderly close waits behind what the other one does not read.

--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -1,24 +1,30 @@
 //! Limits the time that a caller may take for a request head, from its first byte on, and to take a response.
 //!
 //! The HTTP library has one timer for the wait for a head and for its transfer. That timer is set to the time that
-//! a connection may be idle, which is several times as long. It has none for responses.
+//! a connection may be idle, which is several times as long. It has none for responses. Nor does it notice that a
+//! caller leaves while the rest of its request's body is unread.
 
 use std::{
     io,
+    net::Shutdown,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use socket2::SockRef;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::TcpStream,
     time::{Instant, Sleep, sleep, sleep_until},
 };
 
+/// Time between two checks whether a caller has left, while bytes of it are unread.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What the server reads from a connection at present.
 #[derive(Debug, Default)]
 enum ReadState {
@@ -126,7 +132,7 @@
 /// A caller's connection whose reads and writes fail once the caller takes too long.
 #[derive(Debug)]
 pub struct CallerStream {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     timer: HeadTimer,
     time_limits: CallerTimeLimits,
     /// Present while the caller has not taken all that has been written.
@@ -140,7 +146,12 @@
 impl CallerStream {
     /// Wraps a stream whose caller may take as long as `time_limits` say.
     pub fn new(stream: TcpStream, timer: HeadTimer, time_limits: CallerTimeLimits) -> Self {
-        Self { stream, timer, time_limits, write_timer: None }
+        Self { stream: Arc::new(stream), timer, time_limits, write_timer: None }
+    }
+
+    /// Returns a watch for the caller's end of the connection.
+    pub fn close_watch(&self) -> CloseWatch {
+        CloseWatch { stream: Arc::clone(&self.stream) }
     }
 
     /// Returns the result of a write, or an error if the caller has taken too long to make room for it.
@@ -165,14 +176,58 @@
     }
 }
 
+/// Notices that a caller closes its connection, also while bytes that it has sent before are unread.
+#[derive(Debug, Clone)]
+pub struct CloseWatch {
+    stream: Arc<TcpStream>,
+}
+
+impl CloseWatch {
+    /// Returns once the caller has closed its end of the connection, or the connection has failed.
+    pub async fn closed(&self) {
+        while let Ok(state) = self.stream.ready(Interest::READABLE).await
+            && !state.is_read_closed()
+        {
+            // It stays readable until somebody reads.
+            sleep(CLOSE_CHECK_INTERVAL).await;
+        }
+    }
+}
+
+/// Reads from a stream that is shared.
+fn poll_read(stream: &TcpStream, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    loop {
+        ready!(stream.poll_read_ready(cx))?;
+        match stream.try_read_buf(buffer) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            result => return Poll::Ready(result.map(|_bytes| ())),
+        }
+    }
+}
+
+/// Repeats a write to a stream that is shared until it succeeds, fails, or the stream takes nothing more.
+fn poll_write(
+    stream: &TcpStream,
+    cx: &mut Context<'_>,
+    write: impl Fn(&TcpStream) -> io::Result<usize>,
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(cx))?;
+        match write(stream) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            result => return Poll::Ready(result),
+        }
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled_before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let result = poll_read(&self.stream, cx, buffer);
         let has_bytes = buffer.filled().len() > filled_before;
         if self.timer.poll_expired(cx, has_bytes, self.time_limits.head) {
             return Poll::Ready(Err(timed_out("the request head took too long")));
@@ -183,18 +238,20 @@
 
 impl AsyncWrite for CallerStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        let result = poll_write(&self.stream, cx, |stream| stream.try_write(bytes));
         self.limit_write(cx, result)
     }
 
     /// The HTTP library flushes once it has written all that it has.
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(mut self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.write_timer = None;
-        Pin::new(&mut self.stream).poll_flush(cx)
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let result = SockRef::from(&*self.stream).shutdown(Shutdown::Write);
+        // The caller may have closed the connection before.
+        Poll::Ready(result.or_else(|e| if e.kind() == io::ErrorKind::NotConnected { Ok(()) } else { Err(e) }))
     }
 
     fn poll_write_vectored(
@@ -202,11 +259,11 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        let result = poll_write(&self.stream, cx, |stream| stream.try_write_vectored(slices));
         self.limit_write(cx, result)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 }
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -1,11 +1,16 @@
 //! Accepts and serves callers' connections, with limits on size and time, and closes them on shutdown.
 
-use std::{convert::Infallible, future::pending, net::IpAddr, pin::pin, sync::Arc, time::Duration};
+use std::{future::pending, net::IpAddr, pin::pin, sync::Arc, time::Duration};
 
 use hyper::{
-    Request, Response, body::Incoming, header::HeaderValue, server::conn::http1, service::service_fn,
+    Request, Response,
+    body::{Body, Incoming},
+    header::HeaderValue,
+    server::conn::http1,
+    service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use thiserror::Error;
 use tokio::{
     net::{TcpListener, TcpStream},
     time::{Instant, timeout, timeout_at},
@@ -21,6 +26,7 @@
     error::ErrorKind,
     kernel::Phase,
     peer::forward::{FORWARD, FORWARDED_TO, ForwardHeader},
+    proxy::inbound::MAX_RETRYABLE_BODY_BYTES,
 };
 
 /// Smallest buffer for a request head that the HTTP library accepts.
@@ -86,6 +92,17 @@
     }
 }
 
+/// Ends a connection whose caller has left.
+#[derive(Debug, Clone, Copy, Error)]
+#[error("the caller has left before its request was read")]
+struct CallerLeft;
+
+/// Returns whether a part of a request's body may stay unread while its request waits for a target. What ends the
+/// connection is not read either then; otherwise the HTTP library notices it.
+fn may_be_read_in_part(body: &Incoming) -> bool {
+    body.size_hint().exact().is_none_or(|bytes| bytes > MAX_RETRYABLE_BODY_BYTES)
+}
+
 /// Serves a connection until either side ends it.
 async fn serve(gateway: Arc<Gateway>, stream: TcpStream, from: IpAddr, audience: Audience) {
     let _connected = gateway.in_progress().track_connection();
@@ -112,16 +129,28 @@
         response: longest_timeout + idle_timeout,
     };
     let stream = CallerStream::new(stream, timer.clone(), time_limits);
+    let close_watch = stream.close_watch();
     let shared = Arc::clone(&gateway);
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Arc::clone(&shared);
         let guard = timer.head_complete();
+        let close_watch = may_be_read_in_part(request.body()).then(|| close_watch.clone());
         async move {
-            let response = match audience {
-                Audience::Callers => call::handle(gateway, RequestSource::Caller(from), request).await,
-                Audience::Instances => handle_forwarded(gateway, request).await,
+            let handled = async {
+                match audience {
+                    Audience::Callers => call::handle(gateway, RequestSource::Caller(from), request).await,
+                    Audience::Instances => handle_forwarded(gateway, request).await,
+                }
+            };
+            let response = match close_watch {
+                None => handled.await,
+                Some(close_watch) => tokio::select! {
+                    biased;
+                    response = handled => response,
+                    () = close_watch.closed() => return Err(CallerLeft),
+                },
             };
-            Ok::<_, Infallible>(response.map(|body| GuardedBody { body, guard }))
+            Ok(response.map(|body| GuardedBody { body, guard }))
         }
     });
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -172,7 +172,7 @@
             run_id: RunId::from(seed),
             platform,
             started_unix_ms: unix_ms(),
-            peer_connections: Connections::default(),
+            peer_connections: Connections::closed_by_reset(),
             connections: Connections::from_source(config.targets_source),
             metrics: Metrics::default(),
             request_log_limiter: RequestLogLimiter::default(),
--- a/src/proxy/connection.rs
+++ b/src/proxy/connection.rs
@@ -311,14 +311,32 @@
 #[derive(Debug, Default)]
 pub struct Connections {
     targets: RwLock<HashMap<SocketAddr, Arc<TargetConnections>>>,
+    options: ConnectOptions,
+}
+
+/// How connections are opened and closed.
+#[derive(Debug, Clone, Copy, Default)]
+struct ConnectOptions {
     /// Address of this host from which they are opened; `None` leaves the choice to the operating system.
     source: Option<IpAddr>,
+    /// Whether they are closed by a reset, which discards what has not been sent.
+    resets_on_close: bool,
 }
 
 impl Connections {
     /// Creates a table whose connections are opened from the address `source` of this host.
     pub fn from_source(source: Option<IpAddr>) -> Self {
-        Self { targets: RwLock::default(), source }
+        Self::new(ConnectOptions { source, resets_on_close: false })
+    }
+
+    /// Creates a table whose connections are closed by a reset. The other end notices it at once, where an orderly close
+    /// would wait behind a request's body that it does not read.
+    pub fn closed_by_reset() -> Self {
+        Self::new(ConnectOptions { source: None, resets_on_close: true })
+    }
+
+    fn new(options: ConnectOptions) -> Self {
+        Self { targets: RwLock::default(), options }
     }
 
     /// Returns a connection for one request.
@@ -346,7 +364,8 @@
                 permit = target.open.try_acquire(limit);
             }
             if let Some(permit) = permit {
-                let connected = timeout(CONNECT_TIMEOUT, connect(address, self.source, target, permit)).await;
+                let connected =
+                    timeout(CONNECT_TIMEOUT, connect(address, self.options, target, permit)).await;
                 return connected.map_err(|_elapsed| ConnectFailure::TimedOut)?;
             }
             let released = timeout_at(until, target.open.released.notified()).await;
@@ -363,7 +382,7 @@
         let target = self.target(address);
         target.open.count.fetch_add(1, Ordering::AcqRel);
         let permit = ConnectionPermit { open: Arc::clone(&target.open) };
-        connect(address, self.source, target, permit).await
+        connect(address, self.options, target, permit).await
     }
 
     /// Returns the number of open connections to a target.
@@ -380,7 +399,7 @@
     ///
     /// A target at its limit may reset or refuse a new connection, too, but it keeps the open ones.
     pub async fn check_process(&self, address: SocketAddr) -> ProcessState {
-        let connected = timeout(PROCESS_CHECK_TIMEOUT, open_stream(address, self.source)).await;
+        let connected = timeout(PROCESS_CHECK_TIMEOUT, open_stream(address, self.options.source)).await;
         match connected {
             Ok(Ok(stream)) if !is_closed_soon(&stream).await => return ProcessState::Listening,
             Ok(Ok(_closed)) => {}
@@ -429,12 +448,15 @@
 
 async fn connect(
     address: SocketAddr,
-    source: Option<IpAddr>,
+    options: ConnectOptions,
     target: Arc<TargetConnections>,
     permit: ConnectionPermit,
 ) -> Result<Connection, ConnectFailure> {
-    let stream = open_stream(address, source).await?;
+    let stream = open_stream(address, options.source).await?;
     stream.set_nodelay(true)?;
+    if options.resets_on_close {
+        stream.set_zero_linger()?;
+    }
     let socket = SockRef::from(&stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
