Share what the tests of statuses have in common

The forms of a response are listed by StatedResponse::all_forms, executions are counted by one function, and two tests of the mode serve start their target by one. No check is changed.

--- a/bench/src/worker.rs
+++ b/bench/src/worker.rs
@@ -88,6 +88,21 @@
 }
 
 impl StatedResponse {
+    /// Returns responses with each of the statuses and lengths, with the seal and without, and with all ends of bodies.
+    pub fn all_forms(statuses: &[u16], body_lengths_bytes: &[usize]) -> Vec<Self> {
+        let mut forms = Vec::new();
+        for &status in statuses {
+            for has_seal in [false, true] {
+                for &body_bytes in body_lengths_bytes {
+                    for end in [BodyEnd::Length, BodyEnd::Chunks, BodyEnd::Close] {
+                        forms.push(Self { status, has_seal, body_bytes, end });
+                    }
+                }
+            }
+        }
+        forms
+    }
+
     /// Writes the response after a head's fields `headers`; returns whether the connection stays open.
     async fn write(self, stream: &mut TcpStream, headers: &str) -> std::io::Result<bool> {
         let Self { status, has_seal, body_bytes, end } = self;
--- a/tests/cut_off_env/mod.rs
+++ b/tests/cut_off_env/mod.rs
@@ -15,7 +15,7 @@
 use hyper::Method;
 use serde_json::json;
 
-use super::gateway_env::{GatewayProcess, TestDeployment, entry};
+use super::gateway_env::{GatewayProcess, TestDeployment, entry, executions};
 
 /// Address from which the instance that is cut off connects to targets.
 pub const CUT_OFF_SOURCE: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
@@ -105,8 +105,7 @@
 
     /// Returns how often a request was executed.
     pub fn executions(&self, id: &str) -> usize {
-        let executed = self.workers.iter().flat_map(WorkerStandIn::executed_requests);
-        executed.filter(|r| r.header("x-attempt-id") == Some(id)).count()
+        executions(&self.workers, id)
     }
 
     /// Fails if any charge was executed more than once.
--- a/tests/gateway_env/mod.rs
+++ b/tests/gateway_env/mod.rs
@@ -282,6 +282,12 @@
     }
 }
 
+/// Returns how often workers have executed a request.
+pub fn executions(workers: &[WorkerStandIn], id: &str) -> usize {
+    let executed = workers.iter().flat_map(WorkerStandIn::executed_requests);
+    executed.filter(|r| r.header("x-attempt-id") == Some(id)).count()
+}
+
 /// Returns a manifest resource for a route to one service.
 pub fn route(name: &str, prefix: &str, kind: &str, service: &str, timeout_ms: u32) -> Value {
     json!({"resourceKind": "routes", "metadata": {"name": name}, "spec": {
--- a/tests/gateway_invalid_statuses.rs
+++ b/tests/gateway_invalid_statuses.rs
@@ -14,7 +14,7 @@
     worker::{BodyEnd, StatedResponse, WorkerMode, WorkerStandIn},
 };
 use cut_off_env::CutOffDeployment;
-use gateway_env::{GatewayProcess, TestDeployment, entry};
+use gateway_env::{GatewayProcess, TestDeployment, entry, executions};
 use hyper::Method;
 use quickcheck::quickcheck;
 use serde_json::json;
@@ -24,22 +24,7 @@
 
 /// Returns responses with statuses that the HTTP library refuses, that it takes, and that ask for another protocol.
 fn responses() -> Vec<StatedResponse> {
-    let mut responses = Vec::new();
-    for status in [0, 99, 101, 600, 999] {
-        for has_seal in [false, true] {
-            for body_bytes in BODY_BYTES {
-                for end in [BodyEnd::Length, BodyEnd::Chunks, BodyEnd::Close] {
-                    responses.push(StatedResponse { status, has_seal, body_bytes, end });
-                }
-            }
-        }
-    }
-    responses
-}
-
-fn executions(workers: &[WorkerStandIn], id: &str) -> usize {
-    let executed = workers.iter().flat_map(WorkerStandIn::executed_requests);
-    executed.filter(|r| r.header("x-attempt-id") == Some(id)).count()
+    StatedResponse::all_forms(&[0, 99, 101, 600, 999], &BODY_BYTES)
 }
 
 /// Sends a charge and a read for each of the responses, which all targets give, and checks what callers are told.
--- a/tests/gateway_unconfirmed_refusals.rs
+++ b/tests/gateway_unconfirmed_refusals.rs
@@ -19,7 +19,7 @@
 };
 use bytes::Bytes;
 use cut_off_env::CutOffDeployment;
-use gateway_env::{GatewayProcess, TestDeployment};
+use gateway_env::{GatewayProcess, TestDeployment, executions};
 use hyper::Method;
 use serde_json::json;
 
@@ -37,22 +37,7 @@
 
 /// Returns all responses with which a target breaks the promise. 421 is a statement by itself.
 fn responses() -> Vec<StatedResponse> {
-    let mut responses = Vec::new();
-    for status in [408, 429, 503] {
-        for has_seal in [false, true] {
-            for body_bytes in BODY_BYTES {
-                for end in [BodyEnd::Length, BodyEnd::Chunks, BodyEnd::Close] {
-                    responses.push(StatedResponse { status, has_seal, body_bytes, end });
-                }
-            }
-        }
-    }
-    responses
-}
-
-fn executions(workers: &[WorkerStandIn], id: &str) -> usize {
-    let executed = workers.iter().flat_map(WorkerStandIn::executed_requests);
-    executed.filter(|r| r.header("x-attempt-id") == Some(id)).count()
+    StatedResponse::all_forms(&[408, 429, 503], &BODY_BYTES)
 }
 
 /// Checks that a caller whose charge was executed is told that this is unknown.
--- a/tests/proxy_outcomes.rs
+++ b/tests/proxy_outcomes.rs
@@ -22,6 +22,24 @@
     response.expect("a response")
 }
 
+/// Sends a request that may run once, always with the same key.
+async fn call_with_key(instance: &TestInstance) -> CompleteResponse {
+    let path = format!("/{SERVICE}/once");
+    let key = Some("key-1");
+    let response = Caller::default().call(Method::POST, instance.callers(), &path, key, Bytes::new()).await;
+    response.expect("a response")
+}
+
+/// Starts an instance whose only target gives all requests a response with this head and a body of `body_bytes`.
+async fn start_with_response(head: String, body_bytes: usize) -> (TestInstance, ScriptedTarget) {
+    let response = Bytes::from(head + &"x".repeat(body_bytes));
+    let script = move |_| ScriptedResponse { bytes: response.clone(), close: false };
+    let target = ScriptedTarget::start(script).await.expect("loopback has a free port");
+    let started = start_instance(&TestInstanceOptions::default(), &[target.address]).await;
+    let (kernel, task) = started.expect("the instance starts");
+    (TestInstance { kernel, task, targets: Vec::new() }, target)
+}
+
 fn in_flight(instance: &TestInstance) -> u32 {
     let service = SERVICE.parse().expect("the name is valid");
     let pool = instance.kernel.pools.find(&service).expect("the pool exists");
@@ -150,23 +168,13 @@
     for (status, field) in [(408, "x: y"), (421, "x: y"), (429, "retry-after: 1"), (503, "x: y")] {
         for bytes in [12, 400_000] {
             let head = format!("HTTP/1.1 {status} S\r\n{field}\r\ncontent-length: {bytes}\r\n\r\n");
-            let response = Bytes::from(head + &"x".repeat(bytes));
-            let script = move |_| ScriptedResponse { bytes: response.clone(), close: false };
-            let target = ScriptedTarget::start(script).await.expect("loopback has a free port");
-            let (kernel, task) = start_instance(&TestInstanceOptions::default(), &[target.address])
-                .await
-                .expect("the instance starts");
-            let instance = TestInstance { kernel, task, targets: Vec::new() };
+            let (instance, target) = start_with_response(head, bytes).await;
             let what = format!("{status} with {bytes} bytes");
             let unstated = call(&instance, Method::POST, "x").await;
             assert_eq!((unstated.status, unstated.outcome()), (status, "ran"), "{what}");
             assert_eq!(target.requests(), 1, "{what}");
-            let path = format!("/{SERVICE}/once");
             for _ in 0..2 {
-                let key = Some("key-1");
-                let charge =
-                    Caller::default().call(Method::POST, instance.callers(), &path, key, Bytes::new()).await;
-                let charge = charge.expect("a response");
+                let charge = call_with_key(&instance).await;
                 assert_eq!((charge.status, charge.outcome()), (status, "ran"), "{what}");
                 assert_eq!(target.requests(), 2, "the charge runs once: {what}");
             }
@@ -180,13 +188,7 @@
     for status in ["000", "099", "101", "600", "999"] {
         for bytes in [12, 400_000] {
             let head = format!("HTTP/1.1 {status} S\r\ncontent-length: {bytes}\r\n\r\n");
-            let response = Bytes::from(head + &"x".repeat(bytes));
-            let script = move |_| ScriptedResponse { bytes: response.clone(), close: false };
-            let target = ScriptedTarget::start(script).await.expect("loopback has a free port");
-            let (kernel, task) = start_instance(&TestInstanceOptions::default(), &[target.address])
-                .await
-                .expect("the instance starts");
-            let instance = TestInstance { kernel, task, targets: Vec::new() };
+            let (instance, target) = start_with_response(head, bytes).await;
             let what = format!("{status} with {bytes} bytes");
             for (method, requests) in [(Method::POST, 1..=1), (Method::GET, 2..=10)] {
                 let requests_before = target.requests();
@@ -195,11 +197,7 @@
                 let sent = target.requests() - requests_before;
                 assert!(requests.contains(&sent), "{method} {what}: sent {sent} times");
             }
-            let path = format!("/{SERVICE}/once");
-            let key = Some("key-1");
-            let charge =
-                Caller::default().call(Method::POST, instance.callers(), &path, key, Bytes::new()).await;
-            let charge = charge.expect("a response");
+            let charge = call_with_key(&instance).await;
             assert_eq!((charge.status, charge.outcome()), (502, "unknown"), "{what}");
         }
     }
