Wait for the log lines of a request in the tests of statuses

A request's lines are written when it ends and pass a queue and a pipe, so they may follow its response.

Change: wait_for_log waits for the line, up to the limit of all waits, and fails if it doesn't come; the same in gateway_invalid_statuses and gateway_unconfirmed_refusals. What is looked for is as before.

--- a/tests/gateway_earlier_instances.rs
+++ b/tests/gateway_earlier_instances.rs
@@ -97,7 +97,7 @@
                 assert_eq!(told.headers["arbutusshelf-cause"], "refusal-unconfirmed");
                 assert!(!told.headers.contains_key("x-response-seal"), "{status} {fields:?} {body_bytes}");
                 let logged = ["event=forward-ended", "outcome=unusable", &format!("status={}", &status[..3])];
-                assert!(instance.deployment.cut_off.logged(&logged));
+                instance.deployment.deployment.wait_for_log(&instance.deployment.cut_off, &logged).await;
             }
         }
     }
--- a/tests/gateway_env/mod.rs
+++ b/tests/gateway_env/mod.rs
@@ -272,6 +272,11 @@
         caller.send(request).await
     }
 
+    /// Waits until a gateway has logged a line that contains all `words`. A request's lines may follow its response.
+    pub async fn wait_for_log(&self, gateway: &GatewayProcess, words: &[&str]) {
+        self.wait_until(&format!("{words:?} is logged"), || async { gateway.logged(words) }).await;
+    }
+
     /// Waits until a condition holds; `what` describes it in the panic message after a timeout.
     pub async fn wait_until<F: Future<Output = bool>>(&self, what: &str, condition: impl Fn() -> F) {
         let until = Instant::now() + WAIT_TIMEOUT;
--- a/tests/gateway_invalid_statuses.rs
+++ b/tests/gateway_invalid_statuses.rs
@@ -67,8 +67,12 @@
     let workers = [deployment.worker("i-1").await];
     let gateway = deployment.gateway("one", &json!({})).await;
     check_requests(&deployment, &gateway, &workers).await;
-    assert!(gateway.logged(&["event=send-ended", "outcome=unusable", "status=600", "proof=true"]));
-    assert!(gateway.logged(&["event=request-ended", "outcome=unknown", "cause=status-invalid"]));
+    deployment
+        .wait_for_log(&gateway, &["event=send-ended", "outcome=unusable", "status=600", "proof=true"])
+        .await;
+    deployment
+        .wait_for_log(&gateway, &["event=request-ended", "outcome=unknown", "cause=status-invalid"])
+        .await;
 }
 
 // Guards against the same by way of another instance.
--- a/tests/gateway_unconfirmed_refusals.rs
+++ b/tests/gateway_unconfirmed_refusals.rs
@@ -96,8 +96,12 @@
     let workers = [deployment.worker("i-1").await];
     let gateway = deployment.gateway("one", &json!({})).await;
     check_charges(&deployment, &gateway, &workers, 10).await;
-    assert!(gateway.logged(&["event=send-ended", "outcome=unusable", "status=503", "proof=true"]));
-    assert!(gateway.logged(&["event=request-ended", "outcome=unknown", "cause=refusal-unconfirmed"]));
+    deployment
+        .wait_for_log(&gateway, &["event=send-ended", "outcome=unusable", "status=503", "proof=true"])
+        .await;
+    deployment
+        .wait_for_log(&gateway, &["event=request-ended", "outcome=unknown", "cause=refusal-unconfirmed"])
+        .await;
 }
 
 // Guards against the same for a charge whose body is passed on while it arrives.
@@ -185,7 +189,7 @@
     let gateway = deployment.gateway("one", &json!({})).await;
     let first = deployment.send(gateway.callers, Method::POST, "/charge/x", "a1").await;
     assert_told_unknown("the first", &first.expect("a response"));
-    assert!(gateway.logged(&["event=target-paused", "target=i-1", "pause_ms=30000"]));
+    deployment.wait_for_log(&gateway, &["event=target-paused", "target=i-1", "pause_ms=30000"]).await;
     let second = deployment.send(gateway.callers, Method::POST, "/charge/x", "a2").await;
     let second = second.expect("a response");
     assert!([429, 503].contains(&second.status), "{}", second.status);
