--- a/tests/gateway_left_uploads.rs
+++ b/tests/gateway_left_uploads.rs
@@ -19,12 +19,15 @@
 };
 
 /// Lengths of bodies: of those up to 262,144 bytes all is read before a target is chosen.
-const BODY_BYTES: [usize; 5] = [0, 200_000, 262_144, 262_145, 300_000];
+const BODY_BYTES: [usize; 6] = [0, 200_000, 262_144, 262_145, 300_000, RESET_BODY_BYTES];
 
 /// Length of the bodies of callers whose connection is reset. What they have sent fills all buffers on the way, so that an
 /// orderly close would not reach the instance before it reads on.
 const RESET_BODY_BYTES: usize = 16_000_000;
 
+/// Length of the bodies of callers that close in an orderly way although they could not send all.
+const UNSENT_BODY_BYTES: usize = 4_000_000;
+
 /// Time for which targets execute the requests that take all their slots.
 const LONG_SERVICE_TIME: Duration = Duration::from_millis(1_400);
 
@@ -59,9 +62,8 @@
 }
 
 /// Returns identifier, length and framing of the requests whose callers leave.
-fn left_requests() -> Vec<(String, usize, bool)> {
-    let framings =
-        BODY_BYTES.into_iter().chain([RESET_BODY_BYTES]).flat_map(|bytes| [(bytes, false), (bytes, true)]);
+fn left_requests(lengths_bytes: &[usize]) -> Vec<(String, usize, bool)> {
+    let framings = lengths_bytes.iter().flat_map(|&bytes| [(bytes, false), (bytes, true)]);
     let with_id = |(bytes, is_chunked)| {
         let framing = if is_chunked { "chunks" } else { "length" };
         (format!("left-{bytes}-{framing}"), bytes, is_chunked)
@@ -75,6 +77,7 @@
     deployment: &TestDeployment,
     instances: &[&GatewayProcess],
     workers: &[WorkerStandIn],
+    lengths_bytes: &[usize],
 ) -> Vec<String> {
     let instance = instances[0];
     for worker in workers {
@@ -91,7 +94,7 @@
     };
     let leaving = async {
         sleep(LEAVE_AFTER).await;
-        let left = left_requests().into_iter();
+        let left = left_requests(lengths_bytes).into_iter();
         join_all(left.map(|(id, bytes, is_chunked)| send_and_leave(instance.callers, id, bytes, is_chunked)))
             .await;
         for worker in workers {
@@ -113,7 +116,7 @@
         lines.iter().any(|line| line.contains("event=request-sent") && line.contains(&request))
             || workers.iter().any(is_received)
     };
-    left_requests().into_iter().map(|(id, ..)| id).filter(was_sent).collect()
+    left_requests(lengths_bytes).into_iter().map(|(id, ..)| id).filter(was_sent).collect()
 }
 
 fn put_patient_routes(deployment: &TestDeployment) {
@@ -131,7 +134,19 @@
     put_patient_routes(&deployment);
     let workers = [deployment.worker("i-1").await];
     let gateway = deployment.gateway("one", &json!({})).await;
-    assert_eq!(late_requests(&deployment, &[&gateway], &workers).await, Vec::<String>::new());
+    assert_eq!(late_requests(&deployment, &[&gateway], &workers, &BODY_BYTES).await, Vec::<String>::new());
+}
+
+// Guards against the same when the close waits behind what the caller could not send, so that it does not reach the
+// instance before that reads on.
+#[tokio::test]
+async fn nothing_is_sent_for_a_caller_that_has_left_with_unsent_bytes() {
+    let deployment = TestDeployment::start().await;
+    put_patient_routes(&deployment);
+    let workers = [deployment.worker("i-1").await];
+    let gateway = deployment.gateway("one", &json!({})).await;
+    let late = late_requests(&deployment, &[&gateway], &workers, &[UNSENT_BODY_BYTES]).await;
+    assert_eq!(late, Vec::<String>::new());
 }
 
 // Guards against the same at the instance to which the request was forwarded.
@@ -141,7 +156,7 @@
     put_patient_routes(&deployment.deployment);
     deployment.cut_off(LinkFault::Blackhole).await;
     let instances = [&deployment.cut_off, &deployment.others[0]];
-    let late = late_requests(&deployment.deployment, &instances, &deployment.workers).await;
+    let late = late_requests(&deployment.deployment, &instances, &deployment.workers, &BODY_BYTES).await;
     assert_eq!(late, Vec::<String>::new());
 }
 
